--- a/Makefile
+++ b/Makefile
@@ -9,15 +9,16 @@
 BUILD = build/sanitize
 MODE = -O1 -g -fsanitize=address,undefined -fno-omit-frame-pointer
 else
-BUILD = build/release
+BUILD ?= build/release
 MODE = -O2 -g
 endif
-CPPFLAGS = -D_GNU_SOURCE -Isrc -Itests -Ibench $(shell pkg-config --cflags $(PACKAGES))
+CPPFLAGS = -D_GNU_SOURCE -Isrc -I. -Itests -Ibench $(shell pkg-config --cflags $(PACKAGES))
 CFLAGS = -std=gnu11 $(WARNINGS) $(MODE) -MMD -MP
-LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lm
+LDLIBS = $(shell pkg-config --libs $(PACKAGES)) -lhttp_parser -lm
 
 core_src = $(wildcard src/base/*.c src/generated/*.c src/decide/*.c)
 links_src = $(wildcard src/links/*.c)
+platform_src = $(wildcard platform/*.c)
 daemon_src = $(filter-out src/daemon/main.c,$(wildcard src/daemon/*.c))
 harness_src = $(wildcard tests/harness/*.c)
 model_src = $(wildcard bench/model/*.c)
@@ -25,11 +26,12 @@
 objects = $(patsubst %.c,$(BUILD)/%.o,$(1))
 core = $(call objects,$(core_src))
 links = $(call objects,$(links_src))
+platform = $(call objects,$(platform_src))
 daemon = $(call objects,$(daemon_src))
 harness = $(call objects,$(harness_src))
 model = $(call objects,$(model_src))
 
-bin = $(BUILD)/bin
+bin ?= $(BUILD)/bin
 programs = $(bin)/buckthornd $(bin)/buckthornctl
 fakes = $(patsubst tests/fakes/%.c,$(bin)/%,$(wildcard tests/fakes/fake_*.c))
 unit_tests = $(patsubst tests/unit/%.c,$(bin)/unit/%,$(wildcard tests/unit/*.c))
@@ -37,10 +39,10 @@
 benches = $(patsubst bench/%.c,$(bin)/bench/%,$(wildcard bench/*.c))
 
 .PHONY: all demo check bench model-check capacity soak fuzz format lint \
-  generate clean deps test-programs
+  generate clean deps test-programs programs
 .SECONDARY:
 
-all: $(programs)
+all programs: $(programs)
 
 deps:
 	./scripts/install-deps
@@ -49,7 +51,7 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CPPFLAGS) $(CFLAGS) -c $< -o $@
 
-$(bin)/buckthornd: $(BUILD)/src/daemon/main.o $(daemon) $(links) $(core)
+$(bin)/buckthornd: $(BUILD)/src/daemon/main.o $(daemon) $(platform) $(links) $(core)
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
@@ -61,7 +63,7 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
-$(bin)/unit/%: $(BUILD)/tests/unit/%.o $(daemon) $(links) $(core) $(model)
+$(bin)/unit/%: $(BUILD)/tests/unit/%.o $(daemon) $(platform) $(links) $(core) $(model)
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
@@ -69,7 +71,7 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
-$(bin)/bench/%: $(BUILD)/bench/%.o $(model) $(harness) $(daemon) $(links) $(core)
+$(bin)/bench/%: $(BUILD)/bench/%.o $(model) $(harness) $(daemon) $(platform) $(links) $(core)
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
--- /dev/null
+++ b/src/base/http_head.c
@@ -0,0 +1,191 @@
+#include "base/http_head.h"
+
+#include <string.h>
+
+static const char *const hop_fields[]
+    = { "Connection", "Keep-Alive", "Transfer-Encoding", "TE",
+        "Trailer",    "Upgrade",    "Proxy-Connection",  NULL };
+
+static void
+field_clear (void *p)
+{
+  struct http_field *f = p;
+  g_free (f->name);
+  g_free (f->value);
+}
+
+struct http_head *
+http_head_create (void)
+{
+  struct http_head *h = g_new0 (struct http_head, 1);
+  h->minor = 1;
+  h->fields = g_array_new (FALSE, FALSE, sizeof (struct http_field));
+  g_array_set_clear_func (h->fields, field_clear);
+  return h;
+}
+
+void
+http_head_destroy (struct http_head *h)
+{
+  if (h == NULL)
+    return;
+  g_free (h->method);
+  g_free (h->target);
+  g_free (h->reason);
+  g_array_free (h->fields, TRUE);
+  g_free (h);
+}
+
+static struct http_field *
+field_at (const struct http_head *h, guint i)
+{
+  return &g_array_index (h->fields, struct http_field, i);
+}
+
+struct http_head *
+http_head_copy (const struct http_head *h)
+{
+  struct http_head *out = http_head_create ();
+  out->method = g_strdup (h->method);
+  out->target = g_strdup (h->target);
+  out->status = h->status;
+  out->reason = g_strdup (h->reason);
+  out->minor = h->minor;
+  for (guint i = 0; i < h->fields->len; i++)
+    http_head_add (out, field_at (h, i)->name, field_at (h, i)->value);
+  return out;
+}
+
+const char *
+http_head_get (const struct http_head *h, const char *name)
+{
+  for (guint i = 0; i < h->fields->len; i++)
+    if (g_ascii_strcasecmp (field_at (h, i)->name, name) == 0)
+      return field_at (h, i)->value;
+  return NULL;
+}
+
+unsigned
+http_head_count (const struct http_head *h, const char *name)
+{
+  unsigned n = 0;
+  for (guint i = 0; i < h->fields->len; i++)
+    n += g_ascii_strcasecmp (field_at (h, i)->name, name) == 0;
+  return n;
+}
+
+void
+http_head_add (struct http_head *h, const char *name, const char *value)
+{
+  struct http_field f = { g_strdup (name), g_strdup (value) };
+  g_array_append_val (h->fields, f);
+}
+
+void
+http_head_remove (struct http_head *h, const char *name)
+{
+  for (guint i = h->fields->len; i > 0; i--)
+    if (g_ascii_strcasecmp (field_at (h, i - 1)->name, name) == 0)
+      g_array_remove_index (h->fields, i - 1);
+}
+
+void
+http_head_set (struct http_head *h, const char *name, const char *value)
+{
+  http_head_remove (h, name);
+  http_head_add (h, name, value);
+}
+
+static bool
+value_lists (const char *value, const char *token)
+{
+  g_auto (GStrv) parts = g_strsplit (value, ",", -1);
+  for (char **p = parts; *p; p++)
+    if (g_ascii_strcasecmp (g_strstrip (*p), token) == 0)
+      return true;
+  return false;
+}
+
+bool
+http_head_lists (const struct http_head *h, const char *name,
+                 const char *token)
+{
+  for (guint i = 0; i < h->fields->len; i++)
+    if (g_ascii_strcasecmp (field_at (h, i)->name, name) == 0
+        && value_lists (field_at (h, i)->value, token))
+      return true;
+  return false;
+}
+
+static bool
+is_kept (const char *name, const char *const *keep)
+{
+  for (; *keep; keep++)
+    if (g_ascii_strcasecmp (name, *keep) == 0)
+      return true;
+  return false;
+}
+
+void
+http_head_strip_hop (struct http_head *h, const char *const *keep)
+{
+  const char *named = http_head_get (h, "Connection");
+  if (named)
+    {
+      g_auto (GStrv) parts = g_strsplit (named, ",", -1);
+      for (char **p = parts; *p; p++)
+        if (*g_strstrip (*p) && !is_kept (*p, keep))
+          http_head_remove (h, *p);
+    }
+  for (const char *const *f = hop_fields; *f; f++)
+    http_head_remove (h, *f);
+}
+
+const char *
+http_reason (unsigned status)
+{
+  switch (status)
+    {
+    case 200:
+      return "OK";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 408:
+      return "Request Timeout";
+    case 413:
+      return "Content Too Large";
+    case 429:
+      return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 502:
+      return "Bad Gateway";
+    case 503:
+      return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
+    default:
+      return "Status";
+    }
+}
+
+void
+http_head_write (const struct http_head *h, GString *out)
+{
+  if (h->method)
+    g_string_append_printf (out, "%s %s HTTP/1.1\r\n", h->method, h->target);
+  else
+    g_string_append_printf (out, "HTTP/1.1 %u %s\r\n", h->status,
+                            h->reason ? h->reason : http_reason (h->status));
+  for (guint i = 0; i < h->fields->len; i++)
+    {
+      const struct http_field *f = field_at (h, i);
+      g_string_append (out, f->name);
+      g_string_append (out, ": ");
+      g_string_append (out, f->value);
+      g_string_append (out, "\r\n");
+    }
+  g_string_append (out, "\r\n");
+}
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -32,7 +32,16 @@
   X (orders_sent_total, "Orders sent to engines")                             \
   X (orders_confirmed_total, "Orders confirmed by engines")                   \
   X (role_changes_total, "Role changes ordered")                              \
-  X (applies_total, "Files applied through this VM")
+  X (applies_total, "Files applied through this VM")                          \
+  X (cut_total, "Answers cut off before their end")                           \
+  X (caller_gone_total, "Callers that left before their answer")              \
+  X (bad_requests_total, "Requests refused as malformed or too large")        \
+  X (upstream_opened_total, "Connections opened to upstreams")                \
+  X (upstream_reused_total, "Requests sent on a kept connection")             \
+  X (stray_answers_total, "Upstream answers of other requests")               \
+  X (kv_reads_total, "Reads of the key-value service")                        \
+  X (kv_writes_total, "Writes to the key-value service")                      \
+  X (log_lines_dropped_total, "Log lines dropped over the bound")
 
 /** Gauges: name, help.  */
 #define METRICS_GAUGES(X)                                                     \
@@ -42,14 +51,19 @@
   X (home_running, "Requests at engines of this home VM")                     \
   X (home_waiting, "Requests that wait at this home VM")                      \
   X (order_holder, "Failure domains whose orders this VM gives")              \
-  X (behind, "1 where this VM knows that its file may be old")
+  X (behind, "1 where this VM knows that its file may be old")                \
+  X (routed_open, "Routed requests under way")                                \
+  X (upstreams_known, "Instances of all services")                            \
+  X (routes_version, "Version of the routes in force")
 
 /** Histograms of seconds: name, help.  */
 #define METRICS_HISTOGRAMS(X)                                                 \
   X (first_token_seconds, "Time to the first token")                          \
   X (call_seconds, "Time of a call to a plain service")                       \
   X (journal_claim_seconds, "Time until a claim stands in the journal")       \
-  X (kv_seconds, "Time of an operation of the key-value service")
+  X (kv_seconds, "Time of an operation of the key-value service")             \
+  X (first_byte_seconds, "Time to the first byte of a routed answer")         \
+  X (request_seconds, "Time to the end of a routed answer")
 
 #define METRICS_ENUM(name, help) METRIC_##name,
 enum metrics_counter
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,5 +1,6 @@
 #include "base/settings.h"
 
+#include "base/file.h"
 #include "base/log.h"
 #include "generated/settings_table.h"
 
@@ -31,8 +32,7 @@
     {
       options[i].name = setting_defs[i].name;
       options[i].key = FIRST_KEY + (int)i;
-      options[i].arg
-          = setting_defs[i].kind == SETTING_UINT ? "NUMBER" : "TEXT";
+      options[i].arg = setting_defs[i].kind != SETTING_STR ? "NUMBER" : "TEXT";
       options[i].doc = setting_defs[i].doc;
     }
   return options;
@@ -56,6 +56,19 @@
   return false;
 }
 
+static bool
+store_real (const struct setting_def *def, const char *text, double *out)
+{
+  char *end = NULL;
+  *out = g_ascii_strtod (text, &end);
+  if (end != text && *end == '\0' && *out >= (double)def->min
+      && *out <= (double)def->max)
+    return true;
+  g_printerr ("buckthornd: --%s (%s): '%s' is not a number from %d to %d\n",
+              def->name, def->env, text, (int)def->min, (int)def->max);
+  return false;
+}
+
 static bool
 store_text (const struct setting_def *def, const char *text, char **out)
 {
@@ -68,12 +81,52 @@
   return false;
 }
 
+/* Lines NAME=VALUE of the settings file; empty lines and those that start with
+   # are passed over.  */
+static GHashTable *
+read_file (const char *path, bool *ok)
+{
+  GHashTable *lines
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_autofree char *text = NULL;
+  g_autoptr (GError) error = NULL;
+  if (path == NULL || path[0] == '\0')
+    return lines;
+  if (!g_file_get_contents (path, &text, NULL, &error))
+    {
+      g_printerr ("buckthornd: --settings-file: %s\n", error->message);
+      *ok = false;
+      return lines;
+    }
+  g_auto (GStrv) rows = g_strsplit (text, "\n", -1);
+  for (unsigned i = 0; rows[i]; i++)
+    {
+      const char *row = g_strstrip (rows[i]);
+      const char *eq = strchr (row, '=');
+      if (row[0] == '\0' || row[0] == '#')
+        continue;
+      if (eq == NULL)
+        {
+          g_printerr ("buckthornd: %s:%u: '%s' is not NAME=VALUE\n", path,
+                      i + 1, row);
+          *ok = false;
+          continue;
+        }
+      g_hash_table_replace (lines, g_strndup (row, (gsize)(eq - row)),
+                            g_strdup (eq + 1));
+    }
+  return lines;
+}
+
 static bool
-store (const struct setting_def *def, const char *flag, struct settings *s)
+store (const struct setting_def *def, const char *flag, GHashTable *lines,
+       struct settings *s)
 {
   const char *text = flag;
   if (text == NULL)
     text = g_getenv (def->env);
+  if (text == NULL)
+    text = g_hash_table_lookup (lines, def->env);
   if (text == NULL)
     text = def->fallback;
   void *p = (char *)s + def->offset;
@@ -83,8 +136,74 @@
                   def->env, def->doc);
       return false;
     }
-  return def->kind == SETTING_UINT ? store_number (def, text, p)
-                                   : store_text (def, text, p);
+  switch (def->kind)
+    {
+    case SETTING_UINT:
+      return store_number (def, text, p);
+    case SETTING_REAL:
+      return store_real (def, text, p);
+    default:
+      return store_text (def, text, p);
+    }
+}
+
+/* Names in the settings file that no setting has.  */
+static bool
+check_names (GHashTable *lines)
+{
+  GHashTableIter it;
+  gpointer name;
+  bool ok = true;
+  g_hash_table_iter_init (&it, lines);
+  while (g_hash_table_iter_next (&it, &name, NULL))
+    {
+      bool known = false;
+      for (size_t i = 0; i < setting_count && !known; i++)
+        known = strcmp (setting_defs[i].env, name) == 0;
+      if (!known)
+        g_printerr ("buckthornd: settings file: no setting is named %s\n",
+                    (const char *)name);
+      ok &= known;
+    }
+  return ok;
+}
+
+static bool
+check_address (const char *flag, const char *text, bool needed)
+{
+  g_autofree char *ip = NULL;
+  uint16_t port = 0;
+  if (text == NULL || (text[0] == '\0' && !needed))
+    return true;
+  if (address_split (text, &ip, &port))
+    return true;
+  g_printerr ("buckthornd: --%s: '%s' is not IP:PORT\n", flag, text);
+  return false;
+}
+
+/* Settings that one source of routes needs.  */
+static bool
+check_source (const struct settings *s)
+{
+  bool platform = s->routes_from && strcmp (s->routes_from, "platform") == 0;
+  bool ok = true;
+  if (s->routes_from && !platform && strcmp (s->routes_from, "file") != 0)
+    {
+      g_printerr ("buckthornd: --routes-from: '%s' is neither file nor "
+                  "platform\n",
+                  s->routes_from);
+      ok = false;
+    }
+  if (!platform && s->fleet_key_file && s->fleet_key_file[0] == '\0')
+    {
+      g_printerr ("buckthornd: --fleet-key-file is required with "
+                  "routes-from=file\n");
+      ok = false;
+    }
+  ok &= check_address ("front-address", s->front_address, platform);
+  ok &= check_address ("ready-address", s->ready_address, platform);
+  ok &= check_address ("entry-address", s->entry_address, platform);
+  return ok;
 }
 
 /* Checks what the table cannot express.  */
@@ -117,8 +236,35 @@
   return ok;
 }
 
-struct settings *
-settings_create (int argc, char **argv)
+/* Path of the settings file: it cannot name another one itself.  */
+static const char *
+file_path (const char *const *values)
+{
+  for (size_t i = 0; i < setting_count; i++)
+    if (strcmp (setting_defs[i].name, "settings-file") == 0)
+      return values[i] ? values[i] : g_getenv (setting_defs[i].env);
+  return NULL;
+}
+
+static struct settings *
+settings_read (const char *const *values)
+{
+  struct settings *s = g_new0 (struct settings, 1);
+  bool ok = true;
+  g_autoptr (GHashTable) lines = read_file (file_path (values), &ok);
+  ok &= check_names (lines);
+  for (size_t i = 0; i < setting_count; i++)
+    ok &= store (&setting_defs[i], values[i], lines, s);
+  ok &= check_forms (s);
+  ok &= check_source (s);
+  if (ok)
+    return s;
+  settings_destroy (s);
+  return NULL;
+}
+
+static struct settings *
+parse (int argc, char **argv, unsigned flags)
 {
   g_autofree const char **values = g_new0 (const char *, setting_count);
   g_autofree struct argp_option *options = make_options ();
@@ -133,16 +279,20 @@
                        NULL,
                        NULL };
   argp_err_exit_status = 2;
-  argp_parse (&argp, argc, argv, 0, NULL, values);
-  struct settings *s = g_new0 (struct settings, 1);
-  bool ok = true;
-  for (size_t i = 0; i < setting_count; i++)
-    ok &= store (&setting_defs[i], values[i], s);
-  ok &= check_forms (s);
-  if (ok)
-    return s;
-  settings_destroy (s);
-  return NULL;
+  argp_parse (&argp, argc, argv, flags, NULL, values);
+  return settings_read (values);
+}
+
+struct settings *
+settings_create (int argc, char **argv)
+{
+  return parse (argc, argv, 0);
+}
+
+struct settings *
+settings_read_again (int argc, char **argv)
+{
+  return parse (argc, argv, ARGP_NO_EXIT);
 }
 
 void
--- a/src/base/settings.h
+++ b/src/base/settings.h
@@ -12,7 +12,8 @@
 enum setting_kind
 {
   SETTING_STR,
-  SETTING_UINT
+  SETTING_UINT,
+  SETTING_REAL /**< double */
 };
 
 /** One setting, generated from schema/settings.json.  */
@@ -31,10 +32,15 @@
 
 struct settings;
 
-/** Reads flags of ARGV, then the environment, then the defaults.  Returns
-    NULL after it has written every problem to standard error.  */
+/** Reads flags of ARGV, then the environment, then the settings file that
+    they name, then the defaults.  Returns NULL after it has written every
+    problem to standard error.  */
 struct settings *settings_create (int argc, char **argv);
 
+/** Reads the same flags and environment with the settings file as it is now.
+    Returns NULL, with every problem written, where it is wrong.  */
+struct settings *settings_read_again (int argc, char **argv);
+
 /** Releases SETTINGS.  */
 void settings_destroy (struct settings *settings);
 
--- /dev/null
+++ b/src/daemon/discovery.h
@@ -0,0 +1,45 @@
+/** @file
+    Follows routes and upstreams in the key-value service, and keeps what is
+    known through its outages.
+
+    Versions of the routes never go back.  An upstream's entry that vanishes
+    while the service was away, or with many others, is kept for a short time:
+    live upstreams come back within it.  */
+#ifndef DAEMON_DISCOVERY_H
+#define DAEMON_DISCOVERY_H
+
+#include "decide/upstreams.h"
+#include "links/kv.h"
+#include "links/platform.h"
+
+#include <event2/event.h>
+
+struct discovery;
+
+/** What discovery reports to.  */
+struct discovery_events
+{
+  /** A newer version of the routes; TABLE is taken.  */
+  void (*on_routes) (void *arg, struct route_table *table);
+  /** An instance has gone, or is another one.  */
+  void (*on_upstream_gone) (void *arg, const char *id);
+};
+
+/** Starts to follow; the table UPSTREAMS is kept up to date.  */
+struct discovery *discovery_create (struct event_base *base, struct kv *kv,
+                                    const struct platform_ops *platform,
+                                    struct upstreams *upstreams,
+                                    const struct discovery_events *events,
+                                    void *arg);
+
+/** Releases D.  */
+void discovery_destroy (struct discovery *d);
+
+/** Whether routes and upstreams have been read at least once.  */
+bool discovery_is_complete (const struct discovery *d);
+
+/** Milliseconds since the key-value service last answered for the routes; -1
+    for never.  */
+int64_t discovery_routes_age_ms (const struct discovery *d);
+
+#endif
--- /dev/null
+++ b/src/daemon/feed.c
@@ -0,0 +1,201 @@
+#include "daemon/feed.h"
+
+#include "base/log.h"
+
+/* Longest wait of one call; a service that is silent is missed within it and
+   the adapter's own margin.  */
+#define WAIT_MS 10000
+/* Pause after a failure.  */
+#define RETRY_MS 250
+#define RETRY_MAX_MS 1000
+
+struct feed
+{
+  struct kv *kv;
+  char *prefix;
+  const struct feed_events *events;
+  void *arg;
+  struct event *timer;
+  GHashTable *keys; /* key -> revision, int64_t * */
+  int64_t as_of;
+  int64_t answered_ms;
+  unsigned pause_ms;
+  bool up;
+  bool listed;
+};
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+static void go_on (struct feed *f);
+
+static void
+note_state (struct feed *f, enum kv_status status)
+{
+  bool up = status == KV_OK || status == KV_FORGOT;
+  if (up)
+    {
+      f->answered_ms = now_ms ();
+      f->pause_ms = RETRY_MS;
+    }
+  if (up == f->up)
+    return;
+  f->up = up;
+  log_event (up ? LOG_INFO : LOG_WARN,
+             up ? "dependency_up" : "dependency_lost", "dependency", "kv",
+             "prefix", f->prefix, "revision", log_num (f->as_of), NULL);
+  f->events->on_state (f->arg, up);
+}
+
+static void
+pause_feed (struct feed *f)
+{
+  struct timeval tv = { f->pause_ms / 1000, (f->pause_ms % 1000) * 1000 };
+  f->pause_ms = MIN (f->pause_ms * 2, RETRY_MAX_MS);
+  evtimer_add (f->timer, &tv);
+}
+
+static void
+take (struct feed *f, const struct kv_change *c)
+{
+  if (c->value == NULL)
+    {
+      if (g_hash_table_remove (f->keys, c->key))
+        f->events->on_change (f->arg, c->key, NULL, c->revision);
+      return;
+    }
+  const int64_t *known = g_hash_table_lookup (f->keys, c->key);
+  if (known && *known >= c->revision)
+    return;
+  int64_t *revision = g_new (int64_t, 1);
+  *revision = c->revision;
+  g_hash_table_replace (f->keys, g_strdup (c->key), revision);
+  f->events->on_change (f->arg, c->key, c->value, c->revision);
+}
+
+/* Reports as removed what is known and not in a whole list.  */
+static void
+drop_absent (struct feed *f, const struct kv_change *changes, size_t n,
+             int64_t as_of)
+{
+  g_autoptr (GHashTable) there = g_hash_table_new (g_str_hash, g_str_equal);
+  g_autoptr (GPtrArray) gone = g_ptr_array_new_with_free_func (g_free);
+  for (size_t i = 0; i < n; i++)
+    g_hash_table_add (there, (gpointer)changes[i].key);
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, f->keys);
+  while (g_hash_table_iter_next (&it, &key, NULL))
+    if (!g_hash_table_contains (there, key))
+      g_ptr_array_add (gone, g_strdup (key));
+  for (guint i = 0; i < gone->len; i++)
+    take (f, &(struct kv_change){ .key = g_ptr_array_index (gone, i),
+                                  .revision = as_of });
+}
+
+static void
+on_listed (void *arg, enum kv_status status, const struct kv_change *changes,
+           size_t n, int64_t as_of)
+{
+  struct feed *f = arg;
+  note_state (f, status);
+  if (status != KV_OK)
+    {
+      pause_feed (f);
+      return;
+    }
+  drop_absent (f, changes, n, as_of);
+  for (size_t i = 0; i < n; i++)
+    take (f, &changes[i]);
+  f->as_of = as_of;
+  f->listed = true;
+  f->events->on_batch (f->arg, true);
+  go_on (f);
+}
+
+static void
+on_changes (void *arg, enum kv_status status, const struct kv_change *changes,
+            size_t n, int64_t as_of)
+{
+  struct feed *f = arg;
+  note_state (f, status);
+  if (status == KV_FORGOT)
+    {
+      log_event (LOG_INFO, "feed_reads_again", "prefix", f->prefix, "after",
+                 log_num (f->as_of), NULL);
+      f->as_of = 0;
+      go_on (f);
+      return;
+    }
+  if (status != KV_OK)
+    {
+      pause_feed (f);
+      return;
+    }
+  for (size_t i = 0; i < n; i++)
+    take (f, &changes[i]);
+  f->as_of = MAX (f->as_of, as_of);
+  if (n > 0)
+    f->events->on_batch (f->arg, false);
+  go_on (f);
+}
+
+static void
+go_on (struct feed *f)
+{
+  if (f->as_of == 0)
+    kv_list (f->kv, f->prefix, on_listed, f);
+  else
+    kv_changes (f->kv, f->prefix, f->as_of, WAIT_MS, on_changes, f);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  go_on (arg);
+}
+
+struct feed *
+feed_create (struct event_base *base, struct kv *kv, const char *prefix,
+             const struct feed_events *events, void *arg)
+{
+  struct feed *f = g_new0 (struct feed, 1);
+  f->kv = kv;
+  f->prefix = g_strdup (prefix);
+  f->events = events;
+  f->arg = arg;
+  f->pause_ms = RETRY_MS;
+  f->up = true;
+  f->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  f->timer = evtimer_new (base, on_timer, f);
+  go_on (f);
+  return f;
+}
+
+void
+feed_destroy (struct feed *f)
+{
+  if (f == NULL)
+    return;
+  event_free (f->timer);
+  g_hash_table_destroy (f->keys);
+  g_free (f->prefix);
+  g_free (f);
+}
+
+int64_t
+feed_age_ms (const struct feed *f)
+{
+  return f->answered_ms == 0 ? -1 : now_ms () - f->answered_ms;
+}
+
+bool
+feed_is_listed (const struct feed *f)
+{
+  return f->listed;
+}
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -2,18 +2,69 @@
     buckthornd: entry VM daemon.  */
 #include "base/log.h"
 #include "daemon/daemon.h"
+#include "daemon/gateway.h"
+#include "platform/adapter.h"
 
 #include <argp.h>
 #include <signal.h>
 #include <stdlib.h>
+#include <string.h>
 
 #define EXIT_SETTINGS 2
 
 const char *argp_program_version = "buckthornd 0.1";
 
+struct arguments
+{
+  int argc;
+  char **argv;
+};
+
+static struct settings *
+read_again (void *arg)
+{
+  struct arguments *a = arg;
+  return settings_read_again (a->argc, a->argv);
+}
+
+static int
+fail (const GError *error)
+{
+  g_printerr ("buckthornd: %s\n", error->message);
+  return EXIT_SETTINGS;
+}
+
+/* Routes and upstreams come from the platform.  */
+static int
+run_gateway (struct settings *settings, struct arguments *a)
+{
+  g_autoptr (GError) error = NULL;
+  struct gateway *r
+      = gateway_create (settings, &platform_adapter, read_again, a, &error);
+  if (r == NULL)
+    return fail (error);
+  gateway_run (r);
+  gateway_destroy (r);
+  return EXIT_SUCCESS;
+}
+
+/* They come from files that operators apply.  */
+static int
+run_daemon (struct settings *settings)
+{
+  g_autoptr (GError) error = NULL;
+  struct daemon *d = daemon_create (settings, &error);
+  if (d == NULL)
+    return fail (error);
+  daemon_run (d);
+  daemon_destroy (d);
+  return EXIT_SUCCESS;
+}
+
 int
 main (int argc, char **argv)
 {
+  struct arguments arguments = { argc, argv };
   struct settings *settings = settings_create (argc, argv);
   if (settings == NULL)
     return EXIT_SETTINGS;
@@ -21,14 +72,7 @@
   (void)log_level_parse (settings->log_level, &level);
   log_setup (level, settings->vm);
   (void)signal (SIGPIPE, SIG_IGN);
-  g_autoptr (GError) error = NULL;
-  struct daemon *d = daemon_create (settings, &error);
-  if (d == NULL)
-    {
-      g_printerr ("buckthornd: %s\n", error->message);
-      return EXIT_SETTINGS;
-    }
-  daemon_run (d);
-  daemon_destroy (d);
-  return EXIT_SUCCESS;
+  return strcmp (settings->routes_from, "platform") == 0
+             ? run_gateway (settings, &arguments)
+             : run_daemon (settings);
 }
--- a/src/daemon/sse.c
+++ b/src/daemon/sse.c
@@ -2,24 +2,73 @@
 
 #include <string.h>
 
-#define EVENT_END "\n\n"
 #define DONE_EVENT "data: [DONE]"
+#define ID_FIELD "id:"
 
 void
 sse_init (struct sse *s)
 {
   s->rest = NULL;
   s->done = false;
+  s->last_id = NULL;
 }
 
 void
 sse_clear (struct sse *s)
+{
+  sse_drop_rest (s);
+  g_clear_pointer (&s->last_id, g_free);
+}
+
+void
+sse_drop_rest (struct sse *s)
 {
   if (s->rest)
     evbuffer_free (s->rest);
   s->rest = NULL;
 }
 
+/* Length of the first event in DATA with the empty line that ends it; 0 where
+   it is not whole.  Lines may end in LF or CR LF.  */
+static size_t
+event_length (const char *data, size_t n)
+{
+  const char *at = data;
+  const char *nl;
+  while ((nl = memchr (at, '\n', n - (size_t)(at - data))) != NULL)
+    {
+      size_t next = (size_t)(nl - data) + 1;
+      if (next < n && data[next] == '\n')
+        return next + 1;
+      if (next + 1 < n && data[next] == '\r' && data[next + 1] == '\n')
+        return next + 2;
+      at = nl + 1;
+    }
+  return 0;
+}
+
+static void
+note_id (struct sse *s, const char *event, size_t n)
+{
+  const char *line = event;
+  const char *end = event + n;
+  while (line < end)
+    {
+      const char *nl = memchr (line, '\n', (size_t)(end - line));
+      const char *stop = nl ? nl : end;
+      size_t size = (size_t)(stop - line);
+      if (size > strlen (ID_FIELD)
+          && strncmp (line, ID_FIELD, strlen (ID_FIELD)) == 0)
+        {
+          g_free (s->last_id);
+          s->last_id
+              = g_strndup (line + strlen (ID_FIELD), size - strlen (ID_FIELD));
+          g_strstrip (s->last_id);
+        }
+      line = stop + 1;
+    }
+}
+
 GBytes *
 sse_feed (struct sse *s, struct evbuffer *body, unsigned *count)
 {
@@ -32,13 +81,13 @@
   *count = 0;
   while (data && whole < n)
     {
-      const char *end
-          = memmem (data + whole, n - whole, EVENT_END, strlen (EVENT_END));
-      if (end == NULL)
+      size_t size = event_length (data + whole, n - whole);
+      if (size == 0)
         break;
       if (strncmp (data + whole, DONE_EVENT, strlen (DONE_EVENT)) == 0)
         s->done = true;
-      whole = (size_t)(end - data) + strlen (EVENT_END);
+      note_id (s, data + whole, size);
+      whole += size;
       ++*count;
     }
   if (*count == 0)
--- /dev/null
+++ b/src/decide/attempts.c
@@ -0,0 +1,41 @@
+#include "decide/attempts.h"
+
+#include <glib.h>
+
+struct attempts
+attempts_start (bool repeatable, unsigned most)
+{
+  struct attempts a = { .repeatable = repeatable, .most = MAX (most, 1) };
+  return a;
+}
+
+enum attempt_step
+attempts_give_up (const struct attempts *a)
+{
+  return a->may_have_run ? ATTEMPT_UNKNOWN : ATTEMPT_REFUSE;
+}
+
+enum attempt_step
+attempts_ended (struct attempts *a, enum attempt_outcome outcome)
+{
+  if (outcome != ATTEMPT_NOT_SENT)
+    a->sent++;
+  if (outcome == ATTEMPT_LOST || outcome == ATTEMPT_FAILED)
+    a->may_have_run = true;
+  if (outcome == ATTEMPT_ANSWERED)
+    return ATTEMPT_PASS_ON;
+  bool may_repeat = !a->may_have_run || a->repeatable;
+  if (may_repeat && a->sent < a->most)
+    return ATTEMPT_AGAIN;
+  if (outcome == ATTEMPT_FAILED)
+    return ATTEMPT_PASS_ON;
+  return attempts_give_up (a);
+}
+
+const char *
+attempt_outcome_name (enum attempt_outcome outcome)
+{
+  static const char *const names[]
+      = { "answered", "failed", "not_sent", "not_run", "lost" };
+  return names[outcome];
+}
--- /dev/null
+++ b/src/decide/prefixes.c
@@ -0,0 +1,95 @@
+#include "decide/prefixes.h"
+
+struct entry
+{
+  uint64_t id;
+  uint32_t tokens;
+  int64_t used_ms;
+  GList link; /* in the order of use, latest first */
+};
+
+struct prefixes
+{
+  GHashTable *entries; /* id -> struct entry */
+  GQueue order;
+  uint64_t bound;
+  uint64_t tokens;
+};
+
+struct prefixes *
+prefixes_create (uint64_t tokens)
+{
+  struct prefixes *p = g_new0 (struct prefixes, 1);
+  p->bound = tokens;
+  p->entries
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+  g_queue_init (&p->order);
+  return p;
+}
+
+void
+prefixes_destroy (struct prefixes *p)
+{
+  if (p == NULL)
+    return;
+  g_hash_table_destroy (p->entries);
+  g_free (p);
+}
+
+static void
+drop_oldest (struct prefixes *p)
+{
+  GList *link = g_queue_pop_tail_link (&p->order);
+  struct entry *e = link->data;
+  p->tokens -= e->tokens;
+  g_hash_table_remove (p->entries, &e->id);
+}
+
+static void
+add_part (struct prefixes *p, const struct prompt_part *part, int64_t now_ms)
+{
+  struct entry *e = g_hash_table_lookup (p->entries, &part->id);
+  if (e == NULL)
+    {
+      e = g_new0 (struct entry, 1);
+      e->id = part->id;
+      e->tokens = part->tokens;
+      e->link.data = e;
+      p->tokens += e->tokens;
+      g_hash_table_insert (p->entries, &e->id, e);
+    }
+  else
+    g_queue_unlink (&p->order, &e->link);
+  e->used_ms = now_ms;
+  g_queue_push_head_link (&p->order, &e->link);
+}
+
+void
+prefixes_add (struct prefixes *p, const struct prompt *prompt, int64_t now_ms)
+{
+  for (unsigned i = 0; i < prompt->n_parts; i++)
+    add_part (p, &prompt->parts[i], now_ms);
+  while (p->tokens > p->bound && p->order.length > prompt->n_parts)
+    drop_oldest (p);
+}
+
+uint64_t
+prefixes_match (const struct prefixes *p, const struct prompt *prompt)
+{
+  uint64_t tokens = 0;
+  for (unsigned i = 0; i < prompt->n_parts; i++)
+    {
+      if (!g_hash_table_contains (p->entries, &prompt->parts[i].id))
+        break;
+      tokens += prompt->parts[i].tokens;
+    }
+  return tokens;
+}
+
+void
+prefixes_clear (struct prefixes *p)
+{
+  g_hash_table_remove_all (p->entries);
+  g_queue_init (&p->order);
+  p->tokens = 0;
+}
--- /dev/null
+++ b/src/decide/routes.c
@@ -0,0 +1,199 @@
+#include "decide/routes.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+struct route_table
+{
+  unsigned holds;
+  uint64_t version;
+  struct caller_limits limits;
+  GPtrArray *routes;    /* struct route */
+  GHashTable *hosts;    /* host -> GPtrArray of struct route, longest first */
+  GHashTable *services; /* name -> struct route_service */
+};
+
+static void
+target_clear (void *p)
+{
+  g_free (((struct route_target *)p)->service);
+}
+
+static void
+route_free (void *p)
+{
+  struct route *r = p;
+  g_free (r->name);
+  g_free (r->host);
+  g_free (r->prefix);
+  if (r->targets)
+    g_array_free (r->targets, TRUE);
+  g_free (r);
+}
+
+static void
+service_free (void *p)
+{
+  struct route_service *s = p;
+  g_free (s->name);
+  g_free (s->health_path);
+  g_free (s);
+}
+
+static void
+host_free (void *p)
+{
+  g_ptr_array_free (p, TRUE);
+}
+
+struct route_table *
+route_table_create (uint64_t version)
+{
+  struct route_table *t = g_new0 (struct route_table, 1);
+  t->holds = 1;
+  t->version = version;
+  t->routes = g_ptr_array_new_with_free_func (route_free);
+  t->hosts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, host_free);
+  t->services
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  return t;
+}
+
+struct route_table *
+route_table_ref (struct route_table *t)
+{
+  t->holds++;
+  return t;
+}
+
+void
+route_table_unref (struct route_table *t)
+{
+  if (t == NULL || --t->holds > 0)
+    return;
+  g_hash_table_destroy (t->hosts);
+  g_hash_table_destroy (t->services);
+  g_ptr_array_free (t->routes, TRUE);
+  g_free (t);
+}
+
+static int
+longer_first (const void *a, const void *b)
+{
+  const struct route *x = *(struct route *const *)a;
+  const struct route *y = *(struct route *const *)b;
+  size_t m = strlen (x->prefix);
+  size_t n = strlen (y->prefix);
+  return (m < n) - (m > n);
+}
+
+void
+route_table_add (struct route_table *t, const struct route *route)
+{
+  struct route *r = g_new (struct route, 1);
+  *r = *route;
+  if (r->targets)
+    g_array_set_clear_func (r->targets, target_clear);
+  g_ptr_array_add (t->routes, r);
+  g_autofree char *host = g_ascii_strdown (r->host, -1);
+  GPtrArray *list = g_hash_table_lookup (t->hosts, host);
+  if (list == NULL)
+    {
+      list = g_ptr_array_new ();
+      g_hash_table_insert (t->hosts, g_steal_pointer (&host), list);
+    }
+  g_ptr_array_add (list, r);
+  g_ptr_array_sort (list, longer_first);
+}
+
+void
+route_table_add_service (struct route_table *t,
+                         const struct route_service *service)
+{
+  struct route_service *s = g_new (struct route_service, 1);
+  *s = *service;
+  g_hash_table_replace (t->services, s->name, s);
+}
+
+void
+route_table_set_limits (struct route_table *t,
+                        const struct caller_limits *limits)
+{
+  t->limits = *limits;
+}
+
+uint64_t
+route_table_version (const struct route_table *t)
+{
+  return t->version;
+}
+
+const struct caller_limits *
+route_table_limits (const struct route_table *t)
+{
+  return &t->limits;
+}
+
+unsigned
+route_table_count (const struct route_table *t)
+{
+  return t->routes->len;
+}
+
+const struct route *
+route_table_find (const struct route_table *t, const char *host,
+                  const char *target)
+{
+  const char *port = strchr (host, ':');
+  g_autofree char *name
+      = g_ascii_strdown (host, port ? port - host : (gssize)strlen (host));
+  const GPtrArray *list = g_hash_table_lookup (t->hosts, name);
+  for (guint i = 0; list && i < list->len; i++)
+    {
+      const struct route *r = g_ptr_array_index (list, i);
+      if (g_str_has_prefix (target, r->prefix))
+        return r;
+    }
+  return NULL;
+}
+
+const struct route_service *
+route_table_service (const struct route_table *t, const char *name)
+{
+  return g_hash_table_lookup (t->services, name);
+}
+
+const char *
+route_pick (const struct route *route, const char *request_id)
+{
+  uint64_t sum = 0;
+  for (guint i = 0; i < route->targets->len; i++)
+    sum += g_array_index (route->targets, struct route_target, i).weight;
+  if (sum == 0)
+    return NULL;
+  uint64_t at = XXH64 (request_id, strlen (request_id), 0) % sum;
+  for (guint i = 0; i < route->targets->len; i++)
+    {
+      const struct route_target *target
+          = &g_array_index (route->targets, struct route_target, i);
+      if (at < target->weight)
+        return target->service;
+      at -= target->weight;
+    }
+  return NULL;
+}
+
+bool
+route_repeatable (const struct route *route)
+{
+  return route->kind == ROUTE_IDEMPOTENT
+         || (route->kind == ROUTE_STREAM && route->resumable);
+}
+
+const char *
+route_kind_name (enum route_kind kind)
+{
+  static const char *const names[] = { "idempotent", "once", "stream" };
+  return names[kind];
+}
--- /dev/null
+++ b/src/decide/upstreams.c
@@ -0,0 +1,535 @@
+#include "decide/upstreams.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+/* Round trips by distance, before anything was measured.  */
+#define NEAR_RTT_MS 1.0
+#define REGION_RTT_MS 3.0
+#define FAR_RTT_MS 25.0
+/* Speed of an engine's reading before it was measured.  */
+#define READ_TOKENS_PER_MS 150.0
+#define READ_TOKENS_PER_MS_MIN 15.0
+#define READ_TOKENS_PER_MS_MAX 800.0
+#define READ_SAMPLE_TOKENS 1000
+#define READ_SAMPLE_WEIGHT 0.1
+/* Time of a plain request before it was measured.  */
+#define SERVICE_MS 20.0
+#define SERVICE_SAMPLE_WEIGHT 0.05
+/* An engine's own time for a token of the answer's start.  */
+#define FIRST_TOKEN_MS 8.0
+/* What another engine than a prompt's first choice must be faster by: it would
+   cache the shared parts a second time.  */
+#define SPILL_MS 25.0
+/* Load that another VM told is used for as long.  */
+#define HEARD_MS 1500
+/* Outcomes: weight of the latest, and the share of failures from which an
+   instance is passed over for a while.  */
+#define FAILURE_WEIGHT 0.25
+#define FAILURE_SHARE_BAD 0.7
+#define FAILURE_REST_MS 1500
+#define FAILURE_COST_MS 400.0
+/* An instance that was full is passed over for as long.  */
+#define FULL_REST_MS 60
+/* Part of an engine's memory that is taken as cache.  */
+#define CACHE_PERCENT 80
+#define INDEX_BITS 16
+
+struct heard
+{
+  struct upstream_load load;
+  int64_t at_ms;
+};
+
+struct upstream
+{
+  struct upstream_info info;
+  uint16_t generation;
+  bool used;
+  struct upstream_load own;
+  GHashTable *heard; /* vm -> struct heard */
+  struct prefixes *prefixes;
+  double tokens_per_ms;
+  double service_ms;
+  double failures; /* share of the latest outcomes, 0 to 1 */
+  int64_t failed_ms;
+  int64_t full_until_ms;
+};
+
+struct upstreams
+{
+  struct upstream_place place;
+  GArray *slots;      /* struct upstream; 0 is never used */
+  GHashTable *by_id;  /* id -> index */
+  GHashTable *memory; /* service -> tokens */
+};
+
+/* The table.  */
+
+void
+upstream_info_clear (struct upstream_info *info)
+{
+  g_free (info->id);
+  g_free (info->service);
+  g_free (info->address);
+  g_free (info->failure_domain);
+  g_free (info->software);
+  memset (info, 0, sizeof *info);
+}
+
+static void
+info_copy (struct upstream_info *out, const struct upstream_info *info)
+{
+  *out = *info;
+  out->id = g_strdup (info->id);
+  out->service = g_strdup (info->service);
+  out->address = g_strdup (info->address);
+  out->failure_domain = g_strdup (info->failure_domain);
+  out->software = g_strdup (info->software);
+}
+
+static void
+slot_clear (struct upstream *x)
+{
+  upstream_info_clear (&x->info);
+  g_clear_pointer (&x->heard, g_hash_table_destroy);
+  g_clear_pointer (&x->prefixes, prefixes_destroy);
+  x->used = false;
+}
+
+struct upstreams *
+upstreams_create (const struct upstream_place *place)
+{
+  struct upstreams *u = g_new0 (struct upstreams, 1);
+  u->place = *place;
+  u->slots = g_array_new (FALSE, TRUE, sizeof (struct upstream));
+  g_array_set_size (u->slots, 1);
+  u->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  u->memory = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return u;
+}
+
+static struct upstream *
+slot_at (const struct upstreams *u, guint i)
+{
+  return &g_array_index (u->slots, struct upstream, i);
+}
+
+void
+upstreams_destroy (struct upstreams *u)
+{
+  if (u == NULL)
+    return;
+  for (guint i = 1; i < u->slots->len; i++)
+    slot_clear (slot_at (u, i));
+  g_array_free (u->slots, TRUE);
+  g_hash_table_destroy (u->by_id);
+  g_hash_table_destroy (u->memory);
+  g_free (u);
+}
+
+void
+upstreams_set_memory (struct upstreams *u, const char *service,
+                      uint64_t kv_tokens)
+{
+  uint64_t *tokens = g_new (uint64_t, 1);
+  *tokens = kv_tokens;
+  g_hash_table_replace (u->memory, g_strdup (service), tokens);
+}
+
+static upstream_handle
+handle_of (const struct upstreams *u, guint i)
+{
+  return ((uint32_t)slot_at (u, i)->generation << INDEX_BITS) | i;
+}
+
+static struct upstream *
+find (const struct upstreams *u, upstream_handle h)
+{
+  guint i = h & ((1U << INDEX_BITS) - 1);
+  if (i == 0 || i >= u->slots->len)
+    return NULL;
+  struct upstream *x = slot_at (u, i);
+  return x->used && x->generation == h >> INDEX_BITS ? x : NULL;
+}
+
+upstream_handle
+upstreams_find (const struct upstreams *u, const char *id)
+{
+  guint i = GPOINTER_TO_UINT (g_hash_table_lookup (u->by_id, id));
+  return i ? handle_of (u, i) : 0;
+}
+
+const struct upstream_info *
+upstreams_info (const struct upstreams *u, upstream_handle h)
+{
+  const struct upstream *x = find (u, h);
+  return x ? &x->info : NULL;
+}
+
+static guint
+free_slot (struct upstreams *u)
+{
+  for (guint i = 1; i < u->slots->len; i++)
+    if (!slot_at (u, i)->used)
+      return i;
+  g_array_set_size (u->slots, u->slots->len + 1);
+  return u->slots->len - 1;
+}
+
+static void
+add (struct upstreams *u, const struct upstream_info *info)
+{
+  guint i = free_slot (u);
+  struct upstream *x = slot_at (u, i);
+  uint16_t generation = (uint16_t)(x->generation + 1);
+  const uint64_t *tokens = g_hash_table_lookup (u->memory, info->service);
+  memset (x, 0, sizeof *x);
+  x->generation = generation ? generation : 1;
+  x->used = true;
+  x->tokens_per_ms = READ_TOKENS_PER_MS;
+  x->service_ms = SERVICE_MS;
+  x->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  x->prefixes = prefixes_create (tokens ? *tokens * CACHE_PERCENT / 100 : 0);
+  info_copy (&x->info, info);
+  g_hash_table_insert (u->by_id, g_strdup (info->id), GUINT_TO_POINTER (i));
+}
+
+static bool
+same_info (const struct upstream_info *a, const struct upstream_info *b)
+{
+  return strcmp (a->service, b->service) == 0
+         && strcmp (a->address, b->address) == 0
+         && strcmp (a->failure_domain, b->failure_domain) == 0
+         && a->slots == b->slots && a->leaving == b->leaving
+         && a->role == b->role && a->born_ms == b->born_ms;
+}
+
+bool
+upstreams_put (struct upstreams *u, const struct upstream_info *info,
+               int64_t now_ms)
+{
+  (void)now_ms;
+  guint i = GPOINTER_TO_UINT (g_hash_table_lookup (u->by_id, info->id));
+  if (i == 0)
+    {
+      add (u, info);
+      return true;
+    }
+  struct upstream *x = slot_at (u, i);
+  if (same_info (&x->info, info))
+    return false;
+  /* Another start, or another place: what is known of it is void.  */
+  if (x->info.born_ms != info->born_ms
+      || strcmp (x->info.address, info->address) != 0)
+    {
+      upstreams_remove (u, info->id);
+      add (u, info);
+      return true;
+    }
+  upstream_info_clear (&x->info);
+  info_copy (&x->info, info);
+  return true;
+}
+
+bool
+upstreams_remove (struct upstreams *u, const char *id)
+{
+  guint i = GPOINTER_TO_UINT (g_hash_table_lookup (u->by_id, id));
+  if (i == 0)
+    return false;
+  g_hash_table_remove (u->by_id, id);
+  slot_clear (slot_at (u, i));
+  return true;
+}
+
+GPtrArray *
+upstreams_ids (const struct upstreams *u)
+{
+  GPtrArray *out = g_ptr_array_new_with_free_func (g_free);
+  GHashTableIter it;
+  gpointer id;
+  g_hash_table_iter_init (&it, u->by_id);
+  while (g_hash_table_iter_next (&it, &id, NULL))
+    g_ptr_array_add (out, g_strdup (id));
+  return out;
+}
+
+unsigned
+upstreams_count (const struct upstreams *u)
+{
+  return g_hash_table_size (u->by_id);
+}
+
+/* Load.  */
+
+static struct upstream_load
+whole_load (const struct upstream *x, int64_t now_ms)
+{
+  struct upstream_load sum = x->own;
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, x->heard);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct heard *h = value;
+      if (now_ms - h->at_ms > HEARD_MS)
+        continue;
+      sum.running += h->load.running;
+      sum.tokens += h->load.tokens;
+    }
+  return sum;
+}
+
+struct upstream_load
+upstreams_own_load (const struct upstreams *u, upstream_handle h)
+{
+  const struct upstream *x = find (u, h);
+  return x ? x->own : (struct upstream_load){ 0 };
+}
+
+void
+upstreams_hear (struct upstreams *u, const char *vm, const char *id,
+                const struct upstream_load *load, int64_t now_ms)
+{
+  struct upstream *x = find (u, upstreams_find (u, id));
+  if (x == NULL)
+    return;
+  struct heard *h = g_hash_table_lookup (x->heard, vm);
+  if (h == NULL)
+    {
+      h = g_new (struct heard, 1);
+      g_hash_table_insert (x->heard, g_strdup (vm), h);
+    }
+  h->load = *load;
+  h->at_ms = now_ms;
+}
+
+/* Choosing.  */
+
+static double
+rtt_ms (const struct upstreams *u, const struct upstream *x)
+{
+  if (strcmp (x->info.failure_domain, u->place.failure_domain) == 0)
+    return NEAR_RTT_MS;
+  const char *region
+      = u->place.region_of (u->place.arg, x->info.failure_domain);
+  if (region && strcmp (region, u->place.region) == 0)
+    return REGION_RTT_MS;
+  return FAR_RTT_MS;
+}
+
+static bool
+was_tried (const struct upstream_ask *ask, upstream_handle h)
+{
+  for (unsigned i = 0; i < ask->n_tried; i++)
+    if (ask->tried[i] == h)
+      return true;
+  return false;
+}
+
+static bool
+is_resting (const struct upstream *x, int64_t now_ms)
+{
+  return now_ms < x->full_until_ms
+         || (x->failures > FAILURE_SHARE_BAD
+             && now_ms - x->failed_ms < FAILURE_REST_MS);
+}
+
+/* The part by which prompts are gathered: the last one that is shared.  */
+static uint64_t
+gathering_part (const struct prompt *p)
+{
+  if (p->n_parts == 0)
+    return 0;
+  return p->parts[p->n_parts >= 2 ? p->n_parts - 2 : 0].id;
+}
+
+static uint64_t
+rank (uint64_t part, const char *id)
+{
+  return XXH64 (id, strlen (id), part);
+}
+
+static bool
+takes (const struct upstream *x, const struct upstream_ask *ask)
+{
+  return x->used && !x->info.leaving && x->info.role != UPSTREAM_PREFILL
+         && strcmp (x->info.service, ask->service) == 0;
+}
+
+static guint
+find_home (const struct upstreams *u, const struct upstream_ask *ask)
+{
+  guint home = 0;
+  uint64_t highest = 0;
+  if (ask->prompt == NULL)
+    return 0;
+  uint64_t part = gathering_part (ask->prompt);
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = slot_at (u, i);
+      if (!takes (x, ask))
+        continue;
+      uint64_t r = rank (part, x->info.id);
+      if (home == 0 || r > highest)
+        {
+          home = i;
+          highest = r;
+        }
+    }
+  return home;
+}
+
+static uint64_t
+tokens_to_read (const struct upstream *x, const struct prompt *p, bool is_home)
+{
+  uint64_t cached = prefixes_match (x->prefixes, p);
+  /* Other VMs send the same parts to the same home.  */
+  if (is_home && p->n_parts >= 2)
+    {
+      uint64_t shared = p->tokens - p->parts[p->n_parts - 1].tokens;
+      cached = MAX (cached, MIN (shared, p->tokens));
+    }
+  return p->tokens > cached ? p->tokens - cached : 0;
+}
+
+static void
+expect (const struct upstreams *u, const struct upstream *x, bool is_home,
+        const struct upstream_ask *ask, int64_t now_ms,
+        struct upstream_choice *out)
+{
+  struct upstream_load load = whole_load (x, now_ms);
+  double ms = rtt_ms (u, x) + x->failures * FAILURE_COST_MS;
+  out->tokens = 0;
+  if (ask->prompt)
+    {
+      out->tokens = tokens_to_read (x, ask->prompt, is_home);
+      ms += (double)(load.tokens + out->tokens) / x->tokens_per_ms
+            + FIRST_TOKEN_MS + (is_home ? 0 : SPILL_MS);
+    }
+  else
+    {
+      double turns = (double)load.running / (double)MAX (x->info.slots, 1);
+      ms += x->service_ms * (1 + (turns < 1 ? turns / 8 : turns));
+    }
+  out->expected_ms = ms;
+}
+
+struct upstream_choice
+upstreams_choose (const struct upstreams *u, const struct upstream_ask *ask,
+                  int64_t now_ms)
+{
+  struct upstream_choice best = { 0 };
+  bool best_rests = false;
+  guint home = find_home (u, ask);
+  unsigned candidates = 0;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = slot_at (u, i);
+      if (!takes (x, ask) || was_tried (ask, handle_of (u, i)))
+        continue;
+      struct upstream_choice c
+          = { .handle = handle_of (u, i), .is_home = i == home };
+      bool rests = is_resting (x, now_ms);
+      expect (u, x, c.is_home, ask, now_ms, &c);
+      candidates++;
+      if (best.handle
+          && (rests > best_rests
+              || (rests == best_rests && c.expected_ms >= best.expected_ms)))
+        continue;
+      best = c;
+      best_rests = rests;
+    }
+  best.candidates = candidates;
+  return best;
+}
+
+/* Outcomes.  */
+
+void
+upstreams_sent (struct upstreams *u, const struct upstream_choice *choice,
+                const struct prompt *prompt, int64_t now_ms,
+                struct upstream_work *work)
+{
+  struct upstream *x = find (u, choice->handle);
+  memset (work, 0, sizeof *work);
+  if (x == NULL)
+    return;
+  work->handle = choice->handle;
+  work->tokens = choice->tokens;
+  work->ahead = whole_load (x, now_ms).tokens + choice->tokens;
+  work->sent_ms = now_ms;
+  work->open = true;
+  work->reading = true;
+  x->own.running++;
+  x->own.tokens += work->tokens;
+  if (prompt)
+    prefixes_add (x->prefixes, prompt, now_ms);
+}
+
+static void
+stop_reading (struct upstream *x, struct upstream_work *work)
+{
+  if (work->reading)
+    x->own.tokens -= MIN (x->own.tokens, work->tokens);
+  work->reading = false;
+}
+
+void
+upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
+                      int64_t now_ms)
+{
+  struct upstream *x = find (u, work->handle);
+  if (x == NULL || !work->reading)
+    return;
+  stop_reading (x, work);
+  double ms
+      = (double)(now_ms - work->sent_ms) - rtt_ms (u, x) - FIRST_TOKEN_MS;
+  if (work->ahead < READ_SAMPLE_TOKENS)
+    return;
+  double speed = (double)work->ahead / MAX (ms, 1);
+  speed = CLAMP (speed, READ_TOKENS_PER_MS_MIN, READ_TOKENS_PER_MS_MAX);
+  x->tokens_per_ms += (speed - x->tokens_per_ms) * READ_SAMPLE_WEIGHT;
+}
+
+static struct upstream *
+close_work (struct upstreams *u, struct upstream_work *work)
+{
+  struct upstream *x = find (u, work->handle);
+  if (x == NULL || !work->open)
+    return NULL;
+  stop_reading (x, work);
+  x->own.running -= MIN (x->own.running, 1);
+  work->open = false;
+  return x;
+}
+
+void
+upstreams_cancelled (struct upstreams *u, struct upstream_work *work)
+{
+  (void)close_work (u, work);
+}
+
+void
+upstreams_ended (struct upstreams *u, struct upstream_work *work,
+                 enum attempt_outcome outcome, int64_t now_ms)
+{
+  struct upstream *x = close_work (u, work);
+  if (x == NULL)
+    return;
+  if (outcome == ATTEMPT_NOT_RUN)
+    {
+      x->full_until_ms = now_ms + FULL_REST_MS;
+      return;
+    }
+  bool failed = outcome != ATTEMPT_ANSWERED;
+  x->failures += ((failed ? 1.0 : 0.0) - x->failures) * FAILURE_WEIGHT;
+  if (failed)
+    x->failed_ms = now_ms;
+  else if (x->info.role == UPSTREAM_SERVICE)
+    {
+      double ms = (double)(now_ms - work->sent_ms) - rtt_ms (u, x);
+      x->service_ms += (MAX (ms, 1) - x->service_ms) * SERVICE_SAMPLE_WEIGHT;
+    }
+}
--- /dev/null
+++ b/src/decide/upstreams.h
@@ -0,0 +1,154 @@
+/** @file
+    Upstreams: the instances of each service, what they are busy with, how they
+    did, and which of them a request is sent to.
+
+    Load it answers: prompts of thousands of tokens that share long parts,
+    beside short ones, on engines whose own reports are late.  A VM counts what
+    it sent itself exactly, and adds what other VMs last told.  Pure.  */
+#ifndef DECIDE_UPSTREAMS_H
+#define DECIDE_UPSTREAMS_H
+
+#include "decide/attempts.h"
+#include "decide/prefixes.h"
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** What an engine takes.  */
+enum upstream_role
+{
+  UPSTREAM_SERVICE, /**< no engine: plain requests */
+  UPSTREAM_PREFILL, /**< only reads prompts */
+  UPSTREAM_DECODE   /**< whole requests */
+};
+
+/** One instance, as it says of itself.  */
+struct upstream_info
+{
+  char *id;
+  char *service;
+  char *address; /**< IP:PORT */
+  char *failure_domain;
+  char *software; /**< version of its program */
+  unsigned slots; /**< requests that it runs at once */
+  bool leaving;
+  enum upstream_role role;
+  unsigned cold_ms; /**< for how long it is slow yet after its start */
+  int64_t born_ms;  /**< wall clock of its start; 0 where unknown */
+};
+
+/** Releases what INFO holds.  */
+void upstream_info_clear (struct upstream_info *info);
+
+/** Names one instance in the table; 0 is none.  */
+typedef uint32_t upstream_handle;
+
+struct upstreams;
+
+/** Where this VM is, and the distances that it counts with.  */
+struct upstream_place
+{
+  const char *failure_domain;
+  const char *region;
+  /** Region of a failure domain, or NULL where unknown.  */
+  const char *(*region_of) (void *arg, const char *failure_domain);
+  void *arg;
+};
+
+/** Makes an empty table.  The strings of PLACE stay the caller's.  */
+struct upstreams *upstreams_create (const struct upstream_place *place);
+
+/** Releases U.  */
+void upstreams_destroy (struct upstreams *u);
+
+/** Service SERVICE has engines whose memory holds KV_TOKENS.  */
+void upstreams_set_memory (struct upstreams *u, const char *service,
+                           uint64_t kv_tokens);
+
+/* What is there.  */
+
+/** Adds or changes an instance; INFO is copied.  Returns whether anything
+    changed.  */
+bool upstreams_put (struct upstreams *u, const struct upstream_info *info,
+                    int64_t now_ms);
+/** Removes an instance; requests under way at it are told apart by their
+    handle.  Returns whether it was there.  */
+bool upstreams_remove (struct upstreams *u, const char *id);
+/** Handle of ID, or 0.  */
+upstream_handle upstreams_find (const struct upstreams *u, const char *id);
+/** What H says of itself; NULL once it is gone.  */
+const struct upstream_info *upstreams_info (const struct upstreams *u,
+                                            upstream_handle h);
+/** Ids of all instances, to be freed with g_ptr_array_unref.  */
+GPtrArray *upstreams_ids (const struct upstreams *u);
+/** Number of instances.  */
+unsigned upstreams_count (const struct upstreams *u);
+
+/* Choosing.  */
+
+/** A request that looks for an instance.  */
+struct upstream_ask
+{
+  const char *service;
+  const struct prompt *prompt;  /**< NULL for plain requests */
+  const upstream_handle *tried; /**< instances that are passed over */
+  unsigned n_tried;
+};
+
+/** What was chosen, and why.  */
+struct upstream_choice
+{
+  upstream_handle handle; /**< 0 where there is none */
+  double expected_ms;     /**< until the first byte of the answer */
+  uint64_t tokens;        /**< that it has to read of the prompt */
+  bool is_home;           /**< it is the prompt's first choice */
+  unsigned candidates;
+};
+
+/** Chooses the instance that is expected to answer first.  */
+struct upstream_choice upstreams_choose (const struct upstreams *u,
+                                         const struct upstream_ask *ask,
+                                         int64_t now_ms);
+
+/** Work that was given to an instance.  */
+struct upstream_work
+{
+  upstream_handle handle;
+  uint64_t tokens; /**< that it had to read */
+  uint64_t ahead;  /**< tokens before it, its own included */
+  int64_t sent_ms;
+  bool open;    /**< counted as running */
+  bool reading; /**< its tokens are counted as not yet read */
+};
+
+/** A request was sent as CHOICE says; fills WORK.  */
+void upstreams_sent (struct upstreams *u, const struct upstream_choice *choice,
+                     const struct prompt *prompt, int64_t now_ms,
+                     struct upstream_work *work);
+/** The first byte of the answer's body came.  */
+void upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
+                           int64_t now_ms);
+/** The request ended with OUTCOME.  */
+void upstreams_ended (struct upstreams *u, struct upstream_work *work,
+                      enum attempt_outcome outcome, int64_t now_ms);
+/** The request was cancelled; that tells nothing of the instance.  */
+void upstreams_cancelled (struct upstreams *u, struct upstream_work *work);
+
+/* What VMs tell each other.  */
+
+/** Load that one VM put on one instance.  */
+struct upstream_load
+{
+  uint32_t running;
+  uint64_t tokens; /**< sent and not yet read */
+};
+
+/** Load that this VM puts on H.  */
+struct upstream_load upstreams_own_load (const struct upstreams *u,
+                                         upstream_handle h);
+/** VM told its load on ID.  */
+void upstreams_hear (struct upstreams *u, const char *vm, const char *id,
+                     const struct upstream_load *load, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/src/links/front.c
@@ -0,0 +1,545 @@
+#include "links/front.h"
+
+#include "base/error.h"
+#include "base/file.h"
+
+#include <arpa/inet.h>
+#include <errno.h>
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#define LISTEN_BACKLOG 1024
+/* Bytes of later requests that are held while one is answered.  */
+#define READ_AHEAD_BYTES (256U * 1024)
+/* A closed answer is followed by silence for as long, so that a caller that
+   still sends gets the answer and no reset.  */
+#define LINGER_MS 500
+#define USER_TIMEOUT_MS 3000U
+
+enum conn_state
+{
+  CONN_IDLE,
+  CONN_READING,
+  CONN_ANSWERING,
+  CONN_FLUSHING, /* the answer has ended, its last bytes and the end follow */
+  CONN_LINGERING
+};
+
+struct front
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  struct front_limits limits;
+  const struct front_events *events;
+  void *arg;
+  GHashTable *conns;
+  unsigned open_requests;
+  bool draining;
+};
+
+struct front_conn;
+
+struct front_request
+{
+  struct front_conn *conn;
+  void (*on_gone) (void *);
+  void *gone_arg;
+  enum http_framing framing;
+  bool started;
+};
+
+struct front_conn
+{
+  struct front *front;
+  struct bufferevent *bev;
+  struct event *timer;
+  struct http_codec *codec;
+  struct evbuffer *body;
+  enum conn_state state;
+  struct front_request request;
+  int64_t since_ms;
+  bool close_after;
+  bool in_read; /* guards against reading on from within an answer */
+};
+
+static void conn_read (struct front_conn *c);
+
+/* Connections.  */
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+static void
+set_timer (struct front_conn *c, unsigned ms)
+{
+  struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+  evtimer_add (c->timer, &tv);
+}
+
+static void
+conn_free (struct front_conn *c)
+{
+  g_hash_table_remove (c->front->conns, c);
+  if (c->state == CONN_ANSWERING)
+    c->front->open_requests--;
+  event_free (c->timer);
+  bufferevent_free (c->bev);
+  http_codec_destroy (c->codec);
+  evbuffer_free (c->body);
+  g_free (c);
+}
+
+/* The caller is gone, or is cut off.  */
+static void
+conn_lost (struct front_conn *c)
+{
+  void (*on_gone) (void *) = NULL;
+  void *arg = c->request.gone_arg;
+  if (c->state == CONN_ANSWERING)
+    on_gone = c->request.on_gone;
+  conn_free (c);
+  if (on_gone)
+    on_gone (arg);
+}
+
+static void
+conn_linger (struct front_conn *c)
+{
+  c->state = CONN_LINGERING;
+  (void)shutdown (bufferevent_getfd (c->bev), SHUT_WR);
+  struct evbuffer *in = bufferevent_get_input (c->bev);
+  evbuffer_drain (in, evbuffer_get_length (in));
+  set_timer (c, LINGER_MS);
+}
+
+static void
+conn_idle (struct front_conn *c)
+{
+  bool more = evbuffer_get_length (bufferevent_get_input (c->bev)) > 0;
+  evtimer_del (c->timer);
+  c->state = CONN_IDLE;
+  c->request.on_gone = NULL;
+  evbuffer_drain (c->body, evbuffer_get_length (c->body));
+  http_codec_next (c->codec, false);
+  if (more && !c->in_read)
+    conn_read (c);
+  else if (!more)
+    set_timer (c, c->front->limits.idle_ms);
+}
+
+/* The answer has been handed over whole.  */
+static void
+conn_answered (struct front_conn *c)
+{
+  c->front->open_requests--;
+  if (!c->close_after)
+    {
+      conn_idle (c);
+      return;
+    }
+  c->state = CONN_FLUSHING;
+  if (evbuffer_get_length (bufferevent_get_output (c->bev)) == 0)
+    conn_linger (c);
+  else
+    set_timer (c, c->front->limits.read_ms);
+}
+
+/* Refuses what cannot be read as a request.  */
+static void
+conn_refuse (struct front_conn *c, unsigned status, const char *reason)
+{
+  struct front *f = c->front;
+  if (f->events->on_refused)
+    f->events->on_refused (f->arg, status, reason);
+  evbuffer_add_printf (bufferevent_get_output (c->bev),
+                       "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n"
+                       "Connection: close\r\n\r\n",
+                       status, http_reason (status));
+  c->state = CONN_FLUSHING;
+  set_timer (c, f->limits.read_ms);
+}
+
+/* Reading.  */
+
+static void
+conn_request (struct front_conn *c)
+{
+  struct front *f = c->front;
+  const struct http_head *h = http_codec_head (c->codec);
+  evtimer_del (c->timer);
+  c->state = CONN_ANSWERING;
+  c->close_after = !http_codec_keep_alive (c->codec) || f->draining;
+  c->request = (struct front_request){ .conn = c };
+  f->open_requests++;
+  (void)h;
+  f->events->on_request (f->arg, &c->request);
+}
+
+static void
+ask_for_body (struct front_conn *c)
+{
+  const struct http_head *h = http_codec_head (c->codec);
+  if (h && http_head_lists (h, "Expect", "100-continue")
+      && evbuffer_get_length (c->body) == 0)
+    evbuffer_add_printf (bufferevent_get_output (c->bev),
+                         "HTTP/1.1 100 Continue\r\n\r\n");
+}
+
+static void
+conn_read_one (struct front_conn *c)
+{
+  struct evbuffer *in = bufferevent_get_input (c->bev);
+  bool had_head = http_codec_head (c->codec) != NULL;
+  if (c->state == CONN_IDLE)
+    {
+      c->state = CONN_READING;
+      c->since_ms = now_ms ();
+      set_timer (c, c->front->limits.read_ms);
+    }
+  switch (http_codec_feed (c->codec, in, c->body))
+    {
+    case HTTP_WHOLE:
+      conn_request (c);
+      break;
+    case HTTP_BAD:
+      conn_refuse (c, http_codec_refusal (c->codec),
+                   http_codec_reason (c->codec));
+      break;
+    case HTTP_IN_BODY:
+      if (!had_head)
+        ask_for_body (c);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+conn_read (struct front_conn *c)
+{
+  struct front *f = c->front;
+  struct evbuffer *in = bufferevent_get_input (c->bev);
+  c->in_read = true;
+  while (evbuffer_get_length (in) > 0
+         && (c->state == CONN_IDLE || c->state == CONN_READING))
+    {
+      size_t before = evbuffer_get_length (in);
+      conn_read_one (c);
+      if (!g_hash_table_contains (f->conns, c))
+        return;
+      if (c->state == CONN_READING && evbuffer_get_length (in) == before)
+        break;
+    }
+  c->in_read = false;
+  if (c->state == CONN_IDLE)
+    set_timer (c, f->limits.idle_ms);
+}
+
+static void
+on_readable (struct bufferevent *bev, void *arg)
+{
+  struct front_conn *c = arg;
+  if (c->state == CONN_FLUSHING || c->state == CONN_LINGERING)
+    {
+      struct evbuffer *in = bufferevent_get_input (bev);
+      evbuffer_drain (in, evbuffer_get_length (in));
+      return;
+    }
+  conn_read (c);
+}
+
+static void
+on_written (struct bufferevent *bev, void *arg)
+{
+  (void)bev;
+  struct front_conn *c = arg;
+  if (c->state == CONN_FLUSHING)
+    conn_linger (c);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *arg)
+{
+  (void)bev;
+  struct front_conn *c = arg;
+  if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+    conn_lost (c);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct front_conn *c = arg;
+  if (c->state == CONN_READING)
+    conn_refuse (c, 408, "the request did not arrive in time");
+  else
+    conn_lost (c);
+}
+
+static void
+set_options (evutil_socket_t fd)
+{
+  int one = 1;
+  unsigned timeout = USER_TIMEOUT_MS;
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
+  (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
+                    sizeof timeout);
+}
+
+static void
+on_accept (struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+           int len, void *arg)
+{
+  (void)l;
+  (void)sa;
+  (void)len;
+  struct front *f = arg;
+  if (g_hash_table_size (f->conns) >= f->limits.connections)
+    {
+      close (fd);
+      return;
+    }
+  set_options (fd);
+  struct http_bounds bounds = { f->limits.head_bytes, f->limits.body_bytes };
+  struct front_conn *c = g_new0 (struct front_conn, 1);
+  c->front = f;
+  c->bev = bufferevent_socket_new (f->base, fd, BEV_OPT_CLOSE_ON_FREE);
+  c->codec = http_codec_create (HTTP_SIDE_REQUESTS, &bounds);
+  c->body = evbuffer_new ();
+  c->timer = evtimer_new (f->base, on_timer, c);
+  g_hash_table_add (f->conns, c);
+  bufferevent_setcb (c->bev, on_readable, on_written, on_event, c);
+  bufferevent_setwatermark (c->bev, EV_READ, 0, READ_AHEAD_BYTES);
+  bufferevent_enable (c->bev, EV_READ | EV_WRITE);
+  set_timer (c, f->limits.idle_ms);
+}
+
+/* Listener.  */
+
+struct front *
+front_create (struct event_base *base, const char *address,
+              const struct front_limits *limits,
+              const struct front_events *events, void *arg, GError **error)
+{
+  g_autofree char *ip = NULL;
+  uint16_t port = 0;
+  struct sockaddr_in sa = { .sin_family = AF_INET };
+  if (!address_split (address, &ip, &port)
+      || inet_pton (AF_INET, ip, &sa.sin_addr) != 1)
+    {
+      g_set_error (error, BUCKTHORN_ERROR, RESULT_USAGE, "'%s' is not IP:PORT",
+                   address);
+      return NULL;
+    }
+  sa.sin_port = htons (port);
+  struct front *f = g_new0 (struct front, 1);
+  f->base = base;
+  f->limits = *limits;
+  f->events = events;
+  f->arg = arg;
+  f->conns = g_hash_table_new (NULL, NULL);
+  f->listener = evconnlistener_new_bind (
+      base, on_accept, f, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
+      LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof sa);
+  if (f->listener)
+    return f;
+  g_set_error (error, BUCKTHORN_ERROR, RESULT_USAGE, "cannot listen on %s: %s",
+               address, g_strerror (errno));
+  g_hash_table_destroy (f->conns);
+  g_free (f);
+  return NULL;
+}
+
+void
+front_destroy (struct front *f)
+{
+  if (f == NULL)
+    return;
+  front_close_listener (f);
+  g_autoptr (GList) conns = g_hash_table_get_keys (f->conns);
+  for (GList *l = conns; l; l = l->next)
+    conn_free (l->data);
+  g_hash_table_destroy (f->conns);
+  g_free (f);
+}
+
+void
+front_set_limits (struct front *f, const struct front_limits *limits)
+{
+  f->limits = *limits;
+  struct http_bounds bounds = { limits->head_bytes, limits->body_bytes };
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, f->conns);
+  while (g_hash_table_iter_next (&it, &key, NULL))
+    http_codec_set_bounds (((struct front_conn *)key)->codec, &bounds);
+}
+
+void
+front_drain (struct front *f, unsigned idle_ms)
+{
+  f->draining = true;
+  f->limits.idle_ms = idle_ms;
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, f->conns);
+  while (g_hash_table_iter_next (&it, &key, NULL))
+    {
+      struct front_conn *c = key;
+      c->close_after = true;
+      if (c->state == CONN_IDLE)
+        set_timer (c, idle_ms);
+    }
+}
+
+void
+front_close_listener (struct front *f)
+{
+  if (f->listener)
+    evconnlistener_free (f->listener);
+  f->listener = NULL;
+}
+
+unsigned
+front_open_requests (const struct front *f)
+{
+  return f->open_requests;
+}
+
+unsigned
+front_connections (const struct front *f)
+{
+  return g_hash_table_size (f->conns);
+}
+
+/* Requests.  */
+
+struct http_head *
+front_request_head (struct front_request *r)
+{
+  return http_codec_head (r->conn->codec);
+}
+
+struct evbuffer *
+front_request_body (struct front_request *r)
+{
+  return r->conn->body;
+}
+
+int64_t
+front_request_since_ms (const struct front_request *r)
+{
+  return r->conn->since_ms;
+}
+
+void
+front_request_watch (struct front_request *r, void (*on_gone) (void *),
+                     void *arg)
+{
+  r->on_gone = on_gone;
+  r->gone_arg = arg;
+}
+
+static struct evbuffer *
+output_of (const struct front_request *r)
+{
+  return bufferevent_get_output (r->conn->bev);
+}
+
+static void
+write_head (struct front_request *r, const struct http_head *head,
+            const char *framing)
+{
+  g_autoptr (GString) text = g_string_new (NULL);
+  http_head_write (head, text);
+  g_string_truncate (text, text->len - 2);
+  g_string_append (text, framing);
+  if (r->conn->close_after)
+    g_string_append (text, "Connection: close\r\n");
+  g_string_append (text, "\r\n");
+  evbuffer_add (output_of (r), text->str, text->len);
+}
+
+void
+front_request_reply (struct front_request *r, const struct http_head *head,
+                     const void *body, size_t size)
+{
+  g_autofree char *framing = g_strdup_printf ("Content-Length: %zu\r\n", size);
+  const struct http_head *asked = front_request_head (r);
+  bool bodiless = asked && strcmp (asked->method, "HEAD") == 0;
+  write_head (r, head, framing);
+  if (size > 0 && !bodiless)
+    evbuffer_add (output_of (r), body, size);
+  conn_answered (r->conn);
+}
+
+void
+front_request_start (struct front_request *r, const struct http_head *head,
+                     enum http_framing framing, uint64_t length)
+{
+  g_autofree char *text = NULL;
+  bool old = front_request_head (r)->minor == 0;
+  r->started = true;
+  if (framing == HTTP_FRAMING_CHUNKED || framing == HTTP_FRAMING_CLOSE)
+    framing = old ? HTTP_FRAMING_CLOSE : HTTP_FRAMING_CHUNKED;
+  r->framing = framing;
+  if (framing == HTTP_FRAMING_SIZED)
+    text = g_strdup_printf ("Content-Length: %" G_GUINT64_FORMAT "\r\n",
+                            (guint64)length);
+  if (framing == HTTP_FRAMING_CLOSE)
+    r->conn->close_after = true;
+  write_head (r, head,
+              framing == HTTP_FRAMING_CHUNKED
+                  ? "Transfer-Encoding: chunked\r\n"
+                  : (text ? text : ""));
+}
+
+void
+front_request_send (struct front_request *r, struct evbuffer *data)
+{
+  size_t n = evbuffer_get_length (data);
+  if (n == 0)
+    return;
+  if (r->framing == HTTP_FRAMING_CHUNKED)
+    evbuffer_add_printf (output_of (r), "%zx\r\n", n);
+  evbuffer_add_buffer (output_of (r), data);
+  if (r->framing == HTTP_FRAMING_CHUNKED)
+    evbuffer_add (output_of (r), "\r\n", 2);
+}
+
+size_t
+front_request_backlog (const struct front_request *r)
+{
+  return evbuffer_get_length (output_of (r));
+}
+
+void
+front_request_end (struct front_request *r)
+{
+  if (r->framing == HTTP_FRAMING_CHUNKED)
+    evbuffer_add (output_of (r), "0\r\n\r\n", 5);
+  conn_answered (r->conn);
+}
+
+void
+front_request_abort (struct front_request *r)
+{
+  struct front_conn *c = r->conn;
+  /* A reset cannot be read as the end of a body.  */
+  struct linger reset = { 1, 0 };
+  if (r->framing == HTTP_FRAMING_CLOSE)
+    (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER,
+                      &reset, sizeof reset);
+  r->on_gone = NULL;
+  conn_free (c);
+}
--- a/src/links/kv.h
+++ b/src/links/kv.h
@@ -13,6 +13,7 @@
   KV_OK,       /**< done */
   KV_CONFLICT, /**< the compared revision did not match; nothing changed */
   KV_DOWN,     /**< not done: nothing was sent, or it was refused */
+  KV_FORGOT,   /**< the history that was asked for is no longer kept */
   KV_LOST      /**< sent, no answer: it may be done now, later or never */
 };
 
@@ -41,9 +42,24 @@
 typedef void kv_watch_cb (void *arg, enum kv_status status,
                           const struct kv_value *value);
 
+/** One change under a prefix.  */
+struct kv_change
+{
+  const char *key;
+  GBytes *value; /**< NULL where the key was removed */
+  int64_t revision;
+};
+
+/** Changes after a revision, or all that stands.  AS_OF is the revision that
+    the service had.  */
+typedef void kv_changes_cb (void *arg, enum kv_status status,
+                            const struct kv_change *changes, size_t n,
+                            int64_t as_of);
+
 struct kv;
 
-/** What an adapter provides.  */
+/** What an adapter provides.  LIST and CHANGES may be NULL; they are there
+    where a prefix can be followed by its revision.  */
 struct kv_ops
 {
   void (*get) (struct kv *kv, const char *key, bool prefix, kv_get_cb *cb,
@@ -52,6 +68,10 @@
                const struct kv_put *puts, size_t n, kv_txn_cb *cb, void *arg);
   void (*watch) (struct kv *kv, const char *key, kv_watch_cb *cb, void *arg);
   void (*unwatch) (struct kv *kv, const char *key);
+  void (*list) (struct kv *kv, const char *prefix, kv_changes_cb *cb,
+                void *arg);
+  void (*changes) (struct kv *kv, const char *prefix, int64_t after,
+                   unsigned wait_ms, kv_changes_cb *cb, void *arg);
   void (*destroy) (struct kv *kv);
 };
 
@@ -94,6 +114,21 @@
   kv->ops->watch (kv, key, cb, arg);
 }
 
+/** Reads all that stands under PREFIX.  */
+static inline void
+kv_list (struct kv *kv, const char *prefix, kv_changes_cb *cb, void *arg)
+{
+  kv->ops->list (kv, prefix, cb, arg);
+}
+
+/** Waits up to WAIT_MS for changes under PREFIX after the revision AFTER.  */
+static inline void
+kv_changes (struct kv *kv, const char *prefix, int64_t after, unsigned wait_ms,
+            kv_changes_cb *cb, void *arg)
+{
+  kv->ops->changes (kv, prefix, after, wait_ms, cb, arg);
+}
+
 /** Releases KV; operations in flight end without a callback.  */
 static inline void
 kv_destroy (struct kv *kv)
--- a/src/links/kv_etcd.c
+++ b/src/links/kv_etcd.c
@@ -361,8 +361,11 @@
   g_free (e);
 }
 
-static const struct kv_ops etcd_ops
-    = { etcd_get, etcd_txn, etcd_watch, etcd_unwatch, etcd_destroy };
+static const struct kv_ops etcd_ops = { .get = etcd_get,
+                                        .txn = etcd_txn,
+                                        .watch = etcd_watch,
+                                        .unwatch = etcd_unwatch,
+                                        .destroy = etcd_destroy };
 
 struct kv *
 kv_etcd_create (struct event_base *base, struct http_client *http,
--- a/tools/generate.py
+++ b/tools/generate.py
@@ -6,7 +6,7 @@
 
 ROOT = os.path.join(os.path.dirname(os.path.abspath(__file__)), "..")
 NOTE = "/* Generated from schema/%s by tools/generate.py; do not edit.  */\n"
-CTYPE = {"str": "char *", "bin": "GBytes *", "uint": "uint64_t ",
+CTYPE = {"str": "char *", "bin": "GBytes *", "uint": "uint64_t ", "real": "double ",
          "bool": "bool ", "list": "GArray *", "strs": "GPtrArray *",
          "enum": "uint64_t ", "address": "char *", "digest": "char *",
          "addresses": "GPtrArray *"}
