VMs find each other in the store and gossip; loads told; prompts read apart

Cause: each VM counted its own load only, named itself only to callers, and left the engines that only read prompts (4 of 14, 3 of 11) without work. Ruled out: the settings' seeds (stale or dead ones find nobody; the store has to be asked anyway); a lease a VM (a call every second a VM; gossip says sooner who is gone). The gossip link no longer knows the daemon, the VM list is apart. Also: objects under target/ did not follow changed headers, so that an old table of functions met a new one and every start crashed; the Makefile now reads the dependencies of the folder that it builds in.

--- a/Makefile
+++ b/Makefile
@@ -111,4 +111,4 @@
 clean:
 	rm -rf build
 
--include $(shell find build -name '*.d' 2>/dev/null)
+-include $(shell find $(BUILD) -name '*.d' 2>/dev/null)
--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -41,6 +41,8 @@
   X (stray_answers_total, "Upstream answers of other requests")               \
   X (kv_reads_total, "Reads of the key-value service")                        \
   X (kv_writes_total, "Writes to the key-value service")                      \
+  X (prompts_read_apart_total, "Prompts read at another engine first")        \
+  X (readings_dropped_total, "Prompts read apart and not used")               \
   X (log_lines_dropped_total, "Log lines dropped over the bound")
 
 /** Gauges: name, help.  */
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -13,6 +13,7 @@
 #include "daemon/home.h"
 #include "daemon/operator_api.h"
 #include "daemon/orders_link.h"
+#include "daemon/vm_list.h"
 #include "links/trace.h"
 
 #include <inttypes.h>
@@ -123,6 +124,57 @@
 
 static const struct peer_events peer_events = { on_frame, on_gone };
 
+/* Datagrams of gossip.  */
+
+static const char *
+join_address (void *arg, unsigned i)
+{
+  const struct daemon *d = arg;
+  return i < g_strv_length (d->join) ? d->join[i] : NULL;
+}
+
+static uint64_t
+own_revision (void *arg)
+{
+  const struct daemon *d = arg;
+  return conf_revision (d->conf);
+}
+
+static void
+on_revision (void *arg, const char *from, uint64_t revision)
+{
+  struct daemon *d = arg;
+  if (revision > conf_revision (d->conf))
+    conf_hint (d->conf, from, revision);
+}
+
+static void
+on_datagram (void *arg, const struct frame *f)
+{
+  struct daemon *d = arg;
+  if (f->type == MESSAGE_LOAD_DIGEST)
+    engines_take_digest (d->engines, f->message);
+}
+
+static struct gossip_link *
+make_gossip (struct daemon *d, GError **error)
+{
+  const struct settings *s = d->settings;
+  struct gossip_parts parts = { .base = d->base,
+                                .members = d->members,
+                                .ip = s->ip,
+                                .port = (uint16_t)s->peer_port,
+                                .region = s->region,
+                                .fleet_key = d->fleet_key,
+                                .join_address = join_address,
+                                .revision = own_revision,
+                                .on_revision = on_revision,
+                                .on_frame = on_datagram,
+                                .arg = d };
+  d->join = g_strsplit (s->join, ",", -1);
+  return gossip_link_create (&parts, error);
+}
+
 /* Graceful shutdown: leaving is announced, running requests end, then the VM
    has left.  New work is taken for a moment yet, as callers and home VMs hear
    of it.  */
@@ -278,7 +330,12 @@
   d->operators = operator_api_create (d);
   d->conf = conf_create (d);
   d->applies = applies_create (d);
-  d->gossip = gossip_link_create (d, error);
+  struct vm_list_parts list = { .base = d->base,
+                                .http = d->http,
+                                .members = d->members,
+                                .address = settings->vm_list };
+  d->vm_list = vm_list_create (&list);
+  d->gossip = make_gossip (d, error);
   if (d->gossip == NULL)
     {
       daemon_destroy (d);
@@ -311,6 +368,8 @@
     return;
   http_server_destroy (d->server);
   gossip_link_destroy (d->gossip);
+  vm_list_destroy (d->vm_list);
+  g_strfreev (d->join);
   operator_api_destroy (d->operators);
   orders_link_destroy (d->orders);
   entry_destroy (d->entry);
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -16,6 +16,7 @@
 struct applies;
 struct conf;
 struct gossip_link;
+struct vm_list;
 struct entry;
 struct engines;
 struct home;
@@ -39,6 +40,8 @@
 
   struct members *members;
   struct gossip_link *gossip;
+  struct vm_list *vm_list;
+  char **join; /* addresses to join through, ended by NULL */
   struct conf *conf;
   struct applies *applies;
   struct entry *entry;
--- /dev/null
+++ b/src/daemon/fleet.c
@@ -0,0 +1,463 @@
+#include "daemon/fleet.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "daemon/gossip_link.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+/* Keys in the key-value service.  */
+#define KEY_OF_FLEET "buckthornstand/fleet-key"
+#define KEYS_OF_VMS "buckthornstand/vms/"
+#define FLEET_KEY_BYTES 24
+/* Pause after a failed read or write.  */
+#define RETRY_MS 300
+/* A VM that hears nobody looks for others as often.  */
+#define ALONE_MS 3000
+#define LOOK_MS 2000
+/* Loads are told as often, more seldom in a large fleet.  */
+#define LOADS_MS 100
+#define LOADS_VMS 10
+/* Callers get no more addresses than this.  */
+#define ENTRY_MAX 64
+/* All VMs probe each other: a region of one VM has nobody to miss it.  */
+#define GOSSIP_REGION "fleet"
+
+/* Steps of joining.  */
+enum fleet_step
+{
+  STEP_IDLE,
+  STEP_KEY,   /* the fleet's key is read, or made */
+  STEP_LIST,  /* the others' addresses are read */
+  STEP_WRITE, /* the own address is written */
+  STEP_JOINED
+};
+
+struct fleet
+{
+  struct fleet_parts parts;
+  struct members *members;
+  struct gossip_link *gossip;
+  struct event *timer;
+  enum fleet_step step;
+  bool busy; /* a call to the service is under way */
+  char *fleet_key;
+  GPtrArray *addresses; /* IP:PORT of VMs that the service named */
+  int64_t own_revision; /* of the own entry; 0 where it does not stand */
+  bool own_is_right;
+  int64_t next_ms;
+  int64_t loads_ms;
+  int64_t looked_ms;
+};
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+static char *
+own_key (const struct fleet *f)
+{
+  return g_strconcat (KEYS_OF_VMS, f->parts.vm, NULL);
+}
+
+static char *
+own_address (const struct fleet *f)
+{
+  return g_strdup_printf ("%s:%u", f->parts.ip, f->parts.peer_port);
+}
+
+/* Joining.  */
+
+static void
+failed (struct fleet *f, const char *what, enum kv_status status)
+{
+  log_event (LOG_WARN, "join_waits", "step", what, "status", log_num (status),
+             "retry_ms", log_num (RETRY_MS), NULL);
+  f->next_ms = now_ms () + RETRY_MS;
+}
+
+static const char *
+join_address (void *arg, unsigned i)
+{
+  const struct fleet *f = arg;
+  return i < f->addresses->len ? g_ptr_array_index (f->addresses, i) : NULL;
+}
+
+static uint64_t
+no_revision (void *arg)
+{
+  (void)arg;
+  return 0;
+}
+
+static void
+on_revision (void *arg, const char *from, uint64_t revision)
+{
+  (void)arg;
+  (void)from;
+  (void)revision;
+}
+
+static void
+on_frame (void *arg, const struct frame *frame)
+{
+  struct fleet *f = arg;
+  if (frame->type != MESSAGE_UPSTREAM_SHARES)
+    return;
+  const struct upstream_shares *m = frame->message;
+  int64_t now = now_ms ();
+  upstreams_unhear (f->parts.upstreams, m->from);
+  for (guint i = 0; i < m->shares->len; i++)
+    {
+      const struct upstream_share *s
+          = &g_array_index (m->shares, struct upstream_share, i);
+      struct upstream_load load = { (uint32_t)s->running, s->tokens };
+      upstreams_hear (f->parts.upstreams, m->from, s->upstream, &load, now);
+    }
+}
+
+static void
+open_gossip (struct fleet *f)
+{
+  g_autoptr (GError) error = NULL;
+  struct gossip_parts parts = { .base = f->parts.base,
+                                .members = f->members,
+                                .ip = f->parts.ip,
+                                .port = f->parts.peer_port,
+                                .region = GOSSIP_REGION,
+                                .fleet_key = f->fleet_key,
+                                .join_address = join_address,
+                                .revision = no_revision,
+                                .on_revision = on_revision,
+                                .on_frame = on_frame,
+                                .arg = f };
+  f->gossip = gossip_link_create (&parts, &error);
+  if (f->gossip == NULL)
+    {
+      log_event (LOG_ERROR, "gossip_failed", "error", error->message, NULL);
+      f->next_ms = now_ms () + RETRY_MS;
+      return;
+    }
+  f->step = STEP_JOINED;
+  log_event (LOG_INFO, "joined", "addresses", log_num (f->addresses->len),
+             NULL);
+}
+
+static void
+on_written (void *arg, enum kv_status status, int64_t revision)
+{
+  struct fleet *f = arg;
+  f->busy = false;
+  /* An answer that was lost, or a newer entry: read again what stands.  */
+  if (status != KV_OK)
+    {
+      failed (f, "write", status);
+      f->step = STEP_LIST;
+      return;
+    }
+  f->own_revision = revision;
+  f->own_is_right = true;
+}
+
+static void
+write_own (struct fleet *f)
+{
+  g_autofree char *key = own_key (f);
+  g_autofree char *address = own_address (f);
+  g_autoptr (GBytes) value = g_bytes_new (address, strlen (address));
+  struct kv_put put = { key, value };
+  f->busy = true;
+  kv_txn (f->parts.kv, key, f->own_revision, &put, 1, on_written, f);
+}
+
+static void
+on_listed (void *arg, enum kv_status status, const struct kv_change *changes,
+           size_t n, int64_t as_of)
+{
+  struct fleet *f = arg;
+  (void)as_of;
+  f->busy = false;
+  if (status != KV_OK)
+    {
+      failed (f, "list", status);
+      return;
+    }
+  g_autofree char *key = own_key (f);
+  g_autofree char *own = own_address (f);
+  g_ptr_array_set_size (f->addresses, 0);
+  f->own_revision = 0;
+  f->own_is_right = false;
+  for (size_t i = 0; i < n; i++)
+    {
+      gsize size = 0;
+      const char *data = g_bytes_get_data (changes[i].value, &size);
+      char *address = g_strndup (data, size);
+      if (strcmp (changes[i].key, key) == 0)
+        {
+          f->own_revision = changes[i].revision;
+          f->own_is_right = strcmp (address, own) == 0;
+        }
+      g_ptr_array_add (f->addresses, address);
+    }
+  if (f->step == STEP_LIST)
+    f->step = STEP_WRITE;
+}
+
+static void read_key (struct fleet *f);
+
+static void
+on_key_made (void *arg, enum kv_status status, int64_t revision)
+{
+  struct fleet *f = arg;
+  (void)revision;
+  f->busy = false;
+  /* Whoever wrote it: read it.  */
+  if (status == KV_OK || status == KV_CONFLICT)
+    read_key (f);
+  else
+    failed (f, "make_key", status);
+}
+
+static void
+make_key (struct fleet *f)
+{
+  unsigned char bytes[FLEET_KEY_BYTES];
+  if (getrandom (bytes, sizeof bytes, 0) != (ssize_t)sizeof bytes)
+    {
+      failed (f, "random", KV_DOWN);
+      return;
+    }
+  g_autofree char *text = g_base64_encode (bytes, sizeof bytes);
+  g_autoptr (GBytes) value = g_bytes_new (text, strlen (text));
+  struct kv_put put = { KEY_OF_FLEET, value };
+  f->busy = true;
+  kv_txn (f->parts.kv, KEY_OF_FLEET, 0, &put, 1, on_key_made, f);
+}
+
+static void
+on_key (void *arg, enum kv_status status, const struct kv_value *values,
+        size_t n)
+{
+  struct fleet *f = arg;
+  f->busy = false;
+  if (status != KV_OK)
+    {
+      failed (f, "read_key", status);
+      return;
+    }
+  if (n == 0)
+    {
+      make_key (f);
+      return;
+    }
+  gsize size = 0;
+  const char *data = g_bytes_get_data (values[0].value, &size);
+  f->fleet_key = g_strndup (data, size);
+  f->step = STEP_LIST;
+}
+
+static void
+read_key (struct fleet *f)
+{
+  f->busy = true;
+  kv_get (f->parts.kv, KEY_OF_FLEET, false, on_key, f);
+}
+
+static void
+list_others (struct fleet *f)
+{
+  f->busy = true;
+  kv_list (f->parts.kv, KEYS_OF_VMS, on_listed, f);
+}
+
+static void
+go_on (struct fleet *f, int64_t now)
+{
+  if (f->busy || now < f->next_ms)
+    return;
+  if (f->step == STEP_KEY)
+    read_key (f);
+  else if (f->step == STEP_LIST)
+    list_others (f);
+  else if (f->step == STEP_WRITE && !f->own_is_right)
+    write_own (f);
+  else if (f->step == STEP_WRITE)
+    open_gossip (f);
+}
+
+/* A VM that hears nobody looks for others in the service.  */
+static void
+look_around (struct fleet *f, int64_t now)
+{
+  int64_t silence = gossip_link_silence_ms (f->gossip);
+  if (f->busy || (silence >= 0 && silence < ALONE_MS)
+      || now - f->looked_ms < LOOK_MS)
+    return;
+  f->looked_ms = now;
+  list_others (f);
+}
+
+/* Loads.  */
+
+static void
+tell_loads (struct fleet *f)
+{
+  const struct upstreams *u = f->parts.upstreams;
+  struct upstream_shares m = { 0 };
+  record_init (&upstream_shares_record, &m);
+  g_free (m.from);
+  m.from = g_strdup (f->parts.vm);
+  g_autoptr (GPtrArray) ids = upstreams_ids (u);
+  for (guint i = 0; i < ids->len; i++)
+    {
+      const char *id = g_ptr_array_index (ids, i);
+      struct upstream_load load
+          = upstreams_own_load (u, upstreams_find (u, id));
+      struct upstream_share s
+          = { .running = load.running, .tokens = load.tokens };
+      if (load.running == 0 && load.tokens == 0)
+        continue;
+      s.upstream = g_strdup (id);
+      g_array_append_val (m.shares, s);
+    }
+  const GPtrArray *all = members_all (f->members);
+  for (guint i = 1; i < all->len; i++)
+    {
+      const struct member *to = g_ptr_array_index (all, i);
+      if (member_live (to))
+        gossip_link_send (f->gossip, to, MESSAGE_UPSTREAM_SHARES, &m);
+    }
+  record_clear (&upstream_shares_record, &m);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct fleet *f = arg;
+  int64_t now = now_ms ();
+  if (f->step != STEP_JOINED)
+    {
+      go_on (f, now);
+      return;
+    }
+  look_around (f, now);
+  int64_t interval
+      = (int64_t)LOADS_MS * MAX (fleet_size (f), LOADS_VMS) / LOADS_VMS;
+  if (now - f->loads_ms < interval)
+    return;
+  f->loads_ms = now;
+  tell_loads (f);
+}
+
+/* What others ask.  */
+
+unsigned
+fleet_size (const struct fleet *f)
+{
+  const GPtrArray *all = members_all (f->members);
+  unsigned n = 1;
+  for (guint i = 1; i < all->len; i++)
+    n += member_live (g_ptr_array_index (all, i));
+  return n;
+}
+
+/* How near a VM is to the asker: 0 is its failure domain.  */
+static unsigned
+distance (const struct fleet *f, const struct member *m,
+          const char *failure_domain, const char *region)
+{
+  if (failure_domain && strcmp (m->info.failure_domain, failure_domain) == 0)
+    return 0;
+  const char *of = f->parts.region_of (f->parts.arg, m->info.failure_domain);
+  return region && of && strcmp (of, region) == 0 ? 1 : 2;
+}
+
+static bool
+takes_callers (const struct member *m)
+{
+  return !m->leaving && m->info.status == MEMBER_ALIVE;
+}
+
+GPtrArray *
+fleet_entry_addresses (const struct fleet *f, const char *failure_domain,
+                       const char *region)
+{
+  const GPtrArray *all = members_all (f->members);
+  GPtrArray *out = g_ptr_array_new_with_free_func (g_free);
+  for (unsigned near = 0; near <= 2 && out->len == 0; near++)
+    for (guint i = 0; i < all->len && out->len < ENTRY_MAX; i++)
+      {
+        const struct member *m = g_ptr_array_index (all, i);
+        if (takes_callers (m)
+            && distance (f, m, failure_domain, region) == near)
+          g_ptr_array_add (out, g_strdup_printf ("%s:%u", m->info.ip,
+                                                 (unsigned)m->info.http_port));
+      }
+  return out;
+}
+
+/* Making and releasing.  */
+
+struct fleet *
+fleet_create (const struct fleet_parts *parts)
+{
+  static const struct timeval tick = { 0, 50000 };
+  struct fleet *f = g_new0 (struct fleet, 1);
+  guint32 seed = 0;
+  if (getrandom (&seed, sizeof seed, 0) != (ssize_t)sizeof seed)
+    g_error ("no random bytes");
+  f->parts = *parts;
+  f->addresses = g_ptr_array_new_with_free_func (g_free);
+  struct member_update self
+      = { .id = (char *)parts->vm,
+          .ip = (char *)parts->ip,
+          .http_port = parts->front_port,
+          .peer_port = parts->peer_port,
+          .region = (char *)GOSSIP_REGION,
+          .failure_domain = (char *)parts->failure_domain,
+          .incarnation
+          = member_first_incarnation (g_get_real_time () / 1000) };
+  f->members = members_create (&self, seed, now_ms ());
+  f->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, f);
+  event_add (f->timer, &tick);
+  return f;
+}
+
+void
+fleet_destroy (struct fleet *f)
+{
+  if (f == NULL)
+    return;
+  event_free (f->timer);
+  gossip_link_destroy (f->gossip);
+  members_destroy (f->members);
+  g_ptr_array_unref (f->addresses);
+  g_free (f->fleet_key);
+  g_free (f);
+}
+
+void
+fleet_join (struct fleet *f)
+{
+  if (f->step == STEP_IDLE)
+    f->step = STEP_KEY;
+}
+
+void
+fleet_leave (struct fleet *f)
+{
+  if (f->gossip)
+    gossip_link_leave (f->gossip);
+}
+
+void
+fleet_left (struct fleet *f)
+{
+  if (f->gossip)
+    gossip_link_left (f->gossip);
+}
--- /dev/null
+++ b/src/daemon/fleet.h
@@ -0,0 +1,58 @@
+/** @file
+    The VMs of the fleet, where no address of another one is given: each writes
+    its own into the key-value service once, finds the others there, and then
+    goes by gossip.  VMs tell each other the load that they put on upstreams.
+ */
+#ifndef DAEMON_FLEET_H
+#define DAEMON_FLEET_H
+
+#include "decide/members.h"
+#include "decide/upstreams.h"
+#include "links/kv.h"
+
+#include <event2/event.h>
+
+struct fleet;
+
+/** What a fleet works with; all of it outlives the fleet.  */
+struct fleet_parts
+{
+  struct event_base *base;
+  struct kv *kv;
+  struct upstreams *upstreams;
+  const char *vm;
+  const char *ip;
+  uint16_t peer_port;
+  uint16_t front_port; /**< that callers of this VM connect to */
+  const char *failure_domain;
+  /** Region of a failure domain, or NULL.  */
+  const char *(*region_of) (void *arg, const char *failure_domain);
+  void *arg;
+};
+
+/** Makes a fleet of this VM alone.  */
+struct fleet *fleet_create (const struct fleet_parts *parts);
+
+/** Releases F.  */
+void fleet_destroy (struct fleet *f);
+
+/** This VM takes requests from now on: it joins.  */
+void fleet_join (struct fleet *f);
+
+/** Announces that this VM is leaving.  */
+void fleet_leave (struct fleet *f);
+
+/** Announces that this VM has left.  */
+void fleet_left (struct fleet *f);
+
+/** VMs that share upstreams and budgets, this one included; not below 1.  */
+unsigned fleet_size (const struct fleet *f);
+
+/** IP:PORT of the VMs that callers of a failure domain and region should use:
+    of the domain, else of the region, else all.  Free with
+    g_ptr_array_unref.  */
+GPtrArray *fleet_entry_addresses (const struct fleet *f,
+                                  const char *failure_domain,
+                                  const char *region);
+
+#endif
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -1,8 +1,10 @@
 #include "daemon/gateway.h"
 
+#include "base/file.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/discovery.h"
+#include "daemon/fleet.h"
 #include "daemon/proxy.h"
 
 #include <event2/event.h>
@@ -42,6 +44,7 @@
   struct retry_windows *retries;
   struct proxy *proxy;
   struct discovery *discovery;
+  struct fleet *fleet;
   struct front *callers;
   struct front *ready;
   struct front *entry;
@@ -73,8 +76,8 @@
 static unsigned
 count_vms (void *arg)
 {
-  (void)arg;
-  return 1;
+  const struct gateway *r = arg;
+  return fleet_size (r->fleet);
 }
 
 static bool
@@ -164,10 +167,9 @@
       reply (request, 404, NULL, NULL);
       return;
     }
-  g_autoptr (GPtrArray) addresses = g_ptr_array_new ();
-  if (is_ready (r))
-    g_ptr_array_add (addresses, r->settings->front_address);
-  if (addresses->len > 0)
+  g_autoptr (GPtrArray) addresses
+      = fleet_entry_addresses (r->fleet, q.failure_domain, q.region);
+  if (addresses->len > 0 && (is_ready (r) || r->leaving_ms != 0))
     {
       g_autofree char *body = r->platform->write_entry_answer (
           addresses, (double)r->settings->entry_ttl_s);
@@ -210,6 +212,8 @@
   if (ready == r->was_ready)
     return;
   r->was_ready = ready;
+  if (ready)
+    fleet_join (r->fleet);
   const struct route_table *t = proxy_routes (r->proxy);
   log_event (LOG_INFO, ready ? "ready" : "not_ready", "routes_version",
              log_num (t ? (long long)route_table_version (t) : -1),
@@ -309,6 +313,7 @@
   log_event (LOG_INFO, "stopping", "signal", log_num (signal), "open",
              log_num (proxy_open (r->proxy)), "deadline_s",
              log_num ((long long)r->settings->leave_deadline_s), NULL);
+  fleet_leave (r->fleet);
   front_drain (r->callers, STOP_IDLE_MS);
 }
 
@@ -370,6 +375,15 @@
   return r->entry && (s->metrics_port == 0 || r->metrics);
 }
 
+static uint16_t
+port_of (const char *address)
+{
+  g_autofree char *ip = NULL;
+  uint16_t port = 0;
+  (void)address_split (address, &ip, &port);
+  return port;
+}
+
 static void
 make_parts (struct gateway *r)
 {
@@ -386,6 +400,17 @@
   r->upstreams = upstreams_create (&place);
   r->retries = retry_windows_create (&bounds);
   apply_settings (r);
+  struct fleet_parts fleet = { .base = r->base,
+                               .kv = r->kv,
+                               .upstreams = r->upstreams,
+                               .vm = s->vm,
+                               .ip = s->ip,
+                               .peer_port = (uint16_t)s->peer_port,
+                               .front_port = port_of (s->front_address),
+                               .failure_domain = s->failure_domain,
+                               .region_of = region_of,
+                               .arg = r };
+  r->fleet = fleet_create (&fleet);
   struct proxy_parts parts = { .base = r->base,
                                .platform = r->platform,
                                .pool = r->pool,
@@ -434,6 +459,7 @@
              "region", r->settings->region, "failure_domain",
              r->settings->failure_domain, "kv", r->settings->kv, NULL);
   event_base_dispatch (r->base);
+  fleet_left (r->fleet);
   log_event (LOG_INFO, "stopped", "cut", log_num (proxy_open (r->proxy)),
              NULL);
   event_free (term);
@@ -449,6 +475,7 @@
   if (r->timer)
     event_free (r->timer);
   discovery_destroy (r->discovery);
+  fleet_destroy (r->fleet);
   proxy_destroy (r->proxy);
   front_destroy (r->callers);
   front_destroy (r->ready);
--- a/src/daemon/gossip_link.h
+++ b/src/daemon/gossip_link.h
@@ -1,14 +1,39 @@
 /** @file
-    Membership on the wire: authenticated datagrams, and the platform's VM
-    list.  */
+    Membership on the wire: authenticated datagrams between VMs.  */
 #ifndef DAEMON_GOSSIP_LINK_H
 #define DAEMON_GOSSIP_LINK_H
 
-#include "daemon/daemon.h"
-
-/** Opens the UDP port and joins through the addresses of the settings.
-    Returns NULL and sets ERROR where the port cannot be had.  */
-struct gossip_link *gossip_link_create (struct daemon *d, GError **error);
+#include "decide/members.h"
+#include "links/frame.h"
+
+#include <event2/event.h>
+
+struct gossip_link;
+
+/** What a link works with; all of it outlives the link.  */
+struct gossip_parts
+{
+  struct event_base *base;
+  struct members *members;
+  const char *ip; /**< of this VM */
+  uint16_t port;  /**< UDP port of this VM and, unless told, of others */
+  const char *region;
+  const char *fleet_key;
+  /** Address number I to join through, or NULL after the last one.  */
+  const char *(*join_address) (void *arg, unsigned i);
+  /** Revision of the configuration that this VM has in force.  */
+  uint64_t (*revision) (void *arg);
+  /** Gossip of FROM says that it has REVISION in force.  */
+  void (*on_revision) (void *arg, const char *from, uint64_t revision);
+  /** A frame other than gossip came.  */
+  void (*on_frame) (void *arg, const struct frame *f);
+  void *arg;
+};
+
+/** Opens the UDP port and joins.  Returns NULL and sets ERROR where the port
+    cannot be had.  */
+struct gossip_link *gossip_link_create (const struct gossip_parts *parts,
+                                        GError **error);
 
 /** Releases G.  */
 void gossip_link_destroy (struct gossip_link *g);
@@ -23,11 +48,6 @@
 /** Announces that this VM has left.  */
 void gossip_link_left (struct gossip_link *g);
 
-/** Milliseconds for which the platform's list has not shown VM; -1 while it
-    does, or while nothing is known.  */
-int64_t gossip_link_vm_missing_ms (const struct gossip_link *g,
-                                   const char *vm);
-
 /** Milliseconds since any other VM was heard; -1 for never.  */
 int64_t gossip_link_silence_ms (const struct gossip_link *g);
 
--- a/src/daemon/orders_link.c
+++ b/src/daemon/orders_link.c
@@ -8,6 +8,7 @@
 #include "daemon/gossip_link.h"
 #include "daemon/engines.h"
 #include "daemon/role_link.h"
+#include "daemon/vm_list.h"
 #include "decide/orders.h"
 #include "decide/rank.h"
 
@@ -195,7 +196,7 @@
     }
   if (restarted)
     return now - g->since_ms > DELIVERY_MAX_MS;
-  return gossip_link_vm_missing_ms (o->d->gossip, vm) > VM_GONE_MS;
+  return vm_list_missing_ms (o->d->vm_list, vm) > VM_GONE_MS;
 }
 
 static void
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -59,6 +59,11 @@
   double expected_ms;
   char upstream_id[64];
 
+  bool reading;   /* the call under way only reads the prompt */
+  bool read_once; /* it is not read apart a second time */
+  upstream_handle reader;
+  char *read_by; /* where the read prompt can be fetched */
+
   struct http_head *answer; /* of the current attempt */
   enum http_framing framing;
   uint64_t length;
@@ -72,6 +77,8 @@
 };
 
 static void attempt (struct exchange *e);
+static void end_reading (struct exchange *e, enum pool_end end);
+static void drop_reading (struct exchange *e);
 
 static int64_t
 now_ms (void)
@@ -81,6 +88,17 @@
 
 /* Exchanges.  */
 
+/* This VM's part of the connections to one instance.  */
+static unsigned
+connection_share (const struct exchange *e)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  const struct route_service *s = route_table_service (e->table, e->service);
+  unsigned all = s ? s->connections : 1;
+  unsigned vms = MAX (parts->count_vms (parts->arg), 1);
+  return MAX (all * CONNECTIONS_PERCENT / 100 / vms, 1);
+}
+
 static void
 exchange_free (struct exchange *e)
 {
@@ -89,6 +107,7 @@
   if (e->call)
     pool_cancel (e->call);
   upstreams_cancelled (e->proxy->parts.upstreams, &e->work);
+  drop_reading (e);
   if (e->timer)
     event_free (e->timer);
   http_head_destroy (e->answer);
@@ -174,7 +193,7 @@
   (void)fd;
   (void)what;
   struct exchange *e = arg;
-  bool sent = e->call && pool_call_sent (e->call);
+  bool sent = e->call && !e->reading && pool_call_sent (e->call);
   if (e->started)
     cut (e, "timeout_in_answer");
   else if (sent || e->attempts.may_have_run)
@@ -232,7 +251,7 @@
 on_data (void *arg, struct evbuffer *data)
 {
   struct exchange *e = arg;
-  if (!is_good (e))
+  if (e->reading || !is_good (e))
     {
       evbuffer_add_buffer (e->held, data);
       return;
@@ -372,7 +391,15 @@
 {
   struct exchange *e = arg;
   int64_t now = now_ms ();
+  if (e->reading)
+    {
+      end_reading (e, end);
+      return;
+    }
   enum attempt_outcome outcome = outcome_of (e, end);
+  /* A reading can be fetched once; one that was asked for is spent.  */
+  if (outcome != ATTEMPT_NOT_SENT)
+    g_clear_pointer (&e->read_by, g_free);
   e->call = NULL;
   upstreams_ended (e->proxy->parts.upstreams, &e->work, outcome, now);
   enum attempt_step step = attempts_ended (&e->attempts, outcome);
@@ -406,16 +433,6 @@
 
 /* Sending.  */
 
-static unsigned
-connection_share (const struct exchange *e)
-{
-  const struct proxy_parts *parts = &e->proxy->parts;
-  const struct route_service *s = route_table_service (e->table, e->service);
-  unsigned all = s ? s->connections : 1;
-  unsigned vms = MAX (parts->count_vms (parts->arg), 1);
-  return MAX (all * CONNECTIONS_PERCENT / 100 / vms, 1);
-}
-
 static struct pool_call *
 send_to (struct exchange *e, const struct upstream_info *info, int64_t now)
 {
@@ -426,6 +443,8 @@
       = { .upstream = info->id,
           .patience_ms = e->until_ms - now,
           .urgency = MIN (e->route->priority, URGENCY_MAX),
+          .read_only = e->reading,
+          .read_by = e->reading ? NULL : e->read_by,
           .resume_after = e->started ? e->events.last_id : NULL };
   http_head_strip_hop (h, ops->kept_fields);
   http_head_remove (h, "Expect");
@@ -453,6 +472,96 @@
   return call;
 }
 
+/* Reading a prompt apart.  */
+
+static void
+on_dropped (void *arg, enum pool_end end)
+{
+  (void)arg;
+  (void)end;
+}
+
+static void
+on_dropped_head (void *arg, struct http_head *head, enum http_framing framing,
+                 uint64_t length)
+{
+  (void)arg;
+  (void)head;
+  (void)framing;
+  (void)length;
+}
+
+static void
+on_dropped_data (void *arg, struct evbuffer *data)
+{
+  (void)arg;
+  evbuffer_drain (data, evbuffer_get_length (data));
+}
+
+static const struct pool_events drop_events
+    = { on_dropped_head, on_dropped_data, on_dropped };
+
+/* Frees what was read for this request and not fetched.  */
+static void
+drop_reading (struct exchange *e)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  const struct upstream_info *info
+      = upstreams_info (parts->upstreams, e->reader);
+  if (e->read_by && info)
+    {
+      struct http_head *h = parts->platform->free_reading (e->read_by);
+      struct pool_request r = { .upstream = info->id,
+                                .address = info->address,
+                                .connections = connection_share (e),
+                                .head = h,
+                                .reuse_ms = REUSE_MS };
+      (void)pool_send (parts->pool, &r, &drop_events, NULL);
+      http_head_destroy (h);
+      metrics_add (METRIC_readings_dropped_total, 1);
+    }
+  g_clear_pointer (&e->read_by, g_free);
+}
+
+/* The prompt has been read, or not: either way the request is sent to an
+   engine that takes it whole.  The call did not run it.  */
+static void
+end_reading (struct exchange *e, enum pool_end end)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  const struct upstream_info *info
+      = upstreams_info (parts->upstreams, e->work.handle);
+  int64_t now = now_ms ();
+  size_t n = evbuffer_get_length (e->held);
+  bool whole = end == POOL_WHOLE && e->answer && e->answer->status == 200;
+  e->call = NULL;
+  e->reading = false;
+  e->read_once = true;
+  if (whole && info)
+    {
+      e->reader = e->work.handle;
+      e->read_by = parts->platform->take_reading (
+          info->address, evbuffer_pullup (e->held, -1), n);
+    }
+  enum attempt_outcome outcome
+      = e->read_by ? ATTEMPT_ANSWERED
+                   : (e->answer_facts.not_run ? ATTEMPT_NOT_RUN
+                      : end == POOL_NOT_SENT  ? ATTEMPT_NOT_SENT
+                                              : ATTEMPT_LOST);
+  upstreams_first_byte (parts->upstreams, &e->work, now);
+  upstreams_ended (parts->upstreams, &e->work, outcome, now);
+  log_event (e->read_by ? LOG_DEBUG : LOG_INFO, "prompt_read", "request",
+             e->facts.id, "upstream", e->upstream_id, "outcome",
+             attempt_outcome_name (outcome), "status",
+             log_num (e->answer ? e->answer->status : 0), "ms",
+             log_num (now - e->since_ms), NULL);
+  clear_answer (e);
+  if (outcome == ATTEMPT_ANSWERED || may_try_again (e, outcome, now))
+    attempt (e);
+  else
+    give_up (e, ATTEMPT_REFUSE, outcome);
+}
+
 /* Whether the expected time is too long to send the request at all.  */
 static bool
 is_hopeless (const struct exchange *e, const struct upstream_choice *c,
@@ -482,6 +591,7 @@
     {
       int64_t now = now_ms ();
       ask.n_tried = e->n_tried;
+      ask.reader = e->read_by ? e->reader : 0;
       struct upstream_choice c
           = upstreams_choose (parts->upstreams, &ask, now);
       if (c.handle == 0)
@@ -490,7 +600,7 @@
           return;
         }
       e->expected_ms = c.expected_ms;
-      if (e->tries == 0 && is_hopeless (e, &c, now))
+      if (e->tries == 0 && e->read_by == NULL && is_hopeless (e, &c, now))
         {
           refuse_full (e, &c);
           return;
@@ -498,10 +608,11 @@
       const struct upstream_info *info
           = upstreams_info (parts->upstreams, c.handle);
       e->tried[e->n_tried++] = c.handle;
+      e->reading = c.reads_apart;
       e->call = send_to (e, info, now);
       if (e->call)
         {
-          e->tries++;
+          e->tries += e->reading ? 0 : 1;
           g_strlcpy (e->upstream_id, info->id, sizeof e->upstream_id);
           upstreams_sent (parts->upstreams, &c, prompt, now, &e->work);
           return;
--- /dev/null
+++ b/src/daemon/vm_list.c
@@ -0,0 +1,131 @@
+#include "daemon/vm_list.h"
+
+#include "config.h"
+
+#include <jansson.h>
+#include <string.h>
+
+#define VM_LIST_INTERVAL_MS 5000
+
+struct vm_list
+{
+  struct vm_list_parts parts;
+  struct event *timer;
+  GHashTable *shown; /* vm -> int64_t *, when the list last showed it */
+  int64_t first_ms;  /* when the list was first read, 0 for never */
+  int64_t last_ms;
+};
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+/* The VM list: {"vms":[{"id":"...","state":"live"|"leaving"}]}.  Members that
+   it no longer shows are removed where only it can tell.  */
+
+static void
+note_shown (struct vm_list *l, GHashTable *shown)
+{
+  int64_t now = now_ms ();
+  GHashTableIter it;
+  gpointer vm;
+  l->last_ms = now;
+  if (l->first_ms == 0)
+    l->first_ms = now;
+  g_hash_table_iter_init (&it, shown);
+  while (g_hash_table_iter_next (&it, &vm, NULL))
+    {
+      int64_t *when = g_new (int64_t, 1);
+      *when = now;
+      g_hash_table_replace (l->shown, g_strdup (vm), when);
+    }
+}
+
+int64_t
+vm_list_missing_ms (const struct vm_list *l, const char *vm)
+{
+  const int64_t *when = g_hash_table_lookup (l->shown, vm);
+  if (l->first_ms == 0)
+    return -1;
+  int64_t missing = l->last_ms - (when ? *when : l->first_ms);
+  return missing > 0 ? missing : -1;
+}
+
+static void
+take_vm_list (struct vm_list *l, const json_t *vms)
+{
+  g_autoptr (GHashTable) shown = g_hash_table_new (g_str_hash, g_str_equal);
+  size_t i;
+  json_t *vm;
+  json_array_foreach (vms, i, vm)
+    {
+      const char *id = json_string_value (json_object_get (vm, "id"));
+      if (id)
+        g_hash_table_add (shown, (gpointer)(uintptr_t)id);
+    }
+  note_shown (l, shown);
+  const GPtrArray *all = members_all (l->parts.members);
+  for (guint k = 1; k < all->len; k++)
+    {
+      const struct member *m = g_ptr_array_index (all, k);
+      if (!g_hash_table_contains (shown, m->info.id))
+        members_hint_gone (l->parts.members, m->info.id, now_ms ());
+    }
+}
+
+static void
+on_vm_list (void *arg, const struct http_answer *a)
+{
+  struct vm_list *l = arg;
+  if (a->end != HTTP_END_WHOLE || a->status != 200 || a->body == NULL)
+    return;
+  size_t n = evbuffer_get_length (a->body);
+  json_t *root
+      = json_loadb ((const char *)evbuffer_pullup (a->body, -1), n, 0, NULL);
+  const json_t *vms = json_object_get (root, "vms");
+  if (json_is_array (vms))
+    take_vm_list (l, vms);
+  json_decref (root);
+}
+
+static const struct http_events vm_list_events = { NULL, on_vm_list };
+
+static void
+on_vm_list_timer (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct vm_list *l = arg;
+  struct http_order o = { .address = l->parts.address,
+                          .method = "GET",
+                          .path = "/v1/vms",
+                          .timeout_ms = KV_TIMEOUT_MS };
+  http_client_call (l->parts.http, &o, &vm_list_events, l);
+}
+
+struct vm_list *
+vm_list_create (const struct vm_list_parts *parts)
+{
+  static const struct timeval interval = { VM_LIST_INTERVAL_MS / 1000, 0 };
+  struct vm_list *l = g_new0 (struct vm_list, 1);
+  l->parts = *parts;
+  l->shown = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  if (parts->address[0] == '\0')
+    return l;
+  l->timer = event_new (parts->base, -1, EV_PERSIST, on_vm_list_timer, l);
+  event_add (l->timer, &interval);
+  return l;
+}
+
+void
+vm_list_destroy (struct vm_list *l)
+{
+  if (l == NULL)
+    return;
+  if (l->timer)
+    event_free (l->timer);
+  g_hash_table_destroy (l->shown);
+  g_free (l);
+}
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -1,5 +1,7 @@
 #include "decide/upstreams.h"
 
+#include <float.h>
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -9,6 +11,21 @@
 #define FAR_RTT_MS 25.0
 /* Speed of an engine's reading before it was measured.  */
 #define READ_TOKENS_PER_MS 150.0
+#define READ_APART_TOKENS_PER_MS 300.0
+/* Prompts below this many tokens are not read apart: the second call and the
+   transfer would take longer.  */
+#define READ_APART_MIN_TOKENS 1500
+/* Shares of prompts: an engine that only reads, reads twice as fast.  */
+#define READER_WEIGHT 2.0
+#define DECODER_WEIGHT 1.0
+/* Transfer of a read prompt by distance.  */
+#define TRANSFER_NEAR_MS 4.0
+#define TRANSFER_REGION_MS 8.0
+#define TRANSFER_FAR_MS 60.0
+/* What a request at an engine, and the reading before it, cost one that is
+   already read.  */
+#define DECODE_SHARE_MS 0.5
+#define DECODE_READING_PART 0.25
 #define READ_TOKENS_PER_MS_MIN 15.0
 #define READ_TOKENS_PER_MS_MAX 800.0
 #define READ_SAMPLE_TOKENS 1000
@@ -187,7 +204,8 @@
   memset (x, 0, sizeof *x);
   x->generation = generation ? generation : 1;
   x->used = true;
-  x->tokens_per_ms = READ_TOKENS_PER_MS;
+  x->tokens_per_ms = info->role == UPSTREAM_PREFILL ? READ_APART_TOKENS_PER_MS
+                                                    : READ_TOKENS_PER_MS;
   x->service_ms = SERVICE_MS;
   x->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   x->prefixes = prefixes_create (tokens ? *tokens * CACHE_PERCENT / 100 : 0);
@@ -288,6 +306,14 @@
   return x ? x->own : (struct upstream_load){ 0 };
 }
 
+void
+upstreams_unhear (struct upstreams *u, const char *vm)
+{
+  for (guint i = 1; i < u->slots->len; i++)
+    if (slot_at (u, i)->used)
+      g_hash_table_remove (slot_at (u, i)->heard, vm);
+}
+
 void
 upstreams_hear (struct upstreams *u, const char *vm, const char *id,
                 const struct upstream_load *load, int64_t now_ms)
@@ -345,16 +371,29 @@
   return p->parts[p->n_parts >= 2 ? p->n_parts - 2 : 0].id;
 }
 
-static uint64_t
-rank (uint64_t part, const char *id)
+/* Weighted rendezvous: an engine's chance to rank first is its weight.  */
+static double
+rank (uint64_t part, const struct upstream *x)
 {
-  return XXH64 (id, strlen (id), part);
+  const char *id = x->info.id;
+  double u = ((double)XXH64 (id, strlen (id), part) + 1) / 0x1p64;
+  double weight
+      = x->info.role == UPSTREAM_PREFILL ? READER_WEIGHT : DECODER_WEIGHT;
+  return u < 1 ? weight / -log (u) : DBL_MAX;
+}
+
+static bool
+may_read_apart (const struct upstream_ask *ask)
+{
+  return ask->prompt && !ask->whole && ask->reader == 0
+         && ask->prompt->tokens >= READ_APART_MIN_TOKENS;
 }
 
 static bool
 takes (const struct upstream *x, const struct upstream_ask *ask)
 {
-  return x->used && !x->info.leaving && x->info.role != UPSTREAM_PREFILL
+  return x->used && !x->info.leaving
+         && (x->info.role != UPSTREAM_PREFILL || may_read_apart (ask))
          && strcmp (x->info.service, ask->service) == 0;
 }
 
@@ -362,7 +401,7 @@
 find_home (const struct upstreams *u, const struct upstream_ask *ask)
 {
   guint home = 0;
-  uint64_t highest = 0;
+  double highest = 0;
   if (ask->prompt == NULL)
     return 0;
   uint64_t part = gathering_part (ask->prompt);
@@ -371,7 +410,7 @@
       const struct upstream *x = slot_at (u, i);
       if (!takes (x, ask))
         continue;
-      uint64_t r = rank (part, x->info.id);
+      double r = rank (part, x);
       if (home == 0 || r > highest)
         {
           home = i;
@@ -381,6 +420,49 @@
   return home;
 }
 
+/* Time of a transfer between two engines.  */
+static double
+transfer_ms (const struct upstreams *u, const struct upstream *from,
+             const struct upstream *to)
+{
+  const char *a = from->info.failure_domain;
+  const char *b = to->info.failure_domain;
+  if (strcmp (a, b) == 0)
+    return TRANSFER_NEAR_MS;
+  const char *x = u->place.region_of (u->place.arg, a);
+  const char *y = u->place.region_of (u->place.arg, b);
+  return x && y && strcmp (x, y) == 0 ? TRANSFER_REGION_MS : TRANSFER_FAR_MS;
+}
+
+/* Time to the first token at X of a prompt that FROM has read.  */
+static double
+decode_ms (const struct upstreams *u, const struct upstream *from,
+           const struct upstream *x, int64_t now_ms)
+{
+  struct upstream_load load = whole_load (x, now_ms);
+  return transfer_ms (u, from, x) + rtt_ms (u, x) + FIRST_TOKEN_MS
+         + load.running * DECODE_SHARE_MS
+         + (double)load.tokens / x->tokens_per_ms * DECODE_READING_PART;
+}
+
+/* The shortest such time, of engines that take whole requests.  */
+static double
+nearest_decode_ms (const struct upstreams *u, const struct upstream *from,
+                   int64_t now_ms)
+{
+  double best = DBL_MAX;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = slot_at (u, i);
+      if (!x->used || x->info.leaving || x->info.role != UPSTREAM_DECODE
+          || strcmp (x->info.service, from->info.service) != 0
+          || is_resting (x, now_ms))
+        continue;
+      best = MIN (best, decode_ms (u, from, x, now_ms));
+    }
+  return best;
+}
+
 static uint64_t
 tokens_to_read (const struct upstream *x, const struct prompt *p, bool is_home)
 {
@@ -401,12 +483,18 @@
 {
   struct upstream_load load = whole_load (x, now_ms);
   double ms = rtt_ms (u, x) + x->failures * FAILURE_COST_MS;
+  const struct upstream *reader = find (u, ask->reader);
   out->tokens = 0;
-  if (ask->prompt)
+  if (reader)
+    ms += decode_ms (u, reader, x, now_ms) - rtt_ms (u, x);
+  else if (ask->prompt)
     {
       out->tokens = tokens_to_read (x, ask->prompt, is_home);
       ms += (double)(load.tokens + out->tokens) / x->tokens_per_ms
-            + FIRST_TOKEN_MS + (is_home ? 0 : SPILL_MS);
+            + (is_home ? 0 : SPILL_MS);
+      out->reads_apart = x->info.role == UPSTREAM_PREFILL;
+      ms += out->reads_apart ? nearest_decode_ms (u, x, now_ms)
+                             : FIRST_TOKEN_MS;
     }
   else
     {
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -94,6 +94,8 @@
   const struct prompt *prompt;  /**< NULL for plain requests */
   const upstream_handle *tried; /**< instances that are passed over */
   unsigned n_tried;
+  bool whole;             /**< only instances that take the whole request */
+  upstream_handle reader; /**< engine that has read the prompt, or 0 */
 };
 
 /** What was chosen, and why.  */
@@ -103,6 +105,8 @@
   double expected_ms;     /**< until the first byte of the answer */
   uint64_t tokens;        /**< that it has to read of the prompt */
   bool is_home;           /**< it is the prompt's first choice */
+  bool reads_apart;       /**< HANDLE only reads the prompt; another engine,
+                               chosen once it has, generates */
   unsigned candidates;
 };
 
@@ -147,6 +151,8 @@
 /** Load that this VM puts on H.  */
 struct upstream_load upstreams_own_load (const struct upstreams *u,
                                          upstream_handle h);
+/** Takes back what VM told.  */
+void upstreams_unhear (struct upstreams *u, const char *vm);
 /** VM told its load on ID.  */
 void upstreams_hear (struct upstreams *u, const char *vm, const char *id,
                      const struct upstream_load *load, int64_t now_ms);
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -27,9 +27,11 @@
 /** What the product sets in a request to an upstream.  */
 struct request_marks
 {
-  const char *upstream;     /**< instance that may run it */
-  int64_t patience_ms;      /**< how long the answer is waited for */
-  unsigned urgency;         /**< 0 is the most urgent, to 9 */
+  const char *upstream; /**< instance that may run it */
+  int64_t patience_ms;  /**< how long the answer is waited for */
+  unsigned urgency;     /**< 0 is the most urgent, to 9 */
+  bool read_only; /**< the upstream reads the prompt and does not run it */
+  const char *read_by;      /**< what take_reading gave; NULL for none */
   const char *resume_after; /**< last event that the caller has; NULL to leave
                                  the field as the caller sent it */
 };
@@ -67,6 +69,11 @@
                         const struct request_marks *marks);
   /** Reads the head of an upstream's answer.  */
   void (*read_answer) (const struct http_head *head, struct answer_facts *out);
+  /** Where the prompt that the upstream at ADDRESS has read can be fetched,
+     from the body of its answer; to be freed, NULL where it names none.  */
+  char *(*take_reading) (const char *address, const void *data, size_t size);
+  /** Head that frees the reading READ_BY at its upstream.  */
+  struct http_head *(*free_reading) (const char *read_by);
   /** Sets for how long a refused caller should wait.  */
   void (*mark_refusal) (struct http_head *head, unsigned retry_after_ms);
 
