--- a/src/daemon/fleet.c
+++ b/src/daemon/fleet.c
@@ -114,7 +114,8 @@
     {
       const struct upstream_share *s
           = &g_array_index (m->shares, struct upstream_share, i);
-      struct upstream_load load = { (uint32_t)s->running, s->tokens };
+      struct upstream_load load
+          = { (uint32_t)s->running, (uint32_t)s->generating, s->tokens };
       upstreams_hear (f->parts.upstreams, m->from, s->upstream, &load, now);
     }
 }
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -28,7 +28,6 @@
 #define RETRY_AFTER_MIN_MS 150
 #define RETRY_AFTER_MAX_MS 2000
 #define NOT_READY_RETRY_MS 500
-#define URGENCY_MAX 9
 
 struct proxy
 {
@@ -442,7 +441,6 @@
   struct request_marks marks
       = { .upstream = info->id,
           .patience_ms = e->until_ms - now,
-          .urgency = MIN (e->route->priority, URGENCY_MAX),
           .read_only = e->reading,
           .read_by = e->reading ? NULL : e->read_by,
           .resume_after = e->started ? e->events.last_id : NULL };
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -50,6 +50,12 @@
 #define FULL_REST_MS 60
 /* Part of an engine's memory that is taken as cache.  */
 #define CACHE_PERCENT 80
+/* Part of an engine's slots that requests which only generate may fill before
+   one more engine is kept for them, and what another engine costs them.  */
+#define GENERATING_PERCENT 75
+#define DISTURBED_MS 150.0
+/* Wait for one more slot of an engine whose slots are all taken.  */
+#define SLOT_WAIT_MS 150.0
 #define INDEX_BITS 16
 
 struct heard
@@ -64,6 +70,7 @@
   uint16_t generation;
   bool used;
   struct upstream_load own;
+  bool kept;         /* free of long prompts, as of the latest choice */
   GHashTable *heard; /* vm -> struct heard */
   struct prefixes *prefixes;
   double tokens_per_ms;
@@ -294,6 +301,7 @@
       if (now_ms - h->at_ms > HEARD_MS)
         continue;
       sum.running += h->load.running;
+      sum.generating += h->load.generating;
       sum.tokens += h->load.tokens;
     }
   return sum;
@@ -389,11 +397,66 @@
          && ask->prompt->tokens >= READ_APART_MIN_TOKENS;
 }
 
+static bool
+has_long_prompt (const struct upstream_ask *ask)
+{
+  return ask->prompt && ask->reader == 0
+         && ask->prompt->tokens >= READ_APART_MIN_TOKENS;
+}
+
+static bool
+is_decoder (const struct upstream *x, const char *service)
+{
+  return x->used && !x->info.leaving && x->info.role == UPSTREAM_DECODE
+         && strcmp (x->info.service, service) == 0;
+}
+
+static uint64_t
+keep_rank (const struct upstream *x)
+{
+  return XXH64 (x->info.id, strlen (x->info.id), 0);
+}
+
+/* Decides which decoding engines of SERVICE are kept free of long prompts; all
+   VMs find the same ones, in the order of keep_rank.  */
+static void
+mark_kept (const struct upstreams *u, const char *service, int64_t now_ms)
+{
+  unsigned decoders = 0;
+  unsigned slots = 0;
+  unsigned generating = 0;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      struct upstream *x = slot_at (u, i);
+      x->kept = false;
+      if (!is_decoder (x, service))
+        continue;
+      decoders++;
+      slots = MAX (slots, x->info.slots);
+      generating += whole_load (x, now_ms).generating;
+    }
+  unsigned room = MAX (slots * GENERATING_PERCENT / 100, 1);
+  unsigned wanted = MIN (1 + generating / room, decoders - MIN (decoders, 1));
+  for (; wanted > 0; wanted--)
+    {
+      struct upstream *first = NULL;
+      for (guint i = 1; i < u->slots->len; i++)
+        {
+          struct upstream *x = slot_at (u, i);
+          if (is_decoder (x, service) && !x->kept
+              && (first == NULL || keep_rank (x) > keep_rank (first)))
+            first = x;
+        }
+      first->kept = true;
+    }
+}
+
 static bool
 takes (const struct upstream *x, const struct upstream_ask *ask)
 {
   return x->used && !x->info.leaving
          && (x->info.role != UPSTREAM_PREFILL || may_read_apart (ask))
+         && !(x->kept && has_long_prompt (ask))
          && strcmp (x->info.service, ask->service) == 0;
 }
 
@@ -434,6 +497,15 @@
   return x && y && strcmp (x, y) == 0 ? TRANSFER_REGION_MS : TRANSFER_FAR_MS;
 }
 
+/* Wait for a slot at X.  */
+static double
+slot_wait_ms (const struct upstream *x, const struct upstream_load *load)
+{
+  unsigned slots = MAX (x->info.slots, 1);
+  return load->running >= slots ? (load->running - slots + 1) * SLOT_WAIT_MS
+                                : 0;
+}
+
 /* Time to the first token at X of a prompt that FROM has read.  */
 static double
 decode_ms (const struct upstreams *u, const struct upstream *from,
@@ -505,6 +577,9 @@
       out->reads_apart = x->info.role == UPSTREAM_PREFILL;
       ms += out->reads_apart ? nearest_decode_ms (u, x, now_ms)
                              : FIRST_TOKEN_MS;
+      if (!has_long_prompt (ask) && x->info.role == UPSTREAM_DECODE)
+        ms += slot_wait_ms (x, &load) + load.running * DECODE_SHARE_MS
+              + (x->kept ? 0 : DISTURBED_MS);
     }
   else
     {
@@ -520,6 +595,8 @@
 {
   struct upstream_choice best = { 0 };
   bool best_rests = false;
+  if (ask->prompt)
+    mark_kept (u, ask->service, now_ms);
   guint home = find_home (u, ask);
   unsigned candidates = 0;
   for (guint i = 1; i < u->slots->len; i++)
@@ -560,7 +637,10 @@
   work->sent_ms = now_ms;
   work->open = true;
   work->reading = true;
+  work->generating = prompt && prompt->tokens < READ_APART_MIN_TOKENS
+                     && x->info.role == UPSTREAM_DECODE;
   x->own.running++;
+  x->own.generating += work->generating;
   x->own.tokens += work->tokens;
   if (prompt)
     prefixes_add (x->prefixes, prompt, now_ms);
@@ -599,6 +679,7 @@
     return NULL;
   stop_reading (x, work);
   x->own.running -= MIN (x->own.running, 1);
+  x->own.generating -= MIN (x->own.generating, work->generating ? 1 : 0);
   work->open = false;
   return x;
 }
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -3,7 +3,10 @@
     did, and which of them a request is sent to.
 
     Load it answers: prompts of thousands of tokens that share long parts,
-    beside short ones, on engines whose own reports are late.  A VM counts what
+    beside short ones, on engines whose own reports are late.  An engine that
+    reads a prompt between the tokens of its other requests makes these pause;
+    so a part of the engines, as many as the requests that only generate need,
+    reads no long prompts.  A VM counts what
     it sent itself exactly, and adds what other VMs last told.  Pure.  */
 #ifndef DECIDE_UPSTREAMS_H
 #define DECIDE_UPSTREAMS_H
@@ -122,8 +125,9 @@
   uint64_t tokens; /**< that it had to read */
   uint64_t ahead;  /**< tokens before it, its own included */
   int64_t sent_ms;
-  bool open;    /**< counted as running */
-  bool reading; /**< its tokens are counted as not yet read */
+  bool open;       /**< counted as running */
+  bool generating; /**< counted as such */
+  bool reading;    /**< its tokens are counted as not yet read */
 };
 
 /** A request was sent as CHOICE says; fills WORK.  */
@@ -145,7 +149,8 @@
 struct upstream_load
 {
   uint32_t running;
-  uint64_t tokens; /**< sent and not yet read */
+  uint32_t generating; /**< of these, that have next to nothing to read */
+  uint64_t tokens;     /**< sent and not yet read */
 };
 
 /** Load that this VM puts on H.  */
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -29,7 +29,6 @@
 {
   const char *upstream; /**< instance that may run it */
   int64_t patience_ms;  /**< how long the answer is waited for */
-  unsigned urgency;     /**< 0 is the most urgent, to 9 */
   bool read_only; /**< the upstream reads the prompt and does not run it */
   const char *read_by;      /**< what take_reading gave; NULL for none */
   const char *resume_after; /**< last event that the caller has; NULL to leave
