Refuse by the objective and the caller's patience

Cause: requests were sent while an answer was expected within 2.5 objectives, so that under overload most were late or timed out in the engines' queues.

--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -20,9 +20,11 @@
 /* Time that must be left for one more attempt.  */
 #define ATTEMPT_MIN_MS 40
 #define DEFAULT_TIMEOUT_MS 30000
-/* A request is refused where its answer is expected later than so many times
-   its latency objective, or not within the time that is left.  */
-#define LATE_FACTOR 2.5
+/* A request is refused where its answer is expected later than this many times
+   its latency objective and this part of its caller's patience, or not within
+   the time that is left.  */
+#define LATE_FACTOR 1.2
+#define LATE_PATIENCE_PERCENT 10
 #define PATIENCE_MARGIN_MS 150
 /* How long refused callers wait.  */
 #define RETRY_AFTER_MIN_MS 150
@@ -567,7 +569,9 @@
 {
   double left = (double)(e->until_ms - now - PATIENCE_MARGIN_MS);
   double late = e->route->target_ms * LATE_FACTOR;
-  return c->expected_ms > left || (late > 0 && c->expected_ms > late);
+  double patience = (double)(e->until_ms - e->since_ms);
+  late = MAX (late, patience * LATE_PATIENCE_PERCENT / 100);
+  return c->expected_ms > MIN (left, late);
 }
 
 static void
