Stand-ins of the platform, process tests of the routed path; logs to standard output

Cause: the routed path had no test as processes, and four faults were found by the first: a failing instance's cost stood in the expected time, so that a healthy fleet refused (once-7: 503 for 502 expected); the entry of an instance that was removed just after a watch was cut stood for 2 s from the removal instead of from the service's return; two stand-in mistakes. Ruled out: a lower cost of failures (it is right for the choice). Before: test_routed/once fails with 503; test_routed/upstream-leaves with 20 requests at a removed instance 0.5 s later (2.5 s are allowed, and held). After: 13 process tests and 13 unit tests pass under the sanitizers.

--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -133,11 +133,11 @@
       return;
     }
   struct missing *m = g_new (struct missing, 1);
-  m->due_ms = now + RETURN_MS;
+  m->due_ms = (many ? now : d->regained_ms) + RETURN_MS;
   g_hash_table_replace (d->missing, g_strdup (id), m);
   log_event (LOG_INFO, "upstream_missing", "upstream", id, "why",
              many ? "many_at_once" : "service_was_away", "kept_ms",
-             log_num (RETURN_MS), NULL);
+             log_num (m->due_ms - now), NULL);
 }
 
 static void
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -192,6 +192,7 @@
   metrics_set_counter (METRIC_stray_answers_total, counts->stray_answers);
   metrics_set_counter (METRIC_kv_reads_total, r->kv->reads + r->kv->watches);
   metrics_set_counter (METRIC_kv_writes_total, r->kv->writes);
+  metrics_set_counter (METRIC_log_lines_dropped_total, log_dropped ());
   g_autoptr (GString) text = g_string_new (NULL);
   metrics_render (text);
   reply (request, 200, "text/plain; version=0.0.4", text->str);
@@ -254,6 +255,7 @@
   enum log_level level = LOG_INFO;
   (void)log_level_parse (s->log_level, &level);
   log_setup (level, s->vm);
+  log_set_rate ((unsigned)s->log_lines_per_s);
   retry_windows_set_bounds (r->retries, &bounds);
 }
 
--- a/src/daemon/main.c
+++ b/src/daemon/main.c
@@ -71,6 +71,7 @@
   enum log_level level = LOG_INFO;
   (void)log_level_parse (settings->log_level, &level);
   log_setup (level, settings->vm);
+  log_set_rate ((unsigned)settings->log_lines_per_s);
   (void)signal (SIGPIPE, SIG_IGN);
   return strcmp (settings->routes_from, "platform") == 0
              ? run_gateway (settings, &arguments)
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -558,28 +558,33 @@
   return p->tokens > cached ? p->tokens - cached : 0;
 }
 
-static void
+/* Fills what is expected of X, and returns what it is ranked by: the same
+   time, and what choosing it costs others or risks.  */
+static double
 expect (const struct upstreams *u, const struct upstream *x, bool is_home,
         const struct upstream_ask *ask, int64_t now_ms,
         struct upstream_choice *out)
 {
-  struct upstream_load load = whole_load (x, now_ms);
-  double ms = rtt_ms (u, x) + x->failures * FAILURE_COST_MS;
   const struct upstream *reader = find (u, ask->reader);
-  out->tokens = 0;
+  struct upstream_load load = whole_load (x, now_ms);
+  double ms = rtt_ms (u, x);
+  double cost = x->failures * FAILURE_COST_MS;
   if (reader)
-    ms += decode_ms (u, reader, x, now_ms) - rtt_ms (u, x);
+    ms = decode_ms (u, reader, x, now_ms);
   else if (ask->prompt)
     {
       out->tokens = tokens_to_read (x, ask->prompt, is_home);
-      ms += (double)(load.tokens + out->tokens) / x->tokens_per_ms
-            + (is_home ? 0 : spill_ms (ask->prompt));
       out->reads_apart = x->info.role == UPSTREAM_PREFILL;
+      ms += (double)(load.tokens + out->tokens) / x->tokens_per_ms;
       ms += out->reads_apart ? nearest_decode_ms (u, x, now_ms)
                              : FIRST_TOKEN_MS;
+      cost += is_home ? 0 : spill_ms (ask->prompt);
       if (!has_long_prompt (ask) && x->info.role == UPSTREAM_DECODE)
-        ms += slot_wait_ms (x, &load) + load.running * DECODE_SHARE_MS
-              + (x->kept ? 0 : DISTURBED_MS);
+        {
+          ms += slot_wait_ms (x, &load);
+          cost
+              += load.running * DECODE_SHARE_MS + (x->kept ? 0 : DISTURBED_MS);
+        }
     }
   else
     {
@@ -587,6 +592,7 @@
       ms += x->service_ms * (1 + (turns < 1 ? turns / 8 : turns));
     }
   out->expected_ms = ms;
+  return ms + cost;
 }
 
 struct upstream_choice
@@ -595,6 +601,7 @@
 {
   struct upstream_choice best = { 0 };
   bool best_rests = false;
+  double best_cost = DBL_MAX;
   if (ask->prompt)
     mark_kept (u, ask->service, now_ms);
   guint home = find_home (u, ask);
@@ -607,12 +614,13 @@
       struct upstream_choice c
           = { .handle = handle_of (u, i), .is_home = i == home };
       bool rests = is_resting (x, now_ms);
-      expect (u, x, c.is_home, ask, now_ms, &c);
+      double cost = expect (u, x, c.is_home, ask, now_ms, &c);
       candidates++;
       if (best.handle
           && (rests > best_rests
-              || (rests == best_rests && c.expected_ms >= best.expected_ms)))
+              || (rests == best_rests && cost >= best_cost)))
         continue;
+      best_cost = cost;
       best = c;
       best_rests = rests;
     }
--- /dev/null
+++ b/tests/fakes/fake_upstream.c
@@ -0,0 +1,484 @@
+/** @file
+    Stand-in of one instance of a service or engine, down to the bytes.
+
+    The last part of a request's path says what becomes of it: DIRECTIVE, or
+    DIRECTIVE@ID, which holds only for the instance ID; others answer as "ok".
+
+      ok             a whole answer that names what was asked
+      chunked        the same in chunks
+      unframed       the same, ended by the connection's end
+      unframed-reset the same, reset before it
+      cut            less than the length that it told
+      lost           runs, then closes without an answer
+      reset          runs, then resets the connection
+      silent         runs and never answers
+      not-run        503, marked as not run
+      busy           503 without a mark
+      error          500
+      unsigned       200 without the upstream's mark
+      garbage        bytes that are no answer
+      extra          an answer, and a second one of another request behind it
+      stray          an answer of another request before its own
+      slow           answers after 300 ms
+      stream         5 events, 20 ms apart, after Last-Event-Id
+      stream-cut     2 events and a part of the third, unless it goes on
+      long           events without end, 20 ms apart
+
+    GET /seen tells {"runs":{ID:COUNT},"left":N,"heads":{ID:HEAD}}.  */
+#include "base/http_head.h"
+#include "links/http_codec.h"
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <glib.h>
+#include <jansson.h>
+#include <netinet/in.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define EVENTS 5
+#define EVENT_MS 20
+#define SLOW_MS 300
+#define LINGER_OFF_S 0
+
+struct conn
+{
+  struct bufferevent *bev;
+  struct http_codec *codec;
+  struct evbuffer *body;
+  struct event *timer;
+  char *id;
+  char *directive;
+  unsigned next_event;
+  bool working;
+  bool close_after;
+};
+
+static struct event_base *base;
+static const char *instance = "u1";
+static GHashTable *runs;  /* request id -> count */
+static GHashTable *heads; /* request id -> head as it came */
+static unsigned left;     /* callers that left before their answer */
+
+static void
+conn_free (struct conn *c)
+{
+  event_free (c->timer);
+  bufferevent_free (c->bev);
+  http_codec_destroy (c->codec);
+  evbuffer_free (c->body);
+  g_free (c->id);
+  g_free (c->directive);
+  g_free (c);
+}
+
+static void
+conn_reset (struct conn *c)
+{
+  struct linger hard = { 1, LINGER_OFF_S };
+  setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &hard,
+              sizeof hard);
+  conn_free (c);
+}
+
+static void
+send_text (struct conn *c, const char *text)
+{
+  evbuffer_add (bufferevent_get_output (c->bev), text, strlen (text));
+}
+
+/* Head of an answer to the request ID; more fields and the end follow.  */
+static char *
+answer_head (const char *id, const char *status, bool mark)
+{
+  return g_strdup_printf ("HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s%s%s", status,
+                          id, mark ? "X-Response-Seal: " : "",
+                          mark ? instance : "", mark ? "\r\n" : "");
+}
+
+/* What a whole answer says: what was asked.  */
+static char *
+answer_body (const struct conn *c)
+{
+  const struct http_head *h = http_codec_head (c->codec);
+  size_t n = evbuffer_get_length (c->body);
+  g_autofree char *sum = g_compute_checksum_for_data (
+      G_CHECKSUM_SHA256, evbuffer_pullup (c->body, -1), n);
+  return g_strdup_printf ("%s %s %zu %s\n", h->method, h->target, n, sum);
+}
+
+static void
+send_sized (struct conn *c, const char *id, const char *status, bool mark,
+            const char *body, size_t told)
+{
+  g_autofree char *head = answer_head (id, status, mark);
+  g_autofree char *text
+      = g_strdup_printf ("%sContent-Length: %zu\r\n\r\n%s", head, told, body);
+  send_text (c, text);
+}
+
+static void
+send_ok (struct conn *c)
+{
+  g_autofree char *body = answer_body (c);
+  send_sized (c, c->id, "200 OK", true, body, strlen (body));
+}
+
+static void
+finish (struct conn *c, bool close)
+{
+  c->working = false;
+  c->close_after = close;
+  g_clear_pointer (&c->id, g_free);
+  g_clear_pointer (&c->directive, g_free);
+  evbuffer_drain (c->body, evbuffer_get_length (c->body));
+  http_codec_next (c->codec, false);
+}
+
+static void
+send_chunked (struct conn *c)
+{
+  g_autofree char *body = answer_body (c);
+  g_autofree char *head = answer_head (c->id, "200 OK", true);
+  g_autofree char *text
+      = g_strdup_printf ("%sTransfer-Encoding: "
+                         "chunked\r\n\r\n3\r\n%.3s\r\n%zx\r\n%s\r\n0\r\n\r\n",
+                         head, body, strlen (body) - 3, body + 3);
+  send_text (c, text);
+  finish (c, false);
+}
+
+static void
+send_unframed (struct conn *c)
+{
+  g_autofree char *body = answer_body (c);
+  g_autofree char *head = answer_head (c->id, "200 OK", true);
+  g_autofree char *text = g_strdup_printf ("%s\r\n%s", head, body);
+  send_text (c, text);
+}
+
+static void
+arm (struct conn *c, unsigned ms)
+{
+  struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+  evtimer_add (c->timer, &tv);
+}
+
+static void
+start_stream (struct conn *c)
+{
+  g_autofree char *head = answer_head (c->id, "200 OK", true);
+  const char *after
+      = http_head_get (http_codec_head (c->codec), "Last-Event-Id");
+  g_autofree char *text
+      = g_strdup_printf ("%sContent-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n",
+                         head);
+  c->next_event = after ? (unsigned)g_ascii_strtoull (after, NULL, 10) + 1 : 1;
+  send_text (c, text);
+  arm (c, EVENT_MS);
+}
+
+static void
+send_chunk (struct conn *c, const char *text)
+{
+  evbuffer_add_printf (bufferevent_get_output (c->bev), "%zx\r\n%s\r\n",
+                       strlen (text), text);
+}
+
+static void
+next_event (struct conn *c)
+{
+  g_autofree char *event = g_strdup_printf ("id: %u\ndata: piece %u\n\n",
+                                            c->next_event, c->next_event);
+  bool goes_on = http_head_get (http_codec_head (c->codec), "Last-Event-Id");
+  if (strcmp (c->directive, "stream-cut") == 0 && c->next_event == 3
+      && !goes_on)
+    {
+      event[8] = '\0';
+      send_chunk (c, event);
+      finish (c, true);
+      return;
+    }
+  if (c->next_event > EVENTS && strcmp (c->directive, "long") != 0)
+    {
+      send_text (c, "0\r\n\r\n");
+      finish (c, false);
+      return;
+    }
+  send_chunk (c, event);
+  c->next_event++;
+  arm (c, EVENT_MS);
+}
+
+static void
+on_timer (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct conn *c = arg;
+  if (c->directive && strcmp (c->directive, "slow") == 0)
+    {
+      send_ok (c);
+      finish (c, false);
+    }
+  else if (c->directive && strcmp (c->directive, "unframed-reset") == 0)
+    conn_reset (c);
+  else if (c->directive)
+    next_event (c);
+}
+
+/* Answers that are no stream; false for a directive that is none of them.  */
+static bool
+answer_oddly (struct conn *c, const char *d)
+{
+  g_autofree char *body = answer_body (c);
+  size_t n = strlen (body);
+  if (strcmp (d, "error") == 0)
+    send_sized (c, c->id, "500 Failed", true, "failed\n", 7);
+  else if (strcmp (d, "busy") == 0)
+    send_sized (c, c->id, "503 Busy", true, "busy\n", 5);
+  else if (strcmp (d, "unsigned") == 0)
+    send_sized (c, c->id, "200 OK", false, body, n);
+  else if (strcmp (d, "extra") == 0)
+    {
+      send_ok (c);
+      send_sized (c, "of-another", "200 OK", true, "not yours\n", 10);
+    }
+  else if (strcmp (d, "stray") == 0)
+    {
+      send_sized (c, "of-another", "200 OK", true, "not yours\n", 10);
+      send_ok (c);
+    }
+  else
+    return false;
+  finish (c, false);
+  return true;
+}
+
+/* Ends without a whole answer; false for other directives.  */
+static bool
+break_off (struct conn *c, const char *d)
+{
+  g_autofree char *body = answer_body (c);
+  if (strcmp (d, "cut") == 0)
+    send_sized (c, c->id, "200 OK", true, "a part", strlen (body) + 6);
+  else if (strcmp (d, "garbage") == 0)
+    send_text (c, "\x01\x02\x03 this is no answer\r\n\r\n");
+  else if (strcmp (d, "unframed") == 0)
+    send_unframed (c);
+  else
+    return false;
+  finish (c, true);
+  return true;
+}
+
+static void
+run (struct conn *c)
+{
+  const char *d = c->directive;
+  if (strcmp (d, "reset") == 0)
+    conn_reset (c);
+  else if (strcmp (d, "lost") == 0)
+    conn_free (c);
+  else if (strcmp (d, "silent") == 0)
+    return;
+  else if (strcmp (d, "slow") == 0)
+    arm (c, SLOW_MS);
+  else if (strcmp (d, "chunked") == 0)
+    send_chunked (c);
+  else if (strcmp (d, "unframed-reset") == 0)
+    {
+      send_unframed (c);
+      arm (c, EVENT_MS);
+    }
+  else if (g_str_has_prefix (d, "stream") || strcmp (d, "long") == 0)
+    start_stream (c);
+  else if (!answer_oddly (c, d) && !break_off (c, d))
+    {
+      send_ok (c);
+      finish (c, false);
+    }
+}
+
+static void
+note_run (const char *id)
+{
+  gpointer n = g_hash_table_lookup (runs, id);
+  g_hash_table_replace (runs, g_strdup (id),
+                        GUINT_TO_POINTER (GPOINTER_TO_UINT (n) + 1));
+}
+
+static void
+refuse (struct conn *c, const char *status)
+{
+  g_autofree char *text
+      = g_strdup_printf ("HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Not-Run: 1\r\n"
+                         "Content-Length: 0\r\n\r\n",
+                         status, c->id);
+  send_text (c, text);
+  finish (c, false);
+}
+
+static void
+tell_seen (struct conn *c)
+{
+  json_t *counts = json_object ();
+  json_t *texts = json_object ();
+  GHashTableIter it;
+  gpointer key;
+  gpointer value;
+  g_hash_table_iter_init (&it, runs);
+  while (g_hash_table_iter_next (&it, &key, &value))
+    json_object_set_new (counts, key, json_integer (GPOINTER_TO_UINT (value)));
+  g_hash_table_iter_init (&it, heads);
+  while (g_hash_table_iter_next (&it, &key, &value))
+    json_object_set_new (texts, key, json_string (value));
+  json_t *root = json_pack ("{s:o, s:i, s:o}", "runs", counts, "left",
+                            (int)left, "heads", texts);
+  char *text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  send_sized (c, "-", "200 OK", false, text, strlen (text));
+  free (text);
+  finish (c, false);
+}
+
+/* DIRECTIVE or DIRECTIVE@ID, after the last slash.  */
+static char *
+directive_of (const char *target)
+{
+  g_autofree char *path = g_strndup (target, strcspn (target, "?"));
+  const char *slash = strrchr (path, '/');
+  char *d = g_strdup (slash ? slash + 1 : "ok");
+  char *at = strchr (d, '@');
+  if (at == NULL)
+    return d;
+  *at = '\0';
+  if (strcmp (at + 1, instance) == 0)
+    return d;
+  g_free (d);
+  return g_strdup ("ok");
+}
+
+static void
+take_request (struct conn *c)
+{
+  const struct http_head *h = http_codec_head (c->codec);
+  const char *id = http_head_get (h, "X-Request-Id");
+  const char *expected = http_head_get (h, "X-Expect-Instance");
+  c->working = true;
+  c->id = g_strdup (id ? id : "-");
+  if (strcmp (h->target, "/seen") == 0)
+    {
+      tell_seen (c);
+      return;
+    }
+  c->directive = directive_of (h->target);
+  g_autoptr (GString) text = g_string_new (NULL);
+  http_head_write (h, text);
+  g_hash_table_replace (heads, g_strdup (c->id), g_strdup (text->str));
+  if (expected && strcmp (expected, instance) != 0)
+    refuse (c, "421 Misdirected");
+  else if (strcmp (c->directive, "not-run") == 0)
+    refuse (c, "503 Full");
+  else
+    {
+      note_run (c->id);
+      run (c);
+    }
+}
+
+static void
+on_readable (struct bufferevent *bev, void *arg)
+{
+  struct conn *c = arg;
+  struct evbuffer *in = bufferevent_get_input (bev);
+  if (!c->working && evbuffer_get_length (in) > 0
+      && http_codec_feed (c->codec, in, c->body) == HTTP_WHOLE)
+    take_request (c);
+}
+
+static void
+on_written (struct bufferevent *bev, void *arg)
+{
+  (void)bev;
+  struct conn *c = arg;
+  if (c->close_after)
+    conn_free (c);
+}
+
+static void
+on_event (struct bufferevent *bev, short what, void *arg)
+{
+  (void)bev;
+  struct conn *c = arg;
+  if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+    return;
+  left += c->working;
+  conn_free (c);
+}
+
+static void
+on_accept (struct evconnlistener *l, evutil_socket_t fd, struct sockaddr *sa,
+           int len, void *arg)
+{
+  static const struct http_bounds none = { 0, 0 };
+  (void)l;
+  (void)sa;
+  (void)len;
+  (void)arg;
+  struct conn *c = g_new0 (struct conn, 1);
+  c->bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
+  c->codec = http_codec_create (HTTP_SIDE_REQUESTS, &none);
+  c->body = evbuffer_new ();
+  c->timer = evtimer_new (base, on_timer, c);
+  bufferevent_setcb (c->bev, on_readable, on_written, on_event, c);
+  bufferevent_enable (c->bev, EV_READ | EV_WRITE);
+}
+
+static void
+on_term (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  (void)arg;
+  event_base_loopbreak (base);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct sockaddr_in sa
+      = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
+  socklen_t len = sizeof sa;
+  for (int i = 1; i < argc; i++)
+    if (g_str_has_prefix (argv[i], "--id="))
+      instance = argv[i] + strlen ("--id=");
+    else if (g_str_has_prefix (argv[i], "--port="))
+      sa.sin_port = htons (
+          (uint16_t)g_ascii_strtoull (argv[i] + strlen ("--port="), NULL, 10));
+  (void)signal (SIGPIPE, SIG_IGN);
+  base = event_base_new ();
+  runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  heads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  struct evconnlistener *l = evconnlistener_new_bind (
+      base, on_accept, NULL, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+      (struct sockaddr *)&sa, sizeof sa);
+  if (l == NULL)
+    g_error ("cannot listen");
+  getsockname (evconnlistener_get_fd (l), (struct sockaddr *)&sa, &len);
+  printf ("port=%u\n", (unsigned)ntohs (sa.sin_port));
+  (void)fflush (stdout);
+  struct event *term = evsignal_new (base, SIGTERM, on_term, NULL);
+  event_add (term, NULL);
+  event_base_dispatch (base);
+  event_free (term);
+  evconnlistener_free (l);
+  event_base_free (base);
+  g_hash_table_destroy (runs);
+  g_hash_table_destroy (heads);
+  return 0;
+}
--- a/tests/harness/proc.h
+++ b/tests/harness/proc.h
@@ -20,6 +20,10 @@
 /** Starts ARGV, NULL-terminated; its standard error goes to LOG_PATH.  */
 struct proc *proc_start (const char *name, char **argv, const char *log_path);
 
+/** The same, and its standard output goes there too.  */
+struct proc *proc_start_logged (const char *name, char **argv,
+                                const char *log_path);
+
 /** Reads "port=N" that a stand-in prints first.  */
 uint16_t proc_read_port (struct proc *p);
 
--- /dev/null
+++ b/tests/harness/site.c
@@ -0,0 +1,363 @@
+#include "harness/site.h"
+
+#include <glib/gstdio.h>
+#include <stdio.h>
+#include <string.h>
+
+#define VM_IP "127.0.0.1"
+#define ANSWER_MS 10000
+#define READY_MS 15000
+#define STEP_US 20000
+
+/* The store and the instances.  */
+
+static struct proc *
+start_fake (const struct site *s, const char *program, const char *name,
+            char **address)
+{
+  g_autofree char *path = g_build_filename (s->bin, program, NULL);
+  g_autofree char *log = g_strdup_printf ("%s/%s.log", s->dir, name);
+  g_autofree char *id = g_strdup_printf ("--id=%s", name);
+  char *argv[] = { path, id, NULL };
+  struct proc *p = proc_start (name, argv, log);
+  *address = g_strdup_printf (VM_IP ":%u", (unsigned)proc_read_port (p));
+  return p;
+}
+
+static void
+post (const char *address, const char *path, const char *body)
+{
+  struct web *w = web_open (address, "POST", path, NULL, NULL, body);
+  web_finish (w, ANSWER_MS);
+  if (w->status != 200)
+    g_error ("%s%s: status %d", address, path, w->status);
+  web_close (w);
+}
+
+void
+site_put (const struct site *s, const char *key, const char *value)
+{
+  g_autofree char *path = g_strdup_printf ("/op?key=%s", key);
+  post (s->store_address, path, value);
+}
+
+static void
+add_route (json_t *routes, const char *name, const char *kind, bool resumable)
+{
+  g_autofree char *prefix = g_strdup_printf ("/%s/", name);
+  json_array_append_new (
+      routes,
+      json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}", "name",
+                 name, "host", SITE_HOST, "pathPrefix", prefix, "kind", kind,
+                 "timeoutMs", 2000, "targetLatencyMs", 200, "priority", 0,
+                 "service", "s", "maxAttempts", 2, "resumable", resumable));
+}
+
+void
+site_write_routes (const struct site *s, unsigned version, const char *extra)
+{
+  json_t *routes = json_array ();
+  add_route (routes, "safe", "safe", false);
+  add_route (routes, "once", "unsafe", false);
+  add_route (routes, "stream", "streaming", true);
+  add_route (routes, "live", "streaming", false);
+  if (extra)
+    add_route (routes, extra, "safe", false);
+  json_t *root = json_pack (
+      "{s:i, s:o, s:[{s:s, s:s, s:i}], s:{s:i, s:i, s:i, s:i}}", "version",
+      (int)version, "routes", routes, "services", "name", "s", "healthPath",
+      "/health", "maxConns", 60, "limits", "maxHeaderBytes", 8192,
+      "maxBodyBytes", 100000, "headerTimeoutMs", 1000, "idleTimeoutMs", 4000);
+  char *text = json_dumps (root, 0);
+  json_decref (root);
+  site_put (s, "op/config", text);
+  free (text);
+}
+
+void
+site_write_upstream (const struct site *s, unsigned i, const char *state)
+{
+  g_autofree char *key = g_strdup_printf ("servers/u%u", i);
+  if (state == NULL)
+    {
+      g_autofree char *path = g_strdup_printf ("/op?key=%s&remove=1", key);
+      post (s->store_address, path, "");
+      return;
+    }
+  json_t *root
+      = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i}", "service", "s",
+                   "address", s->upstream_given[i], "zone", "d", "version",
+                   "v1", "slots", 6, "state", state, "seq", 1);
+  char *text = json_dumps (root, 0);
+  json_decref (root);
+  site_put (s, key, text);
+  free (text);
+}
+
+void
+site_store_faults (const struct site *s, const char *faults)
+{
+  g_autofree char *path = g_strdup_printf ("/fault?%s", faults);
+  post (s->store_address, path, "");
+}
+
+void
+site_store_forget (const struct site *s)
+{
+  post (s->store_address, "/op?forget=1", "");
+}
+
+/* The site.  */
+
+struct site *
+site_create (const char *bin, unsigned vms, unsigned upstreams)
+{
+  struct site *s = g_new0 (struct site, 1);
+  s->bin = g_strdup (bin);
+  s->dir = g_dir_make_tmp ("buckthorn-site-XXXXXX", NULL);
+  s->n_vms = vms;
+  s->n_upstreams = upstreams;
+  s->leave_s = 5;
+  s->store = start_fake (s, "fake_store", "store", &s->store_address);
+  s->store_given = g_strdup (s->store_address);
+  for (unsigned i = 0; i < upstreams; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("u%u", i);
+      s->upstreams[i]
+          = start_fake (s, "fake_upstream", name, &s->upstream_addresses[i]);
+      s->upstream_given[i] = g_strdup (s->upstream_addresses[i]);
+      site_write_upstream (s, i, "ready");
+    }
+  site_write_routes (s, 1, NULL);
+  return s;
+}
+
+static void
+remove_dir (const char *dir)
+{
+  g_autoptr (GDir) d = g_dir_open (dir, 0, NULL);
+  const char *name;
+  while (d && (name = g_dir_read_name (d)) != NULL)
+    {
+      g_autofree char *path = g_build_filename (dir, name, NULL);
+      g_unlink (path);
+    }
+  g_rmdir (dir);
+}
+
+void
+site_destroy (struct site *s)
+{
+  for (unsigned i = 0; i < s->n_vms; i++)
+    {
+      proc_destroy (s->vms[i]);
+      g_free (s->fronts[i]);
+      g_free (s->readies[i]);
+      g_free (s->entries[i]);
+    }
+  for (unsigned i = 0; i < s->n_upstreams; i++)
+    {
+      proc_destroy (s->upstreams[i]);
+      g_free (s->upstream_addresses[i]);
+      g_free (s->upstream_given[i]);
+    }
+  proc_destroy (s->store);
+  remove_dir (s->dir);
+  g_free (s->store_address);
+  g_free (s->store_given);
+  g_free (s->dir);
+  g_free (s->bin);
+  g_free (s);
+}
+
+static char *
+any_address (void)
+{
+  return g_strdup_printf (VM_IP ":%u", (unsigned)free_port (VM_IP));
+}
+
+void
+site_start_vm (struct site *s, unsigned i)
+{
+  g_autofree char *path = g_build_filename (s->bin, "buckthornd", NULL);
+  g_autofree char *name = g_strdup_printf ("vm%u", i);
+  g_autofree char *log = g_strdup_printf ("%s/%s.log", s->dir, name);
+  g_autofree char *leave = g_strdup_printf ("%u", s->leave_s);
+  if (s->fronts[i] == NULL)
+    {
+      s->fronts[i] = any_address ();
+      s->readies[i] = any_address ();
+      s->entries[i] = any_address ();
+      s->peer_ports[i] = free_port (VM_IP);
+      s->metrics_ports[i] = free_port (VM_IP);
+    }
+  g_autofree char *peer = g_strdup_printf ("%u", s->peer_ports[i]);
+  g_autofree char *metrics = g_strdup_printf ("%u", s->metrics_ports[i]);
+  char *argv[] = { path,
+                   "--vm",
+                   name,
+                   "--region",
+                   "r",
+                   "--failure-domain",
+                   "d",
+                   "--domains",
+                   "d=r",
+                   "--ip",
+                   VM_IP,
+                   "--routes-from",
+                   "platform",
+                   "--kv",
+                   s->store_given,
+                   "--front-address",
+                   s->fronts[i],
+                   "--ready-address",
+                   s->readies[i],
+                   "--entry-address",
+                   s->entries[i],
+                   "--peer-port",
+                   peer,
+                   "--metrics-port",
+                   metrics,
+                   "--leave-deadline-s",
+                   leave,
+                   "--retry-slack",
+                   "1000",
+                   NULL };
+  proc_destroy (s->vms[i]);
+  s->vms[i] = proc_start_logged (name, argv, log);
+}
+
+bool
+site_is_ready (const struct site *s, unsigned i)
+{
+  struct web *w
+      = web_open (s->readies[i], "GET", "/api/ready", NULL, NULL, NULL);
+  web_finish (w, ANSWER_MS);
+  bool ready = w->status == 200;
+  web_close (w);
+  return ready;
+}
+
+unsigned
+site_entries (const struct site *s, unsigned i)
+{
+  struct web *w = web_open (s->entries[i], "GET",
+                            "/api/resolve?name=" SITE_HOST "&region=r&zone=d",
+                            NULL, NULL, NULL);
+  web_finish (w, ANSWER_MS);
+  json_t *root = web_json (w);
+  unsigned n = (unsigned)json_array_size (json_object_get (root, "addrs"));
+  json_decref (root);
+  web_close (w);
+  return n;
+}
+
+static bool
+all_know_all (void *arg)
+{
+  const struct site *s = arg;
+  for (unsigned i = 0; i < s->n_vms; i++)
+    if (!site_is_ready (s, i) || site_entries (s, i) != s->n_vms)
+      return false;
+  return true;
+}
+
+void
+site_wait (bool (*check) (void *arg), void *arg, unsigned timeout_ms)
+{
+  gint64 end = g_get_monotonic_time () + (gint64)timeout_ms * 1000;
+  while (!check (arg))
+    {
+      if (g_get_monotonic_time () > end)
+        g_error ("not within %u ms", timeout_ms);
+      g_usleep (STEP_US);
+    }
+}
+
+void
+site_start (struct site *s)
+{
+  for (unsigned i = 0; i < s->n_vms; i++)
+    site_start_vm (s, i);
+  site_wait (all_know_all, s, READY_MS);
+}
+
+/* Requests.  */
+
+struct web *
+site_open (const struct site *s, unsigned i, const char *method,
+           const char *path, const char *id, const char *headers,
+           const char *body)
+{
+  g_autofree char *lines
+      = g_strdup_printf ("Host: " SITE_HOST "\r\nX-Request-Id: %s\r\n%s", id,
+                         headers ? headers : "");
+  return web_open (s->fronts[i], method, path, NULL, lines, body);
+}
+
+struct web *
+site_ask (const struct site *s, unsigned i, const char *method,
+          const char *path, const char *id)
+{
+  struct web *w = site_open (s, i, method, path, id, NULL, NULL);
+  web_finish (w, ANSWER_MS);
+  return w;
+}
+
+/* What instances saw.  */
+
+static json_t *
+seen (const struct site *s, unsigned i)
+{
+  struct web *w
+      = web_open (s->upstream_addresses[i], "GET", "/seen", NULL, NULL, NULL);
+  web_finish (w, ANSWER_MS);
+  json_t *root = web_json (w);
+  web_close (w);
+  return root;
+}
+
+unsigned
+site_runs (const struct site *s, int upstream, const char *id)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < s->n_upstreams; i++)
+    {
+      if (upstream >= 0 && (unsigned)upstream != i)
+        continue;
+      json_t *root = seen (s, i);
+      n += (unsigned)json_integer_value (
+          json_object_get (json_object_get (root, "runs"), id));
+      json_decref (root);
+    }
+  return n;
+}
+
+unsigned
+site_left (const struct site *s, unsigned i)
+{
+  json_t *root = seen (s, i);
+  unsigned n = (unsigned)json_integer_value (json_object_get (root, "left"));
+  json_decref (root);
+  return n;
+}
+
+char *
+site_head (const struct site *s, unsigned i, const char *id)
+{
+  json_t *root = seen (s, i);
+  char *text = g_strdup (json_string_value (
+      json_object_get (json_object_get (root, "heads"), id)));
+  json_decref (root);
+  return text;
+}
+
+char *
+site_log (const struct site *s, unsigned i)
+{
+  g_autofree char *path = g_strdup_printf ("%s/vm%u.log", s->dir, i);
+  char *text = NULL;
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    text = g_strdup ("");
+  return text;
+}
--- /dev/null
+++ b/tests/harness/site.h
@@ -0,0 +1,101 @@
+/** @file
+    A small site on the platform for tests: its store, instances of one
+   service, VMs, and the routes that the operator wrote.  */
+#ifndef TESTS_HARNESS_SITE_H
+#define TESTS_HARNESS_SITE_H
+
+#include "harness/proc.h"
+#include "harness/web.h"
+
+#include <jansson.h>
+
+#define SITE_VMS_MAX 8
+#define SITE_UPSTREAMS_MAX 8
+#define SITE_HOST "site.example"
+
+/** A running site.  */
+struct site
+{
+  char *bin;
+  char *dir;
+  unsigned n_vms;
+  unsigned n_upstreams;
+  char *store_address;
+  char *store_given; /**< where VMs look for it; a relay may stand before it */
+  struct proc *store;
+  struct proc *upstreams[SITE_UPSTREAMS_MAX];
+  char *upstream_addresses[SITE_UPSTREAMS_MAX];
+  char *upstream_given[SITE_UPSTREAMS_MAX]; /**< in their entries */
+  struct proc *vms[SITE_VMS_MAX];
+  char *fronts[SITE_VMS_MAX];
+  char *readies[SITE_VMS_MAX];
+  char *entries[SITE_VMS_MAX];
+  uint16_t peer_ports[SITE_VMS_MAX];
+  uint16_t metrics_ports[SITE_VMS_MAX];
+  unsigned leave_s; /**< time that a stop may take */
+};
+
+/** Starts the store and UPSTREAMS instances "u0", ..., writes their entries
+   and routes of version 1.  BIN holds the programs.  */
+struct site *site_create (const char *bin, unsigned vms, unsigned upstreams);
+
+/** Ends all processes and releases S.  */
+void site_destroy (struct site *s);
+
+/** Starts VM number I, again or for the first time.  */
+void site_start_vm (struct site *s, unsigned i);
+
+/** Starts all VMs and waits until each is ready and names all.  */
+void site_start (struct site *s);
+
+/** Whether VM number I says that it is ready.  */
+bool site_is_ready (const struct site *s, unsigned i);
+
+/** Number of addresses that VM number I names; 0 where it names none.  */
+unsigned site_entries (const struct site *s, unsigned i);
+
+/** Waits until CHECK holds for ARG; fails the test after TIMEOUT_MS.  */
+void site_wait (bool (*check) (void *arg), void *arg, unsigned timeout_ms);
+
+/** Writes routes of VERSION.  Each has a path prefix of its kind: /safe/,
+    /once/, /stream/ (can be resumed), /live/ (cannot); EXTRA, NULL for none,
+   is one more idempotent prefix.  */
+void site_write_routes (const struct site *s, unsigned version,
+                        const char *extra);
+
+/** Writes the entry of instance I with STATE, or removes it where STATE is
+    NULL.  */
+void site_write_upstream (const struct site *s, unsigned i, const char *state);
+
+/** Writes VALUE under KEY as the operator does.  */
+void site_put (const struct site *s, const char *key, const char *value);
+
+/** Sets faults of the store.  */
+void site_store_faults (const struct site *s, const char *faults);
+
+/** Drops the store's history.  */
+void site_store_forget (const struct site *s);
+
+/** Sends a request with ID to VM number I; HEADERS, NULL for none, are whole
+    lines.  */
+struct web *site_open (const struct site *s, unsigned i, const char *method,
+                       const char *path, const char *id, const char *headers,
+                       const char *body);
+
+/** The same, read to its end.  */
+struct web *site_ask (const struct site *s, unsigned i, const char *method,
+                      const char *path, const char *id);
+
+/** How often all instances ran the request ID; UPSTREAM -1 for all.  */
+unsigned site_runs (const struct site *s, int upstream, const char *id);
+
+/** Callers that left instance I before their answer.  */
+unsigned site_left (const struct site *s, unsigned i);
+
+/** Head of the request ID as instance I got it, to be freed; NULL for none. */
+char *site_head (const struct site *s, unsigned i, const char *id);
+
+/** Log of VM number I, to be freed.  */
+char *site_log (const struct site *s, unsigned i);
+
+#endif
--- /dev/null
+++ b/tests/process/test_routed.c
@@ -0,0 +1,408 @@
+/** @file
+    The routed path as processes: VMs between callers, a store and instances
+    that answer in every wrong way.  */
+#include "harness/site.h"
+#include "process/common.h"
+
+#include <signal.h>
+#include <string.h>
+#include <sys/socket.h>
+
+/* A new configuration holds, and a leaving instance gets no more, within 2.5
+   s; a VM that stops or is killed is no longer named within 5 s.  */
+#define APPLY_MS 2500
+#define GONE_MS 5000
+#define LAPSED_RETURN_MS 1500
+#define WHOLE_MS 10000
+#define VMS 2
+#define UPSTREAMS 2
+
+static struct site *site;
+
+static void
+check_answer (const struct web *w, const char *expected)
+{
+  g_assert_true (w->whole);
+  g_assert_cmpint (w->status, ==, 200);
+  g_assert_cmpstr (w->body->str, ==, expected);
+}
+
+/* SHA-256 of nothing, as instances tell it.  */
+#define EMPTY_SUM                                                             \
+  "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
+
+static void
+expect_echo (const char *path, const char *id)
+{
+  struct web *w = site_ask (site, 0, "GET", path, id);
+  g_autofree char *expected
+      = g_strdup_printf ("GET %s 0 " EMPTY_SUM "\n", path);
+  g_autofree char *seal = web_header (w, "X-Response-Seal");
+  g_autofree char *answered = web_header (w, "X-Request-Id");
+  check_answer (w, expected);
+  g_assert_nonnull (seal);
+  g_assert_cmpstr (answered, ==, id);
+  web_close (w);
+}
+
+static void
+expect_status (const char *path, const char *id, int status, unsigned runs)
+{
+  struct web *w = site_ask (site, 0, "GET", path, id);
+  g_test_message ("%s: %s", path, w->head->str);
+  g_assert_true (w->whole);
+  g_assert_cmpint (w->status, ==, status);
+  g_assert_cmpuint (site_runs (site, -1, id), ==, runs);
+  web_close (w);
+}
+
+/* Method, path, query, fields and body come through as they were.  */
+static void
+test_unchanged (void)
+{
+  g_autofree char *body = g_strnfill (50000, 'b');
+  g_autofree char *sum
+      = g_compute_checksum_for_string (G_CHECKSUM_SHA256, body, -1);
+  struct web *w
+      = site_open (site, 0, "POST", "/once/a%2Fb/ok?x=1&y=%20", "same-1",
+                   "X-Mine: a  b\r\nX-Stage: prefill\r\n", body);
+  web_finish (w, WHOLE_MS);
+  g_autofree char *expected
+      = g_strdup_printf ("POST /once/a%%2Fb/ok?x=1&y=%%20 50000 %s\n", sum);
+  check_answer (w, expected);
+  web_close (w);
+  for (unsigned i = 0; i < UPSTREAMS; i++)
+    {
+      g_autofree char *head = site_head (site, i, "same-1");
+      if (head == NULL)
+        continue;
+      g_autofree char *named
+          = g_strdup_printf ("X-Expect-Instance: u%u\r\n", i);
+      g_assert_nonnull (strstr (head, "X-Mine: a  b\r\n"));
+      g_assert_nonnull (strstr (head, "X-Deadline-Ms: "));
+      g_assert_nonnull (strstr (head, named));
+      g_assert_null (strstr (head, "X-Stage"));
+    }
+}
+
+static void
+test_framings (void)
+{
+  expect_echo ("/safe/ok", "frame-1");
+  expect_echo ("/safe/chunked", "frame-2");
+  expect_echo ("/once/unframed", "frame-3");
+  expect_echo ("/once/slow", "frame-4");
+  /* Answers of other requests, before and behind.  */
+  expect_echo ("/once/extra", "frame-5");
+  expect_echo ("/once/ok", "frame-6");
+  expect_echo ("/once/stray", "frame-7");
+}
+
+/* A request that may run once is sent again only if it has not run, and what
+   is said of it is true.  */
+static void
+test_once (void)
+{
+  expect_status ("/once/lost", "once-1", 502, 1);
+  expect_status ("/once/reset", "once-2", 502, 1);
+  expect_status ("/once/cut", "once-3", 502, 1);
+  expect_status ("/once/garbage", "once-4", 502, 1);
+  expect_status ("/once/unsigned", "once-5", 502, 1);
+  expect_status ("/once/busy", "once-6", 502, 1);
+  expect_status ("/once/unframed-reset", "once-7", 502, 1);
+  expect_status ("/once/error", "once-8", 500, 1);
+  expect_status ("/once/silent", "once-9", 504, 1);
+  expect_status ("/once/not-run@u0", "once-10", 200, 1);
+  expect_status ("/once/not-run@u1", "once-11", 200, 1);
+  struct web *w = site_ask (site, 0, "GET", "/once/not-run", "once-12");
+  g_autofree char *after = web_header (w, "Retry-After");
+  g_assert_cmpint (w->status, ==, 503);
+  g_assert_nonnull (after);
+  g_assert_cmpuint (site_runs (site, -1, "once-12"), ==, 0);
+  web_close (w);
+}
+
+static void
+test_idempotent (void)
+{
+  static const char *const kinds[]
+      = { "lost", "reset", "cut",     "garbage",       "unsigned",
+          "busy", "error", "not-run", "unframed-reset" };
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    for (unsigned u = 0; u < UPSTREAMS; u++)
+      {
+        g_autofree char *path = g_strdup_printf ("/safe/%s@u%u", kinds[i], u);
+        g_autofree char *id = g_strdup_printf ("safe-%zu-%u", i, u);
+        struct web *w = site_ask (site, 0, "GET", path, id);
+        g_test_message ("%s: %s", path, w->head->str);
+        g_assert_cmpint (w->status, ==, 200);
+        g_assert_cmpuint (site_runs (site, -1, id), <=, 2);
+        web_close (w);
+      }
+  expect_status ("/safe/error", "safe-all", 500, 2);
+}
+
+static void
+expect_stream (const char *path, const char *id)
+{
+  struct web *w = site_ask (site, 0, "POST", path, id);
+  g_autoptr (GString) expected = g_string_new (NULL);
+  for (unsigned i = 1; i <= 5; i++)
+    g_string_append_printf (expected, "id: %u\ndata: piece %u\n\n", i, i);
+  check_answer (w, expected->str);
+  web_close (w);
+}
+
+static void
+test_streams (void)
+{
+  expect_stream ("/live/stream", "stream-1");
+  expect_stream ("/stream/stream-cut", "stream-2");
+  g_assert_cmpuint (site_runs (site, -1, "stream-2"), ==, 2);
+  /* One that cannot go on does not look whole.  */
+  struct web *w = site_ask (site, 0, "POST", "/live/stream-cut", "stream-3");
+  g_assert_false (w->whole);
+  g_assert_cmpstr (w->body->str, ==,
+                   "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n");
+  g_assert_cmpuint (site_runs (site, -1, "stream-3"), ==, 1);
+  web_close (w);
+}
+
+static bool
+one_left (void *arg)
+{
+  const unsigned *before = arg;
+  return site_left (site, 0) + site_left (site, 1) > *before;
+}
+
+/* The work of a caller that leaves is cancelled.  */
+static void
+test_caller_leaves (void)
+{
+  static const char *const paths[] = { "/live/long", "/safe/silent" };
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      unsigned before = site_left (site, 0) + site_left (site, 1);
+      g_autofree char *id = g_strdup_printf ("leaves-%zu", i);
+      struct web *w = site_open (site, 0, "GET", paths[i], id, NULL, NULL);
+      web_read_events (w, 2, i == 0 ? WHOLE_MS : 200);
+      web_close (w);
+      site_wait (one_left, &before, 500);
+    }
+}
+
+struct bad_request
+{
+  const char *text;
+  int status;
+};
+
+static void
+test_bad_requests (void)
+{
+  struct web *w = site_ask (site, 0, "GET", "/nowhere/ok", "bad-1");
+  g_assert_cmpint (w->status, ==, 404);
+  web_close (w);
+  w = web_open (site->fronts[0], "GET", "/safe/ok", NULL,
+                "Host: " SITE_HOST "\r\n", NULL);
+  web_finish (w, WHOLE_MS);
+  g_assert_cmpint (w->status, ==, 400);
+  web_close (w);
+  w = site_open (site, 0, "POST", "/once/ok", "bad-2",
+                 "Transfer-Encoding: chunked\r\n", "{}");
+  web_finish (w, WHOLE_MS);
+  g_assert_cmpint (w->status, ==, 400);
+  g_assert_cmpuint (site_runs (site, -1, "bad-2"), ==, 0);
+  web_close (w);
+  g_autofree char *large = g_strnfill (100001, 'x');
+  w = site_open (site, 0, "POST", "/once/ok", "bad-3", NULL, large);
+  web_finish (w, WHOLE_MS);
+  g_assert_cmpint (w->status, ==, 413);
+  web_close (w);
+  g_autofree char *field = g_strnfill (9000, 'x');
+  g_autofree char *line = g_strdup_printf ("X-Long: %s\r\n", field);
+  w = site_open (site, 0, "GET", "/safe/ok", "bad-4", line, NULL);
+  web_finish (w, WHOLE_MS);
+  g_assert_cmpint (w->status, ==, 431);
+  web_close (w);
+  w = site_open (site, 0, "POST", "/once/ok", "bad-5",
+                 "Content-Length: 10\r\n", NULL);
+  web_finish (w, WHOLE_MS);
+  g_assert_cmpint (w->status, ==, 408);
+  web_close (w);
+}
+
+static bool
+extra_route_serves (void *arg)
+{
+  static unsigned n;
+  g_autofree char *id = g_strdup_printf ("extra-%u", n++);
+  struct web *w = site_ask (site, 0, "GET", arg, id);
+  bool served = w->status == 200;
+  web_close (w);
+  return served;
+}
+
+static void
+test_routes_change (void)
+{
+  site_write_routes (site, 5, "later");
+  site_wait (extra_route_serves, (char *)"/later/ok", APPLY_MS);
+  /* A lower version, and one that is malformed, change nothing.  */
+  site_write_routes (site, 4, NULL);
+  site_put (site, "op/config", "{\"version\":9,\"routes\":7}");
+  g_usleep (300000);
+  g_assert_true (extra_route_serves ((char *)"/later/ok"));
+  g_autofree char *log = site_log (site, 0);
+  g_assert_nonnull (strstr (log, "event=routes_passed_over version=4"));
+  g_assert_nonnull (strstr (log, "event=routes_malformed"));
+  /* History that is gone is read again.  */
+  site_store_forget (site);
+  site_write_routes (site, 10, "after");
+  site_wait (extra_route_serves, (char *)"/after/ok", APPLY_MS);
+}
+
+static unsigned
+runs_at (unsigned upstream, unsigned requests, const char *name)
+{
+  unsigned n = 0;
+  for (unsigned i = 0; i < requests; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("%s-%u", name, i);
+      struct web *w = site_ask (site, i % VMS, "GET", "/safe/ok", id);
+      g_assert_cmpint (w->status, ==, 200);
+      web_close (w);
+      n += site_runs (site, (int)upstream, id);
+    }
+  return n;
+}
+
+static void
+test_upstream_leaves (void)
+{
+  site_write_upstream (site, 0, "draining");
+  g_usleep (500000);
+  g_assert_cmpuint (runs_at (0, 20, "draining"), ==, 0);
+  site_write_upstream (site, 0, "ready");
+  site_write_upstream (site, 1, "asleep");
+  g_usleep (500000);
+  g_assert_cmpuint (runs_at (1, 20, "malformed"), ==, 0);
+  site_write_upstream (site, 1, "ready");
+  site_write_upstream (site, 0, NULL);
+  g_usleep (APPLY_MS * 1000);
+  g_assert_cmpuint (runs_at (0, 20, "removed"), ==, 0);
+  site_write_upstream (site, 0, "ready");
+  g_usleep (500000);
+}
+
+/* The store falls silent, then its entries lapse and come back: callers are
+   served all the while.  */
+static void
+test_store_away (void)
+{
+  site_store_faults (site, "silent=1");
+  g_assert_cmpuint (runs_at (0, 40, "silent") + runs_at (1, 1, "silent-1"), >,
+                    0);
+  site_store_faults (site, "silent=0");
+  site_write_upstream (site, 0, NULL);
+  site_write_upstream (site, 1, NULL);
+  g_usleep (LAPSED_RETURN_MS * 1000);
+  (void)runs_at (0, 20, "lapsed");
+  site_write_upstream (site, 0, "ready");
+  site_write_upstream (site, 1, "ready");
+  (void)runs_at (0, 20, "returned");
+}
+
+static void
+test_metrics_and_log (void)
+{
+  g_autofree char *address
+      = g_strdup_printf ("127.0.0.1:%u", site->metrics_ports[0]);
+  struct web *w = web_ask (address, "GET", "/metrics", NULL, NULL, NULL);
+  g_assert_cmpint (w->status, ==, 200);
+  g_assert_nonnull (strstr (w->body->str, "buckthorn_requests_total "));
+  g_assert_nonnull (
+      strstr (w->body->str, "buckthorn_first_byte_seconds_bucket"));
+  web_close (w);
+  g_autofree char *log = site_log (site, 0);
+  const char *line = strstr (log, "event=request_end request=once-1 ");
+  g_assert_nonnull (line);
+  g_assert_nonnull (strstr (line, "outcome=lost status=502"));
+  g_assert_nonnull (strstr (log, "event=attempt_failed request=once-1 "));
+}
+
+static bool
+only_one_is_named (void *arg)
+{
+  const unsigned *vm = arg;
+  return site_entries (site, *vm) == 1;
+}
+
+static bool
+all_are_named (void *arg)
+{
+  (void)arg;
+  return site_entries (site, 0) == VMS && site_entries (site, 1) == VMS
+         && site_is_ready (site, 0) && site_is_ready (site, 1);
+}
+
+/* A planned stop: what is under way ends whole, callers are sent elsewhere,
+   the process ends by itself.  */
+static void
+test_stop (void)
+{
+  static const unsigned other = 0;
+  struct web *slow
+      = site_open (site, 1, "GET", "/once/slow", "stop-1", NULL, NULL);
+  struct web *stream
+      = site_open (site, 1, "POST", "/live/stream", "stop-2", NULL, NULL);
+  g_usleep (50000);
+  proc_signal (site->vms[1], SIGTERM);
+  site_wait (only_one_is_named, (void *)&other, GONE_MS);
+  g_assert_false (site_is_ready (site, 1));
+  web_finish (slow, WHOLE_MS);
+  web_finish (stream, WHOLE_MS);
+  g_assert_true (slow->whole && stream->whole);
+  g_assert_cmpint (slow->status, ==, 200);
+  web_close (slow);
+  web_close (stream);
+  g_assert_true (proc_wait (site->vms[1], site->leave_s * 1000));
+  g_assert_cmpint (site->vms[1]->status, ==, 0);
+  site_start_vm (site, 1);
+  site_wait (all_are_named, NULL, WHOLE_MS);
+}
+
+static void
+test_kill (void)
+{
+  static const unsigned other = 0;
+  proc_kill (site->vms[1]);
+  site_wait (only_one_is_named, (void *)&other, GONE_MS);
+  site_start_vm (site, 1);
+  site_wait (all_are_named, NULL, WHOLE_MS);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  programs_init (argv[0]);
+  site = site_create (programs (), VMS, UPSTREAMS);
+  site_start (site);
+  g_test_add_func ("/routed/unchanged", test_unchanged);
+  g_test_add_func ("/routed/framings", test_framings);
+  g_test_add_func ("/routed/once", test_once);
+  g_test_add_func ("/routed/idempotent", test_idempotent);
+  g_test_add_func ("/routed/streams", test_streams);
+  g_test_add_func ("/routed/caller-leaves", test_caller_leaves);
+  g_test_add_func ("/routed/bad-requests", test_bad_requests);
+  g_test_add_func ("/routed/routes-change", test_routes_change);
+  g_test_add_func ("/routed/upstream-leaves", test_upstream_leaves);
+  g_test_add_func ("/routed/store-away", test_store_away);
+  g_test_add_func ("/routed/metrics-and-log", test_metrics_and_log);
+  g_test_add_func ("/routed/stop", test_stop);
+  g_test_add_func ("/routed/kill", test_kill);
+  int result = g_test_run ();
+  site_destroy (site);
+  return result;
+}
