Long prompts avoid engines that generate for others

Ruled out: keeping engines from half of their slots on (consulta-panel in aim 321, 249, 276 against 325, 268, 251, and more of the others refused).

--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -54,6 +54,8 @@
    one more engine is kept for them, and what another engine costs them.  */
 #define GENERATING_PERCENT 75
 #define DISTURBED_MS 150.0
+/* What a long prompt costs each request that only generates at its engine.  */
+#define DISTURBING_MS 10.0
 /* Wait for one more slot of an engine whose slots are all taken.  */
 #define SLOT_WAIT_MS 150.0
 #define INDEX_BITS 16
@@ -579,6 +581,8 @@
       ms += out->reads_apart ? nearest_decode_ms (u, x, now_ms)
                              : FIRST_TOKEN_MS;
       cost += is_home ? 0 : spill_ms (ask->prompt);
+      if (has_long_prompt (ask))
+        cost += load.generating * DISTURBING_MS;
       if (!has_long_prompt (ask) && x->info.role == UPSTREAM_DECODE)
         {
           ms += slot_wait_ms (x, &load);
