--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 # Targets: all, demo, check, bench, model-check, capacity, soak, fuzz, format,
 # lint, generate, clean.  SANITIZE=1 builds into another folder.
 
-PACKAGES = libevent evhtp msgpack glib-2.0 yaml-0.1 jansson libxxhash
+PACKAGES = libevent msgpack glib-2.0 yaml-0.1 jansson libxxhash
 CC = gcc
 WARNINGS = -Wall -Wextra -Wshadow -Wstrict-prototypes -Wmissing-prototypes \
   -Wpointer-arith -Wno-unused-result
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -128,13 +128,14 @@
   proxy_take (r->proxy, request);
 }
 
-static void
+static char *
 on_refused (void *arg, unsigned status, const char *reason)
 {
   (void)arg;
   metrics_add (METRIC_bad_requests_total, 1);
   log_event (LOG_WARN, "request_refused", "status", log_num (status), "reason",
              reason, NULL);
+  return NULL;
 }
 
 static void
--- a/src/links/front.c
+++ b/src/links/front.c
@@ -157,12 +157,15 @@
 conn_refuse (struct front_conn *c, unsigned status, const char *reason)
 {
   struct front *f = c->front;
+  g_autofree char *body = NULL;
   if (f->events->on_refused)
-    f->events->on_refused (f->arg, status, reason);
+    body = f->events->on_refused (f->arg, status, reason);
   evbuffer_add_printf (bufferevent_get_output (c->bev),
-                       "HTTP/1.1 %u %s\r\nContent-Length: 0\r\n"
-                       "Connection: close\r\n\r\n",
-                       status, http_reason (status));
+                       "HTTP/1.1 %u %s\r\n%sContent-Length: %zu\r\n"
+                       "Connection: close\r\n\r\n%s",
+                       status, http_reason (status),
+                       body ? "Content-Type: application/json\r\n" : "",
+                       body ? strlen (body) : 0, body ? body : "");
   c->state = CONN_FLUSHING;
   set_timer (c, f->limits.read_ms);
 }
--- a/src/links/front.h
+++ b/src/links/front.h
@@ -35,8 +35,9 @@
 {
   /** A request has been read whole; answer it now or later.  */
   void (*on_request) (void *arg, struct front_request *r);
-  /** A request was refused by the listener itself.  May be NULL.  */
-  void (*on_refused) (void *arg, unsigned status, const char *reason);
+  /** A request is refused by the listener itself; returns the JSON body of
+      that answer, to be freed, or NULL for none.  May be NULL.  */
+  char *(*on_refused) (void *arg, unsigned status, const char *reason);
 };
 
 /** Listens on IP:PORT of ADDRESS.  Returns NULL and sets ERROR where it
--- a/src/links/http_codec.c
+++ b/src/links/http_codec.c
@@ -303,6 +303,8 @@
   size_t used = 0;
   run_parser (c, head, size, &used);
   evbuffer_drain (in, size);
+  if (c->progress == HTTP_IN_HEAD)
+    refuse (c, 400, "no start line");
 }
 
 static void
--- a/src/links/http_server.h
+++ b/src/links/http_server.h
@@ -1,5 +1,6 @@
 /** @file
-    HTTP server for callers and operators, over libevhtp.  */
+    HTTP server of the callers' and operators' interface, over the listener of
+    links/front.h.  */
 #ifndef LINKS_HTTP_SERVER_H
 #define LINKS_HTTP_SERVER_H
 
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -177,6 +177,7 @@
   { "HTTP/1.1 204 None\r\n\r\n", false, HTTP_WHOLE, HTTP_WHOLE },
   { "HTTP/1.1 200 OK\r\nContent-", false, HTTP_IN_HEAD, HTTP_IN_HEAD },
   { "\x01\x02 no answer\r\n\r\n", false, HTTP_BAD, HTTP_BAD },
+  { "\r\n\r\n", false, HTTP_BAD, HTTP_BAD },
 };
 
 static void
