Requests leave an upstream that has fallen silent

Ruled out: a shorter TCP_USER_TIMEOUT (nothing is unacknowledged); keep-alive probes (their least idle time is 1 s, of the 2 s that callers have); a timeout for each request alone (under load single answers are late, and sending them again costs the budget and the readers). Change: a VM notes when an instance last sent a byte; one that answers none of its requests for 0.5 s (plain services 0.9 s) is passed over, and requests that may be repeated go elsewhere, within attempts and budget. Before: test_routed/idempotent with 'silent' fails with 504. After: 13 process and 14 unit tests pass.

--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -30,12 +30,15 @@
 #define RETRY_AFTER_MIN_MS 150
 #define RETRY_AFTER_MAX_MS 2000
 #define NOT_READY_RETRY_MS 500
+/* How often requests at silent upstreams are looked for.  */
+#define SILENCE_TICK_MS 100
 
 struct proxy
 {
   struct proxy_parts parts;
   struct route_table *table;
   GHashTable *open; /* struct exchange */
+  struct event *timer;
 };
 
 /* One request of a caller.  */
@@ -252,6 +255,7 @@
 on_data (void *arg, struct evbuffer *data)
 {
   struct exchange *e = arg;
+  upstreams_heard (e->proxy->parts.upstreams, e->work.handle, now_ms ());
   if (e->reading || !is_good (e))
     {
       evbuffer_add_buffer (e->held, data);
@@ -691,6 +695,39 @@
   route_exchange (e, head);
 }
 
+/* Silent upstreams.  */
+
+/* The request is tried elsewhere as if its connection had been lost.  */
+static void
+leave_silent (struct exchange *e)
+{
+  log_event (LOG_INFO, "upstream_silent", "request", e->facts.id, "upstream",
+             e->upstream_id, "waited_ms",
+             log_num (now_ms () - e->work.sent_ms), "expected_ms",
+             log_num ((long long)e->work.expected_ms), NULL);
+  pool_cancel (e->call);
+  e->answer_facts = (struct answer_facts){ 0 };
+  on_end (e, POOL_SILENT);
+}
+
+static void
+on_silence_tick (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct proxy *p = arg;
+  int64_t now = now_ms ();
+  g_autoptr (GList) open = g_hash_table_get_keys (p->open);
+  for (GList *l = open; l; l = l->next)
+    {
+      struct exchange *e = l->data;
+      if (e->call && (e->attempts.repeatable || e->reading)
+          && e->until_ms - now > ATTEMPT_MIN_MS
+          && upstreams_is_silent (p->parts.upstreams, &e->work, now))
+        leave_silent (e);
+    }
+}
+
 /* The proxy.  */
 
 struct proxy *
@@ -698,7 +735,10 @@
 {
   struct proxy *p = g_new0 (struct proxy, 1);
   p->parts = *parts;
+  static const struct timeval tick = { 0, SILENCE_TICK_MS * 1000 };
   p->open = g_hash_table_new (NULL, NULL);
+  p->timer = event_new (parts->base, -1, EV_PERSIST, on_silence_tick, p);
+  event_add (p->timer, &tick);
   return p;
 }
 
@@ -710,6 +750,7 @@
   g_autoptr (GList) open = g_hash_table_get_keys (p->open);
   for (GList *l = open; l; l = l->next)
     cut (l->data, "stopped");
+  event_free (p->timer);
   g_hash_table_destroy (p->open);
   route_table_unref (p->table);
   g_free (p);
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -48,6 +48,12 @@
 #define FAILURE_COST_MS 400.0
 /* An instance that was full is passed over for as long.  */
 #define FULL_REST_MS 60
+/* An instance that answers none of its requests for as long is passed over; a
+   request is tried elsewhere once this many times its expected time, and no
+   less than that, has passed too.  Plain requests may take long one by one. */
+#define ENGINE_QUIET_MS 500
+#define SERVICE_QUIET_MS 900
+#define QUIET_FACTOR 3.0
 /* Part of an engine's memory that is taken as cache.  */
 #define CACHE_PERCENT 80
 /* Part of an engine's slots that requests which only generate may fill before
@@ -79,6 +85,8 @@
   double service_ms;
   double failures; /* share of the latest outcomes, 0 to 1 */
   int64_t failed_ms;
+  int64_t
+      heard_ms; /* when it last sent a byte, or got work after having none */
   int64_t full_until_ms;
 };
 
@@ -364,10 +372,22 @@
   return false;
 }
 
+static int64_t
+quiet_ms (const struct upstream *x)
+{
+  return x->info.role == UPSTREAM_SERVICE ? SERVICE_QUIET_MS : ENGINE_QUIET_MS;
+}
+
+static bool
+is_quiet (const struct upstream *x, int64_t now_ms)
+{
+  return x->own.running > 0 && now_ms - x->heard_ms > quiet_ms (x);
+}
+
 static bool
 is_resting (const struct upstream *x, int64_t now_ms)
 {
-  return now_ms < x->full_until_ms
+  return now_ms < x->full_until_ms || is_quiet (x, now_ms)
          || (x->failures > FAILURE_SHARE_BAD
              && now_ms - x->failed_ms < FAILURE_REST_MS);
 }
@@ -647,8 +667,11 @@
   work->tokens = choice->tokens;
   work->ahead = whole_load (x, now_ms).tokens + choice->tokens;
   work->sent_ms = now_ms;
+  work->expected_ms = choice->expected_ms;
   work->open = true;
   work->reading = true;
+  if (x->own.running == 0)
+    x->heard_ms = now_ms;
   work->generating = prompt && prompt->tokens < READ_APART_MIN_TOKENS
                      && x->info.role == UPSTREAM_DECODE;
   x->own.running++;
@@ -683,6 +706,25 @@
   x->tokens_per_ms += (speed - x->tokens_per_ms) * READ_SAMPLE_WEIGHT;
 }
 
+void
+upstreams_heard (struct upstreams *u, upstream_handle h, int64_t now_ms)
+{
+  struct upstream *x = find (u, h);
+  if (x)
+    x->heard_ms = now_ms;
+}
+
+bool
+upstreams_is_silent (const struct upstreams *u,
+                     const struct upstream_work *work, int64_t now_ms)
+{
+  const struct upstream *x = find (u, work->handle);
+  double wait = work->expected_ms * QUIET_FACTOR;
+  return x && work->open && is_quiet (x, now_ms)
+         && now_ms - work->sent_ms > quiet_ms (x)
+         && (double)(now_ms - work->sent_ms) > wait;
+}
+
 static struct upstream *
 close_work (struct upstreams *u, struct upstream_work *work)
 {
@@ -709,6 +751,8 @@
   struct upstream *x = close_work (u, work);
   if (x == NULL)
     return;
+  if (outcome != ATTEMPT_NOT_SENT && outcome != ATTEMPT_LOST)
+    x->heard_ms = now_ms;
   if (outcome == ATTEMPT_NOT_RUN)
     {
       x->full_until_ms = now_ms + FULL_REST_MS;
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -125,6 +125,7 @@
   uint64_t tokens; /**< that it had to read */
   uint64_t ahead;  /**< tokens before it, its own included */
   int64_t sent_ms;
+  double expected_ms;
   bool open;       /**< counted as running */
   bool generating; /**< counted as such */
   bool reading;    /**< its tokens are counted as not yet read */
@@ -137,6 +138,12 @@
 /** The first byte of the answer's body came.  */
 void upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
                            int64_t now_ms);
+/** Bytes of an answer came from H.  */
+void upstreams_heard (struct upstreams *u, upstream_handle h, int64_t now_ms);
+/** Whether H has sent nothing for so long, to none of the requests that it was
+    given, that WORK had better be tried elsewhere.  */
+bool upstreams_is_silent (const struct upstreams *u,
+                          const struct upstream_work *work, int64_t now_ms);
 /** The request ended with OUTCOME.  */
 void upstreams_ended (struct upstreams *u, struct upstream_work *work,
                       enum attempt_outcome outcome, int64_t now_ms);
--- a/tests/process/test_routed.c
+++ b/tests/process/test_routed.c
@@ -126,8 +126,8 @@
 test_idempotent (void)
 {
   static const char *const kinds[]
-      = { "lost", "reset", "cut",     "garbage",       "unsigned",
-          "busy", "error", "not-run", "unframed-reset" };
+      = { "lost", "reset", "cut",     "garbage",        "unsigned",
+          "busy", "error", "not-run", "unframed-reset", "silent" };
   for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
     for (unsigned u = 0; u < UPSTREAMS; u++)
       {
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -299,6 +299,32 @@
   upstreams_destroy (u);
 }
 
+/* An engine that went dark with requests under way: those that may be repeated
+   leave it within their patience, and new ones go elsewhere; one that still
+   answers others is only slow.  */
+static void
+test_silent_is_left (void)
+{
+  struct upstreams *u = make_table ();
+  struct upstream_work a;
+  struct upstream_work b;
+  put (u, "dark", "n1", UPSTREAM_DECODE, false);
+  struct upstream_choice c
+      = { .handle = upstreams_find (u, "dark"), .expected_ms = 100 };
+  upstreams_sent (u, &c, NULL, 1000, &a);
+  upstreams_sent (u, &c, NULL, 1200, &b);
+  put (u, "other", "s1", UPSTREAM_DECODE, false);
+  g_assert_false (upstreams_is_silent (u, &a, 1400));
+  upstreams_heard (u, c.handle, 1400);
+  g_assert_false (upstreams_is_silent (u, &a, 1850));
+  g_assert_true (upstreams_is_silent (u, &a, 1950));
+  g_assert_true (upstreams_is_silent (u, &b, 1950));
+  g_assert_cmpstr (chosen (u, NULL, 1950), ==, "other");
+  upstreams_ended (u, &a, ATTEMPT_ANSWERED, 1960);
+  g_assert_false (upstreams_is_silent (u, &b, 1960));
+  upstreams_destroy (u);
+}
+
 /* All VMs choose the same engine for one subject, and subjects spread.  */
 static void
 test_subjects_have_homes (void)
@@ -451,6 +477,7 @@
                    test_plain_prefers_near_until_full);
   g_test_add_func ("/upstreams/told-load", test_told_load_counts_and_ages);
   g_test_add_func ("/upstreams/failing", test_failing_is_passed_over);
+  g_test_add_func ("/upstreams/silent", test_silent_is_left);
   g_test_add_func ("/upstreams/homes", test_subjects_have_homes);
   g_test_add_func ("/upstreams/kept", test_engines_are_kept_for_short_prompts);
   g_test_add_func ("/upstreams/spill", test_busy_home_spills);
