buckthornctl status of a VM on a platform; what operators read stands apart

Cause: on a platform, a VM's routes, their age and its upstreams could be read from its log only. Ruled out: a command of its own: status already means this to operators.

--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -372,9 +372,36 @@
     }
 }
 
+/* Status of a VM that takes its routes from a platform.  */
+static int
+show_routed_status (const struct ctl_options *o, json_t *root)
+{
+  static const char *const upstreams[]
+      = { "upstream",       "service",     "address",
+          "failure_domain", "role",        "leaving",
+          "running",        "connections", NULL };
+  bool ready = json_is_true (json_object_get (root, "ready"));
+  if (!o->json)
+    {
+      printf ("%s: %s, routes version %" JSON_INTEGER_FORMAT
+              ", confirmed %" JSON_INTEGER_FORMAT
+              " ms ago, %" JSON_INTEGER_FORMAT " VMs, %" JSON_INTEGER_FORMAT
+              " requests open\n",
+              head_text (root, "vm"), ready ? "ready" : "not ready",
+              json_integer_value (json_object_get (root, "routes_version")),
+              json_integer_value (json_object_get (root, "routes_age_ms")),
+              json_integer_value (json_object_get (root, "vms")),
+              json_integer_value (json_object_get (root, "open")));
+      print_table (json_object_get (root, "upstreams"), upstreams);
+    }
+  return ready ? 0 : exit_code (RESULT_NOT_READY);
+}
+
 static int
 show_status (const struct ctl_options *o, json_t *root)
 {
+  if (json_object_get (root, "routes_version"))
+    return show_routed_status (o, root);
   static const char *const regions[]
       = { "region", "in_force", "live", "behind", NULL };
   static const char *const vms[]
--- a/src/ctl/remote.c
+++ b/src/ctl/remote.c
@@ -56,14 +56,17 @@
                   "\n");
       return false;
     }
-  if (o->key_file == NULL)
+  /* A VM on a platform tells its status without a key.  */
+  bool open_to_all = strcmp (o->command, "status") == 0;
+  if (o->key_file == NULL && !open_to_all)
     {
       g_printerr ("buckthornctl: name your key with --key-file FILE or "
                   "BUCKTHORN_KEY_FILE\n");
       return false;
     }
-  g_autofree char *authorization = read_authorization (o->key_file);
-  if (authorization == NULL)
+  g_autofree char *authorization
+      = o->key_file ? read_authorization (o->key_file) : NULL;
+  if (o->key_file && authorization == NULL)
     return false;
   struct event_base *base = event_base_new ();
   struct http_client *client = http_client_create (base);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 #include "daemon/discovery.h"
 #include "daemon/fleet.h"
+#include "daemon/inspect.h"
 #include "daemon/proxy.h"
 
 #include <event2/event.h>
@@ -138,24 +139,13 @@
   return NULL;
 }
 
-static void
-reply (struct front_request *request, unsigned status, const char *type,
-       const char *body)
-{
-  struct http_head *h = http_head_create ();
-  h->status = status;
-  if (type)
-    http_head_add (h, "Content-Type", type);
-  front_request_reply (request, h, body, body ? strlen (body) : 0);
-  http_head_destroy (h);
-}
-
 static void
 on_ready_question (void *arg, struct front_request *request)
 {
   struct gateway *r = arg;
   bool asked = r->platform->is_ready_question (front_request_head (request));
-  reply (request, !asked ? 404 : (is_ready (r) ? 200 : 503), NULL, NULL);
+  inspect_reply (request, !asked ? 404 : (is_ready (r) ? 200 : 503), NULL,
+                 NULL);
 }
 
 static void
@@ -165,7 +155,7 @@
   struct entry_question q;
   if (!r->platform->read_entry_question (front_request_head (request), &q))
     {
-      reply (request, 404, NULL, NULL);
+      inspect_reply (request, 404, NULL, NULL);
       return;
     }
   g_autoptr (GPtrArray) addresses
@@ -174,36 +164,34 @@
     {
       g_autofree char *body = r->platform->write_entry_answer (
           addresses, (double)r->settings->entry_ttl_s);
-      reply (request, 200, "application/json", body);
+      inspect_reply (request, 200, "application/json", body);
     }
   else
-    reply (request, 503, NULL, NULL);
+    inspect_reply (request, 503, NULL, NULL);
   g_free (q.host);
   g_free (q.region);
   g_free (q.failure_domain);
 }
 
 static void
-on_metrics_question (void *arg, struct front_request *request)
+on_inspection (void *arg, struct front_request *request)
 {
-  struct gateway *r = arg;
-  const struct pool_counts *counts = pool_counts (r->pool);
-  metrics_set_counter (METRIC_upstream_opened_total, counts->opened);
-  metrics_set_counter (METRIC_upstream_reused_total, counts->reused);
-  metrics_set_counter (METRIC_stray_answers_total, counts->stray_answers);
-  metrics_set_counter (METRIC_kv_reads_total, r->kv->reads + r->kv->watches);
-  metrics_set_counter (METRIC_kv_writes_total, r->kv->writes);
-  metrics_set_counter (METRIC_log_lines_dropped_total, log_dropped ());
-  g_autoptr (GString) text = g_string_new (NULL);
-  metrics_render (text);
-  reply (request, 200, "text/plain; version=0.0.4", text->str);
+  const struct gateway *r = arg;
+  struct inspect_parts parts = { .vm = r->settings->vm,
+                                 .ready = is_ready (r),
+                                 .proxy = r->proxy,
+                                 .discovery = r->discovery,
+                                 .fleet = r->fleet,
+                                 .upstreams = r->upstreams,
+                                 .pool = r->pool,
+                                 .kv = r->kv };
+  inspect_answer (&parts, request);
 }
 
 static const struct front_events caller_events = { on_caller, on_refused };
 static const struct front_events ready_events = { on_ready_question, NULL };
 static const struct front_events entry_events = { on_entry_question, NULL };
-static const struct front_events metrics_events
-    = { on_metrics_question, NULL };
+static const struct front_events metrics_events = { on_inspection, NULL };
 
 /* Time: readiness, reload, the end of a stop.  */
 
--- a/tests/process/test_routed.c
+++ b/tests/process/test_routed.c
@@ -331,6 +331,23 @@
   g_assert_nonnull (strstr (log, "event=attempt_failed request=once-1 "));
 }
 
+static void
+test_status (void)
+{
+  g_autofree char *ctl = g_build_filename (programs (), "buckthornctl", NULL);
+  g_autofree char *vm
+      = g_strdup_printf ("127.0.0.1:%u", site->metrics_ports[1]);
+  char *argv[] = { ctl, (char *)"--vm", vm, (char *)"status", NULL };
+  g_autofree char *out = NULL;
+  int status = 0;
+  g_assert_true (g_spawn_sync (NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
+                               &out, NULL, &status, NULL));
+  g_assert_cmpint (status, ==, 0);
+  g_assert_true (g_str_has_prefix (out, "vm1: ready, routes version 10, "));
+  g_assert_nonnull (strstr (out, "u0\ts\t127.0.0.1:"));
+  g_assert_nonnull (strstr (out, ", 2 VMs, "));
+}
+
 static bool
 only_one_is_named (void *arg)
 {
@@ -400,6 +417,7 @@
   g_test_add_func ("/routed/upstream-leaves", test_upstream_leaves);
   g_test_add_func ("/routed/store-away", test_store_away);
   g_test_add_func ("/routed/metrics-and-log", test_metrics_and_log);
+  g_test_add_func ("/routed/status", test_status);
   g_test_add_func ("/routed/stop", test_stop);
   g_test_add_func ("/routed/kill", test_kill);
   int result = g_test_run ();
