--- /dev/null
+++ b/src/daemon/exchange.c
@@ -0,0 +1,463 @@
+#include "daemon/exchange.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "decide/placing.h"
+
+#include <string.h>
+
+/* Plain answers up to this size are held until they are whole, so that one
+   that breaks off can still be replaced.  */
+#define HOLD_BYTES (128U * 1024)
+/* A caller that has as much unread is cut off.  */
+#define BACKLOG_MAX_BYTES (2U * 1024 * 1024)
+/* Connections that no answer may be lost on: idle for no longer.  */
+#define ONCE_REUSE_MS 800
+/* Part of an upstream's connections that the known VMs share.  */
+#define CONNECTIONS_PERCENT 85
+/* A request is refused where its answer is expected later than this many times
+   its latency objective and this part of its caller's patience, or not within
+   the time that is left.  */
+#define LATE_FACTOR 1.2
+#define LATE_PATIENCE_PERCENT 10
+#define PATIENCE_MARGIN_MS 150
+/* How long refused callers wait.  */
+#define RETRY_AFTER_MAX_MS 2000
+
+/* Exchanges.  */
+
+/* This VM's part of the connections to one instance.  */
+unsigned
+exchange_connection_share (const struct exchange *e)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  const struct route_service *s = route_table_service (e->table, e->service);
+  unsigned all = s ? s->connections : 1;
+  unsigned vms = MAX (parts->count_vms (parts->arg), 1);
+  return MAX (all * CONNECTIONS_PERCENT / 100 / vms, 1);
+}
+
+void
+exchange_free (struct exchange *e)
+{
+  g_hash_table_remove (e->proxy->open, e);
+  metrics_set (METRIC_routed_open, g_hash_table_size (e->proxy->open));
+  if (e->call)
+    pool_cancel (e->call);
+  upstreams_cancelled (e->proxy->parts.upstreams, &e->work);
+  reading_drop (e);
+  if (e->timer)
+    event_free (e->timer);
+  http_head_destroy (e->answer);
+  evbuffer_free (e->held);
+  sse_clear (&e->events);
+  route_table_unref (e->table);
+  g_free (e->facts.id);
+  g_free (e);
+}
+
+/* One line for each request: what decided it and how it ended.  */
+void
+exchange_log_end (const struct exchange *e, const char *outcome,
+                  unsigned status)
+{
+  int64_t now = exchange_now_ms ();
+  log_event (
+      LOG_INFO, "request_end", "request", e->facts.id, "route",
+      e->route ? e->route->name : "", "service", e->service ? e->service : "",
+      "upstream", e->upstream_id, "outcome", outcome, "status",
+      log_num (status), "ms", log_num (now - e->since_ms), "first_ms",
+      log_num (e->first_ms ? e->first_ms - e->since_ms : -1), "expected_ms",
+      log_num ((long long)e->expected_ms), "attempts", log_num (e->tries),
+      "routes_version",
+      log_num (e->table ? (long long)route_table_version (e->table) : -1),
+      NULL);
+}
+
+/* Answers of our own.  */
+
+void
+exchange_reply (struct exchange *e, unsigned status, const char *outcome,
+                unsigned retry_after_ms)
+{
+  struct http_head *h = http_head_create ();
+  h->status = status;
+  http_head_add (h, e->proxy->parts.platform->id_field,
+                 e->facts.id ? e->facts.id : "");
+  if (retry_after_ms > 0)
+    e->proxy->parts.platform->mark_refusal (h, retry_after_ms);
+  exchange_log_end (e, outcome, status);
+  front_request_reply (e->caller, h, NULL, 0);
+  http_head_destroy (h);
+  exchange_free (e);
+}
+
+void
+exchange_refuse (struct exchange *e, const char *why, unsigned retry_after_ms)
+{
+  metrics_add (METRIC_not_run_total, 1);
+  exchange_reply (
+      e, 503, why,
+      CLAMP (retry_after_ms, EXCHANGE_RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS));
+}
+
+void
+exchange_cut (struct exchange *e, const char *why)
+{
+  metrics_add (METRIC_cut_total, 1);
+  exchange_log_end (e, why, e->answer ? e->answer->status : 0);
+  front_request_abort (e->caller);
+  exchange_free (e);
+}
+
+void
+exchange_unknown (struct exchange *e, const char *why, unsigned status)
+{
+  metrics_add (METRIC_unknown_total, 1);
+  exchange_reply (e, status, why, 0);
+}
+
+/* Passing the answer on.  */
+
+static void
+start_answer (struct exchange *e)
+{
+  if (e->started)
+    return;
+  e->started = true;
+  front_request_start (e->caller, e->answer, e->framing, e->length);
+}
+
+static void
+pass_events (struct exchange *e, struct evbuffer *data)
+{
+  unsigned count = 0;
+  g_autoptr (GBytes) events = sse_feed (&e->events, data, &count);
+  if (events == NULL)
+    return;
+  gsize size = 0;
+  const void *bytes = g_bytes_get_data (events, &size);
+  metrics_add (METRIC_events_total, count);
+  start_answer (e);
+  evbuffer_add (e->held, bytes, size);
+  front_request_send (e->caller, e->held);
+}
+
+static void
+note_first_byte (struct exchange *e)
+{
+  if (e->first_byte)
+    return;
+  int64_t now = exchange_now_ms ();
+  e->first_byte = true;
+  e->first_ms = now;
+  upstreams_first_byte (e->proxy->parts.upstreams, &e->work, now);
+  metrics_time (METRIC_first_byte_seconds, (now - e->since_ms) * 1000);
+}
+
+static bool
+is_good (const struct exchange *e)
+{
+  return e->answer && e->answer->status >= 200 && e->answer->status < 300
+         && e->answer_facts.signed_by_upstream;
+}
+
+static void
+on_data (void *arg, struct evbuffer *data)
+{
+  struct exchange *e = arg;
+  upstreams_heard (e->proxy->parts.upstreams, e->work.handle,
+                   exchange_now_ms ());
+  if (e->reading || !is_good (e))
+    {
+      evbuffer_add_buffer (e->held, data);
+      return;
+    }
+  note_first_byte (e);
+  if (e->is_events)
+    pass_events (e, data);
+  else
+    {
+      evbuffer_add_buffer (e->held, data);
+      if (e->started || evbuffer_get_length (e->held) > HOLD_BYTES)
+        {
+          start_answer (e);
+          front_request_send (e->caller, e->held);
+        }
+    }
+  if (e->started && front_request_backlog (e->caller) > BACKLOG_MAX_BYTES)
+    exchange_cut (e, "caller_too_slow");
+}
+
+static void
+on_head (void *arg, struct http_head *head, enum http_framing framing,
+         uint64_t length)
+{
+  struct exchange *e = arg;
+  const struct platform_ops *ops = e->proxy->parts.platform;
+  ops->read_answer (head, &e->answer_facts);
+  /* A stream that goes on elsewhere keeps the head of its first answer.  */
+  if (e->started)
+    {
+      if (head->status != e->answer->status)
+        e->answer_facts.signed_by_upstream = false;
+      return;
+    }
+  http_head_destroy (e->answer);
+  e->answer = http_head_copy (head);
+  const char *type = http_head_get (head, "Content-Type");
+  e->is_events = e->route->kind == ROUTE_STREAM && type
+                 && g_str_has_prefix (type, "text/event-stream");
+  e->framing = e->is_events && framing == HTTP_FRAMING_SIZED
+                   ? HTTP_FRAMING_CHUNKED
+                   : framing;
+  e->length = length;
+  http_head_strip_hop (e->answer, ops->kept_fields);
+  http_head_remove (e->answer, "Content-Length");
+}
+
+static void
+pass_whole (struct exchange *e)
+{
+  if (e->events.rest)
+    evbuffer_add_buffer (e->held, e->events.rest);
+  if (e->started)
+    {
+      front_request_send (e->caller, e->held);
+      front_request_end (e->caller);
+    }
+  else
+    {
+      size_t n = evbuffer_get_length (e->held);
+      front_request_reply (e->caller, e->answer, evbuffer_pullup (e->held, -1),
+                           n);
+    }
+  metrics_add (METRIC_answered_total, 1);
+  metrics_time (METRIC_request_seconds,
+                (exchange_now_ms () - e->since_ms) * 1000);
+  exchange_log_end (e, is_good (e) ? "answered" : "upstream_failed",
+                    e->answer->status);
+  exchange_free (e);
+}
+
+/* The end of an attempt.  */
+
+static bool
+status_promises (unsigned status)
+{
+  return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
+static enum attempt_outcome
+outcome_of (const struct exchange *e, enum pool_end end)
+{
+  if (end == POOL_NOT_SENT)
+    return ATTEMPT_NOT_SENT;
+  if (e->answer_facts.not_run)
+    return ATTEMPT_NOT_RUN;
+  if (end != POOL_WHOLE || e->answer == NULL)
+    return ATTEMPT_LOST;
+  if (is_good (e))
+    return ATTEMPT_ANSWERED;
+  unsigned status = e->answer->status;
+  /* A success without the upstream's mark, and a status that promises what the
+     upstream did not say, are no answers to pass on.  */
+  if (status < 300 || status_promises (status))
+    return ATTEMPT_LOST;
+  return status >= 500 ? ATTEMPT_FAILED : ATTEMPT_ANSWERED;
+}
+
+bool
+exchange_may_try_again (struct exchange *e, enum attempt_outcome outcome,
+                        int64_t now)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  if (e->until_ms - now < EXCHANGE_ATTEMPT_MIN_MS
+      || e->n_tried >= EXCHANGE_TRIED_MAX)
+    return false;
+  return outcome == ATTEMPT_NOT_SENT
+         || retry_windows_take (parts->retries, e->service,
+                                parts->count_vms (parts->arg), now);
+}
+
+void
+exchange_give_up (struct exchange *e, enum attempt_step step,
+                  enum attempt_outcome outcome)
+{
+  if (e->started)
+    exchange_cut (e, attempt_outcome_name (outcome));
+  else if (step == ATTEMPT_PASS_ON)
+    pass_whole (e);
+  else if (step == ATTEMPT_REFUSE)
+    exchange_refuse (e, attempt_outcome_name (outcome),
+                     EXCHANGE_RETRY_AFTER_MIN_MS);
+  else
+    exchange_unknown (e, attempt_outcome_name (outcome), 502);
+}
+
+/* Forgets the answer of the attempt that ended.  */
+void
+exchange_clear_answer (struct exchange *e)
+{
+  evbuffer_drain (e->held, evbuffer_get_length (e->held));
+  sse_drop_rest (&e->events);
+  if (e->started)
+    return;
+  http_head_destroy (e->answer);
+  e->answer = NULL;
+  e->first_byte = false;
+}
+
+void
+exchange_attempt_ended (void *arg, enum pool_end end)
+{
+  struct exchange *e = arg;
+  int64_t now = exchange_now_ms ();
+  if (e->reading)
+    {
+      reading_ended (e, end);
+      return;
+    }
+  enum attempt_outcome outcome = outcome_of (e, end);
+  /* A reading can be fetched once; one that was asked for is spent.  */
+  if (outcome != ATTEMPT_NOT_SENT)
+    g_clear_pointer (&e->read_by, g_free);
+  e->call = NULL;
+  upstreams_ended (e->proxy->parts.upstreams, &e->work, outcome, now);
+  enum attempt_step step = attempts_ended (&e->attempts, outcome);
+  if (step == ATTEMPT_PASS_ON && outcome == ATTEMPT_ANSWERED)
+    {
+      pass_whole (e);
+      return;
+    }
+  log_event (LOG_INFO, "attempt_failed", "request", e->facts.id, "upstream",
+             e->upstream_id, "outcome", attempt_outcome_name (outcome),
+             "status", log_num (e->answer ? e->answer->status : 0),
+             "connection_end", log_num (end), "started",
+             e->started ? "true" : "false", NULL);
+  /* A stream whose caller has had events goes on only where it can be
+     resumed.  */
+  bool resumable = !e->started || (e->is_events && e->route->resumable);
+  if (step == ATTEMPT_AGAIN && resumable
+      && exchange_may_try_again (e, outcome, now))
+    {
+      metrics_add (METRIC_retries_total, 1);
+      exchange_clear_answer (e);
+      exchange_attempt (e);
+      return;
+    }
+  if (step == ATTEMPT_AGAIN)
+    step = outcome == ATTEMPT_FAILED ? ATTEMPT_PASS_ON
+                                     : attempts_give_up (&e->attempts);
+  exchange_give_up (e, step, outcome);
+}
+
+static const struct pool_events pool_events
+    = { on_head, on_data, exchange_attempt_ended };
+
+/* Sending.  */
+
+static struct pool_call *
+send_to (struct exchange *e, const struct upstream_info *info, int64_t now)
+{
+  const struct platform_ops *ops = e->proxy->parts.platform;
+  struct http_head *h = http_head_copy (front_request_head (e->caller));
+  struct evbuffer *body = front_request_body (e->caller);
+  struct request_marks marks
+      = { .upstream = info->id,
+          .patience_ms = e->until_ms - now,
+          .read_only = e->reading,
+          .read_by = e->reading ? NULL : e->read_by,
+          .resume_after = e->started ? e->events.last_id : NULL };
+  http_head_strip_hop (h, ops->kept_fields);
+  http_head_remove (h, "Expect");
+  http_head_remove (h, "Content-Length");
+  size_t size = evbuffer_get_length (body);
+  if (size > 0 || strcmp (h->method, "POST") == 0
+      || strcmp (h->method, "PUT") == 0)
+    {
+      char text[24];
+      g_snprintf (text, sizeof text, "%zu", size);
+      http_head_add (h, "Content-Length", text);
+    }
+  ops->mark_request (h, &marks);
+  struct pool_request r
+      = { .upstream = info->id,
+          .address = info->address,
+          .connections = exchange_connection_share (e),
+          .id_field = ops->id_field,
+          .head = h,
+          .body = body,
+          .reuse_ms
+          = e->attempts.repeatable ? EXCHANGE_REUSE_MS : ONCE_REUSE_MS };
+  struct pool_call *call
+      = pool_send (e->proxy->parts.pool, &r, &pool_events, e);
+  http_head_destroy (h);
+  return call;
+}
+
+/* Whether the expected time is too long to send the request at all.  */
+static bool
+is_hopeless (const struct exchange *e, const struct upstream_choice *c,
+             int64_t now)
+{
+  double left = (double)(e->until_ms - now - PATIENCE_MARGIN_MS);
+  double late = e->route->target_ms * LATE_FACTOR;
+  double patience = (double)(e->until_ms - e->since_ms);
+  late = MAX (late, patience * LATE_PATIENCE_PERCENT / 100);
+  return c->expected_ms > MIN (left, late);
+}
+
+static void
+refuse_full (struct exchange *e, const struct upstream_choice *c)
+{
+  double over = c->expected_ms - e->route->target_ms;
+  exchange_refuse (e, "overload", over > 0 ? (unsigned)MIN (over, 100000) : 0);
+}
+
+void
+exchange_attempt (struct exchange *e)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  const struct prompt *prompt = e->facts.has_prompt ? &e->facts.prompt : NULL;
+  struct upstream_ask ask
+      = { .service = e->service, .prompt = prompt, .tried = e->tried };
+  e->answer_facts = (struct answer_facts){ 0 };
+  for (;;)
+    {
+      int64_t now = exchange_now_ms ();
+      ask.n_tried = e->n_tried;
+      ask.reader = e->read_by ? e->reader : 0;
+      struct upstream_choice c = placing_choose (parts->upstreams, &ask, now);
+      if (c.handle == 0)
+        {
+          exchange_give_up (e, attempts_give_up (&e->attempts),
+                            ATTEMPT_NOT_SENT);
+          return;
+        }
+      e->expected_ms = c.expected_ms;
+      if (e->tries == 0 && e->read_by == NULL && is_hopeless (e, &c, now))
+        {
+          refuse_full (e, &c);
+          return;
+        }
+      const struct upstream_info *info
+          = upstreams_info (parts->upstreams, c.handle);
+      e->tried[e->n_tried++] = c.handle;
+      e->reading = c.reads_apart;
+      e->call = send_to (e, info, now);
+      if (e->call)
+        {
+          e->tries += e->reading ? 0 : 1;
+          g_strlcpy (e->upstream_id, info->id, sizeof e->upstream_id);
+          upstreams_sent (parts->upstreams, &c, prompt, now, &e->work);
+          return;
+        }
+      if (e->n_tried >= EXCHANGE_TRIED_MAX)
+        {
+          exchange_give_up (e, attempts_give_up (&e->attempts),
+                            ATTEMPT_NOT_SENT);
+          return;
+        }
+    }
+}
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -2,192 +2,20 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
-#include "daemon/sse.h"
+#include "daemon/exchange.h"
 
-#include <string.h>
-
-/* Plain answers up to this size are held until they are whole, so that one
-   that breaks off can still be replaced.  */
-#define HOLD_BYTES (128U * 1024)
-/* A caller that has as much unread is cut off.  */
-#define BACKLOG_MAX_BYTES (2U * 1024 * 1024)
-#define TRIED_MAX 8
-/* Connections that no answer may be lost on: idle for no longer.  */
-#define ONCE_REUSE_MS 800
-#define REUSE_MS 60000
-/* Part of an upstream's connections that the known VMs share.  */
-#define CONNECTIONS_PERCENT 85
-/* Time that must be left for one more attempt.  */
-#define ATTEMPT_MIN_MS 40
 #define DEFAULT_TIMEOUT_MS 30000
-/* A request is refused where its answer is expected later than this many times
-   its latency objective and this part of its caller's patience, or not within
-   the time that is left.  */
-#define LATE_FACTOR 1.2
-#define LATE_PATIENCE_PERCENT 10
-#define PATIENCE_MARGIN_MS 150
-/* How long refused callers wait.  */
-#define RETRY_AFTER_MIN_MS 150
-#define RETRY_AFTER_MAX_MS 2000
 #define NOT_READY_RETRY_MS 500
 /* How often requests at silent upstreams are looked for.  */
 #define SILENCE_TICK_MS 100
 
-struct proxy
-{
-  struct proxy_parts parts;
-  struct route_table *table;
-  GHashTable *open; /* struct exchange */
-  struct event *timer;
-};
-
-/* One request of a caller.  */
-struct exchange
-{
-  struct proxy *proxy;
-  struct front_request *caller;
-  struct request_facts facts;
-  struct route_table *table; /* in force when it came */
-  const struct route *route;
-  const char *service;
-  int64_t since_ms;
-  int64_t until_ms;
-  struct event *timer;
-
-  struct attempts attempts;
-  upstream_handle tried[TRIED_MAX];
-  unsigned n_tried;
-  unsigned tries;
-  struct upstream_work work;
-  struct pool_call *call;
-  double expected_ms;
-  char upstream_id[64];
-
-  bool reading;   /* the call under way only reads the prompt */
-  bool read_once; /* it is not read apart a second time */
-  upstream_handle reader;
-  char *read_by; /* where the read prompt can be fetched */
-
-  struct http_head *answer; /* of the current attempt */
-  enum http_framing framing;
-  uint64_t length;
-  struct answer_facts answer_facts;
-  struct evbuffer *held;
-  struct sse events;
-  bool is_events;
-  bool started; /* the caller has the head of its answer */
-  bool first_byte;
-  int64_t first_ms;
-};
-
-static void attempt (struct exchange *e);
-static void end_reading (struct exchange *e, enum pool_end end);
-static void drop_reading (struct exchange *e);
-
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
-/* Exchanges.  */
-
-/* This VM's part of the connections to one instance.  */
-static unsigned
-connection_share (const struct exchange *e)
-{
-  const struct proxy_parts *parts = &e->proxy->parts;
-  const struct route_service *s = route_table_service (e->table, e->service);
-  unsigned all = s ? s->connections : 1;
-  unsigned vms = MAX (parts->count_vms (parts->arg), 1);
-  return MAX (all * CONNECTIONS_PERCENT / 100 / vms, 1);
-}
-
-static void
-exchange_free (struct exchange *e)
-{
-  g_hash_table_remove (e->proxy->open, e);
-  metrics_set (METRIC_routed_open, g_hash_table_size (e->proxy->open));
-  if (e->call)
-    pool_cancel (e->call);
-  upstreams_cancelled (e->proxy->parts.upstreams, &e->work);
-  drop_reading (e);
-  if (e->timer)
-    event_free (e->timer);
-  http_head_destroy (e->answer);
-  evbuffer_free (e->held);
-  sse_clear (&e->events);
-  route_table_unref (e->table);
-  g_free (e->facts.id);
-  g_free (e);
-}
-
-/* One line for each request: what decided it and how it ended.  */
-static void
-log_end (const struct exchange *e, const char *outcome, unsigned status)
-{
-  int64_t now = now_ms ();
-  log_event (
-      LOG_INFO, "request_end", "request", e->facts.id, "route",
-      e->route ? e->route->name : "", "service", e->service ? e->service : "",
-      "upstream", e->upstream_id, "outcome", outcome, "status",
-      log_num (status), "ms", log_num (now - e->since_ms), "first_ms",
-      log_num (e->first_ms ? e->first_ms - e->since_ms : -1), "expected_ms",
-      log_num ((long long)e->expected_ms), "attempts", log_num (e->tries),
-      "routes_version",
-      log_num (e->table ? (long long)route_table_version (e->table) : -1),
-      NULL);
-}
-
-/* Answers of our own.  */
-
-static void
-reply_own (struct exchange *e, unsigned status, const char *outcome,
-           unsigned retry_after_ms)
-{
-  struct http_head *h = http_head_create ();
-  h->status = status;
-  http_head_add (h, e->proxy->parts.platform->id_field,
-                 e->facts.id ? e->facts.id : "");
-  if (retry_after_ms > 0)
-    e->proxy->parts.platform->mark_refusal (h, retry_after_ms);
-  log_end (e, outcome, status);
-  front_request_reply (e->caller, h, NULL, 0);
-  http_head_destroy (h);
-  exchange_free (e);
-}
-
-static void
-refuse (struct exchange *e, const char *why, unsigned retry_after_ms)
-{
-  metrics_add (METRIC_not_run_total, 1);
-  reply_own (e, 503, why,
-             CLAMP (retry_after_ms, RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS));
-}
-
-static void
-cut (struct exchange *e, const char *why)
-{
-  metrics_add (METRIC_cut_total, 1);
-  log_end (e, why, e->answer ? e->answer->status : 0);
-  front_request_abort (e->caller);
-  exchange_free (e);
-}
-
-static void
-answer_unknown (struct exchange *e, const char *why, unsigned status)
-{
-  metrics_add (METRIC_unknown_total, 1);
-  reply_own (e, status, why, 0);
-}
-
 /* The caller went away.  */
 static void
 on_caller_gone (void *arg)
 {
   struct exchange *e = arg;
   metrics_add (METRIC_caller_gone_total, 1);
-  log_end (e, "caller_gone", 0);
+  exchange_log_end (e, "caller_gone", 0);
   exchange_free (e);
 }
 
@@ -199,436 +27,11 @@
   struct exchange *e = arg;
   bool sent = e->call && !e->reading && pool_call_sent (e->call);
   if (e->started)
-    cut (e, "timeout_in_answer");
+    exchange_cut (e, "timeout_in_answer");
   else if (sent || e->attempts.may_have_run)
-    answer_unknown (e, "timeout", 504);
+    exchange_unknown (e, "timeout", 504);
   else
-    refuse (e, "timeout_before_sending", RETRY_AFTER_MIN_MS);
-}
-
-/* Passing the answer on.  */
-
-static void
-start_answer (struct exchange *e)
-{
-  if (e->started)
-    return;
-  e->started = true;
-  front_request_start (e->caller, e->answer, e->framing, e->length);
-}
-
-static void
-pass_events (struct exchange *e, struct evbuffer *data)
-{
-  unsigned count = 0;
-  g_autoptr (GBytes) events = sse_feed (&e->events, data, &count);
-  if (events == NULL)
-    return;
-  gsize size = 0;
-  const void *bytes = g_bytes_get_data (events, &size);
-  metrics_add (METRIC_events_total, count);
-  start_answer (e);
-  evbuffer_add (e->held, bytes, size);
-  front_request_send (e->caller, e->held);
-}
-
-static void
-note_first_byte (struct exchange *e)
-{
-  if (e->first_byte)
-    return;
-  int64_t now = now_ms ();
-  e->first_byte = true;
-  e->first_ms = now;
-  upstreams_first_byte (e->proxy->parts.upstreams, &e->work, now);
-  metrics_time (METRIC_first_byte_seconds, (now - e->since_ms) * 1000);
-}
-
-static bool
-is_good (const struct exchange *e)
-{
-  return e->answer && e->answer->status >= 200 && e->answer->status < 300
-         && e->answer_facts.signed_by_upstream;
-}
-
-static void
-on_data (void *arg, struct evbuffer *data)
-{
-  struct exchange *e = arg;
-  upstreams_heard (e->proxy->parts.upstreams, e->work.handle, now_ms ());
-  if (e->reading || !is_good (e))
-    {
-      evbuffer_add_buffer (e->held, data);
-      return;
-    }
-  note_first_byte (e);
-  if (e->is_events)
-    pass_events (e, data);
-  else
-    {
-      evbuffer_add_buffer (e->held, data);
-      if (e->started || evbuffer_get_length (e->held) > HOLD_BYTES)
-        {
-          start_answer (e);
-          front_request_send (e->caller, e->held);
-        }
-    }
-  if (e->started && front_request_backlog (e->caller) > BACKLOG_MAX_BYTES)
-    cut (e, "caller_too_slow");
-}
-
-static void
-on_head (void *arg, struct http_head *head, enum http_framing framing,
-         uint64_t length)
-{
-  struct exchange *e = arg;
-  const struct platform_ops *ops = e->proxy->parts.platform;
-  ops->read_answer (head, &e->answer_facts);
-  /* A stream that goes on elsewhere keeps the head of its first answer.  */
-  if (e->started)
-    {
-      if (head->status != e->answer->status)
-        e->answer_facts.signed_by_upstream = false;
-      return;
-    }
-  http_head_destroy (e->answer);
-  e->answer = http_head_copy (head);
-  const char *type = http_head_get (head, "Content-Type");
-  e->is_events = e->route->kind == ROUTE_STREAM && type
-                 && g_str_has_prefix (type, "text/event-stream");
-  e->framing = e->is_events && framing == HTTP_FRAMING_SIZED
-                   ? HTTP_FRAMING_CHUNKED
-                   : framing;
-  e->length = length;
-  http_head_strip_hop (e->answer, ops->kept_fields);
-  http_head_remove (e->answer, "Content-Length");
-}
-
-static void
-pass_whole (struct exchange *e)
-{
-  if (e->events.rest)
-    evbuffer_add_buffer (e->held, e->events.rest);
-  if (e->started)
-    {
-      front_request_send (e->caller, e->held);
-      front_request_end (e->caller);
-    }
-  else
-    {
-      size_t n = evbuffer_get_length (e->held);
-      front_request_reply (e->caller, e->answer, evbuffer_pullup (e->held, -1),
-                           n);
-    }
-  metrics_add (METRIC_answered_total, 1);
-  metrics_time (METRIC_request_seconds, (now_ms () - e->since_ms) * 1000);
-  log_end (e, is_good (e) ? "answered" : "upstream_failed", e->answer->status);
-  exchange_free (e);
-}
-
-/* The end of an attempt.  */
-
-static bool
-status_promises (unsigned status)
-{
-  return status == 408 || status == 421 || status == 429 || status == 503;
-}
-
-static enum attempt_outcome
-outcome_of (const struct exchange *e, enum pool_end end)
-{
-  if (end == POOL_NOT_SENT)
-    return ATTEMPT_NOT_SENT;
-  if (e->answer_facts.not_run)
-    return ATTEMPT_NOT_RUN;
-  if (end != POOL_WHOLE || e->answer == NULL)
-    return ATTEMPT_LOST;
-  if (is_good (e))
-    return ATTEMPT_ANSWERED;
-  unsigned status = e->answer->status;
-  /* A success without the upstream's mark, and a status that promises what the
-     upstream did not say, are no answers to pass on.  */
-  if (status < 300 || status_promises (status))
-    return ATTEMPT_LOST;
-  return status >= 500 ? ATTEMPT_FAILED : ATTEMPT_ANSWERED;
-}
-
-static bool
-may_try_again (struct exchange *e, enum attempt_outcome outcome, int64_t now)
-{
-  const struct proxy_parts *parts = &e->proxy->parts;
-  if (e->until_ms - now < ATTEMPT_MIN_MS || e->n_tried >= TRIED_MAX)
-    return false;
-  return outcome == ATTEMPT_NOT_SENT
-         || retry_windows_take (parts->retries, e->service,
-                                parts->count_vms (parts->arg), now);
-}
-
-static void
-give_up (struct exchange *e, enum attempt_step step,
-         enum attempt_outcome outcome)
-{
-  if (e->started)
-    cut (e, attempt_outcome_name (outcome));
-  else if (step == ATTEMPT_PASS_ON)
-    pass_whole (e);
-  else if (step == ATTEMPT_REFUSE)
-    refuse (e, attempt_outcome_name (outcome), RETRY_AFTER_MIN_MS);
-  else
-    answer_unknown (e, attempt_outcome_name (outcome), 502);
-}
-
-/* Forgets the answer of the attempt that ended.  */
-static void
-clear_answer (struct exchange *e)
-{
-  evbuffer_drain (e->held, evbuffer_get_length (e->held));
-  sse_drop_rest (&e->events);
-  if (e->started)
-    return;
-  http_head_destroy (e->answer);
-  e->answer = NULL;
-  e->first_byte = false;
-}
-
-static void
-on_end (void *arg, enum pool_end end)
-{
-  struct exchange *e = arg;
-  int64_t now = now_ms ();
-  if (e->reading)
-    {
-      end_reading (e, end);
-      return;
-    }
-  enum attempt_outcome outcome = outcome_of (e, end);
-  /* A reading can be fetched once; one that was asked for is spent.  */
-  if (outcome != ATTEMPT_NOT_SENT)
-    g_clear_pointer (&e->read_by, g_free);
-  e->call = NULL;
-  upstreams_ended (e->proxy->parts.upstreams, &e->work, outcome, now);
-  enum attempt_step step = attempts_ended (&e->attempts, outcome);
-  if (step == ATTEMPT_PASS_ON && outcome == ATTEMPT_ANSWERED)
-    {
-      pass_whole (e);
-      return;
-    }
-  log_event (LOG_INFO, "attempt_failed", "request", e->facts.id, "upstream",
-             e->upstream_id, "outcome", attempt_outcome_name (outcome),
-             "status", log_num (e->answer ? e->answer->status : 0),
-             "connection_end", log_num (end), "started",
-             e->started ? "true" : "false", NULL);
-  /* A stream whose caller has had events goes on only where it can be
-     resumed.  */
-  bool resumable = !e->started || (e->is_events && e->route->resumable);
-  if (step == ATTEMPT_AGAIN && resumable && may_try_again (e, outcome, now))
-    {
-      metrics_add (METRIC_retries_total, 1);
-      clear_answer (e);
-      attempt (e);
-      return;
-    }
-  if (step == ATTEMPT_AGAIN)
-    step = outcome == ATTEMPT_FAILED ? ATTEMPT_PASS_ON
-                                     : attempts_give_up (&e->attempts);
-  give_up (e, step, outcome);
-}
-
-static const struct pool_events pool_events = { on_head, on_data, on_end };
-
-/* Sending.  */
-
-static struct pool_call *
-send_to (struct exchange *e, const struct upstream_info *info, int64_t now)
-{
-  const struct platform_ops *ops = e->proxy->parts.platform;
-  struct http_head *h = http_head_copy (front_request_head (e->caller));
-  struct evbuffer *body = front_request_body (e->caller);
-  struct request_marks marks
-      = { .upstream = info->id,
-          .patience_ms = e->until_ms - now,
-          .read_only = e->reading,
-          .read_by = e->reading ? NULL : e->read_by,
-          .resume_after = e->started ? e->events.last_id : NULL };
-  http_head_strip_hop (h, ops->kept_fields);
-  http_head_remove (h, "Expect");
-  http_head_remove (h, "Content-Length");
-  size_t size = evbuffer_get_length (body);
-  if (size > 0 || strcmp (h->method, "POST") == 0
-      || strcmp (h->method, "PUT") == 0)
-    {
-      char text[24];
-      g_snprintf (text, sizeof text, "%zu", size);
-      http_head_add (h, "Content-Length", text);
-    }
-  ops->mark_request (h, &marks);
-  struct pool_request r
-      = { .upstream = info->id,
-          .address = info->address,
-          .connections = connection_share (e),
-          .id_field = ops->id_field,
-          .head = h,
-          .body = body,
-          .reuse_ms = e->attempts.repeatable ? REUSE_MS : ONCE_REUSE_MS };
-  struct pool_call *call
-      = pool_send (e->proxy->parts.pool, &r, &pool_events, e);
-  http_head_destroy (h);
-  return call;
-}
-
-/* Reading a prompt apart.  */
-
-static void
-on_dropped (void *arg, enum pool_end end)
-{
-  (void)arg;
-  (void)end;
-}
-
-static void
-on_dropped_head (void *arg, struct http_head *head, enum http_framing framing,
-                 uint64_t length)
-{
-  (void)arg;
-  (void)head;
-  (void)framing;
-  (void)length;
-}
-
-static void
-on_dropped_data (void *arg, struct evbuffer *data)
-{
-  (void)arg;
-  evbuffer_drain (data, evbuffer_get_length (data));
-}
-
-static const struct pool_events drop_events
-    = { on_dropped_head, on_dropped_data, on_dropped };
-
-/* Frees what was read for this request and not fetched.  */
-static void
-drop_reading (struct exchange *e)
-{
-  const struct proxy_parts *parts = &e->proxy->parts;
-  const struct upstream_info *info
-      = upstreams_info (parts->upstreams, e->reader);
-  if (e->read_by && info)
-    {
-      struct http_head *h = parts->platform->free_reading (e->read_by);
-      struct pool_request r = { .upstream = info->id,
-                                .address = info->address,
-                                .connections = connection_share (e),
-                                .head = h,
-                                .reuse_ms = REUSE_MS };
-      (void)pool_send (parts->pool, &r, &drop_events, NULL);
-      http_head_destroy (h);
-      metrics_add (METRIC_readings_dropped_total, 1);
-    }
-  g_clear_pointer (&e->read_by, g_free);
-}
-
-/* The prompt has been read, or not: either way the request is sent to an
-   engine that takes it whole.  The call did not run it.  */
-static void
-end_reading (struct exchange *e, enum pool_end end)
-{
-  const struct proxy_parts *parts = &e->proxy->parts;
-  const struct upstream_info *info
-      = upstreams_info (parts->upstreams, e->work.handle);
-  int64_t now = now_ms ();
-  size_t n = evbuffer_get_length (e->held);
-  bool whole = end == POOL_WHOLE && e->answer && e->answer->status == 200;
-  e->call = NULL;
-  e->reading = false;
-  e->read_once = true;
-  if (whole && info)
-    {
-      e->reader = e->work.handle;
-      e->read_by = parts->platform->take_reading (
-          info->address, evbuffer_pullup (e->held, -1), n);
-    }
-  enum attempt_outcome outcome
-      = e->read_by ? ATTEMPT_ANSWERED
-                   : (e->answer_facts.not_run ? ATTEMPT_NOT_RUN
-                      : end == POOL_NOT_SENT  ? ATTEMPT_NOT_SENT
-                                              : ATTEMPT_LOST);
-  upstreams_first_byte (parts->upstreams, &e->work, now);
-  upstreams_ended (parts->upstreams, &e->work, outcome, now);
-  log_event (e->read_by ? LOG_DEBUG : LOG_INFO, "prompt_read", "request",
-             e->facts.id, "upstream", e->upstream_id, "outcome",
-             attempt_outcome_name (outcome), "status",
-             log_num (e->answer ? e->answer->status : 0), "ms",
-             log_num (now - e->since_ms), NULL);
-  clear_answer (e);
-  if (outcome == ATTEMPT_ANSWERED || may_try_again (e, outcome, now))
-    attempt (e);
-  else
-    give_up (e, ATTEMPT_REFUSE, outcome);
-}
-
-/* Whether the expected time is too long to send the request at all.  */
-static bool
-is_hopeless (const struct exchange *e, const struct upstream_choice *c,
-             int64_t now)
-{
-  double left = (double)(e->until_ms - now - PATIENCE_MARGIN_MS);
-  double late = e->route->target_ms * LATE_FACTOR;
-  double patience = (double)(e->until_ms - e->since_ms);
-  late = MAX (late, patience * LATE_PATIENCE_PERCENT / 100);
-  return c->expected_ms > MIN (left, late);
-}
-
-static void
-refuse_full (struct exchange *e, const struct upstream_choice *c)
-{
-  double over = c->expected_ms - e->route->target_ms;
-  refuse (e, "overload", over > 0 ? (unsigned)MIN (over, 100000) : 0);
-}
-
-static void
-attempt (struct exchange *e)
-{
-  const struct proxy_parts *parts = &e->proxy->parts;
-  const struct prompt *prompt = e->facts.has_prompt ? &e->facts.prompt : NULL;
-  struct upstream_ask ask
-      = { .service = e->service, .prompt = prompt, .tried = e->tried };
-  e->answer_facts = (struct answer_facts){ 0 };
-  for (;;)
-    {
-      int64_t now = now_ms ();
-      ask.n_tried = e->n_tried;
-      ask.reader = e->read_by ? e->reader : 0;
-      struct upstream_choice c
-          = upstreams_choose (parts->upstreams, &ask, now);
-      if (c.handle == 0)
-        {
-          give_up (e, attempts_give_up (&e->attempts), ATTEMPT_NOT_SENT);
-          return;
-        }
-      e->expected_ms = c.expected_ms;
-      if (e->tries == 0 && e->read_by == NULL && is_hopeless (e, &c, now))
-        {
-          refuse_full (e, &c);
-          return;
-        }
-      const struct upstream_info *info
-          = upstreams_info (parts->upstreams, c.handle);
-      e->tried[e->n_tried++] = c.handle;
-      e->reading = c.reads_apart;
-      e->call = send_to (e, info, now);
-      if (e->call)
-        {
-          e->tries += e->reading ? 0 : 1;
-          g_strlcpy (e->upstream_id, info->id, sizeof e->upstream_id);
-          upstreams_sent (parts->upstreams, &c, prompt, now, &e->work);
-          return;
-        }
-      if (e->n_tried >= TRIED_MAX)
-        {
-          give_up (e, attempts_give_up (&e->attempts), ATTEMPT_NOT_SENT);
-          return;
-        }
-    }
+    exchange_refuse (e, "timeout_before_sending", EXCHANGE_RETRY_AFTER_MIN_MS);
 }
 
 /* Taking requests.  */
@@ -641,7 +44,7 @@
   if (e->facts.patience_ms >= 0)
     ms = MIN (ms, e->facts.patience_ms);
   e->until_ms = e->since_ms + ms;
-  int64_t left = MAX (e->until_ms - now_ms (), 0);
+  int64_t left = MAX (e->until_ms - exchange_now_ms (), 0);
   struct timeval tv = { left / 1000, (left % 1000) * 1000 };
   e->timer = evtimer_new (e->proxy->parts.base, on_timeout, e);
   evtimer_add (e->timer, &tv);
@@ -661,18 +64,18 @@
 route_exchange (struct exchange *e, const struct http_head *head)
 {
   if (e->table == NULL)
-    refuse (e, "no_routes_known", NOT_READY_RETRY_MS);
+    exchange_refuse (e, "no_routes_known", NOT_READY_RETRY_MS);
   else if (e->facts.id == NULL)
-    reply_own (e, 400, "no_request_id", 0);
+    exchange_reply (e, 400, "no_request_id", 0);
   else if (!find_route (e, head))
-    reply_own (e, 404, "no_route", 0);
+    exchange_reply (e, 404, "no_route", 0);
   else
     {
       set_deadline (e);
       e->attempts
           = attempts_start (route_repeatable (e->route), e->route->attempts);
       retry_windows_request (e->proxy->parts.retries, e->service, e->since_ms);
-      attempt (e);
+      exchange_attempt (e);
     }
 }
 
@@ -703,11 +106,11 @@
 {
   log_event (LOG_INFO, "upstream_silent", "request", e->facts.id, "upstream",
              e->upstream_id, "waited_ms",
-             log_num (now_ms () - e->work.sent_ms), "expected_ms",
+             log_num (exchange_now_ms () - e->work.sent_ms), "expected_ms",
              log_num ((long long)e->work.expected_ms), NULL);
   pool_cancel (e->call);
   e->answer_facts = (struct answer_facts){ 0 };
-  on_end (e, POOL_SILENT);
+  exchange_attempt_ended (e, POOL_SILENT);
 }
 
 static void
@@ -716,13 +119,13 @@
   (void)fd;
   (void)what;
   struct proxy *p = arg;
-  int64_t now = now_ms ();
+  int64_t now = exchange_now_ms ();
   g_autoptr (GList) open = g_hash_table_get_keys (p->open);
   for (GList *l = open; l; l = l->next)
     {
       struct exchange *e = l->data;
       if (e->call && (e->attempts.repeatable || e->reading)
-          && e->until_ms - now > ATTEMPT_MIN_MS
+          && e->until_ms - now > EXCHANGE_ATTEMPT_MIN_MS
           && upstreams_is_silent (p->parts.upstreams, &e->work, now))
         leave_silent (e);
     }
@@ -749,7 +152,7 @@
     return;
   g_autoptr (GList) open = g_hash_table_get_keys (p->open);
   for (GList *l = open; l; l = l->next)
-    cut (l->data, "stopped");
+    exchange_cut (l->data, "stopped");
   event_free (p->timer);
   g_hash_table_destroy (p->open);
   route_table_unref (p->table);
--- /dev/null
+++ b/src/daemon/reading.c
@@ -0,0 +1,91 @@
+#include "base/log.h"
+#include "base/metrics.h"
+#include "daemon/exchange.h"
+
+static void
+on_dropped (void *arg, enum pool_end end)
+{
+  (void)arg;
+  (void)end;
+}
+
+static void
+on_dropped_head (void *arg, struct http_head *head, enum http_framing framing,
+                 uint64_t length)
+{
+  (void)arg;
+  (void)head;
+  (void)framing;
+  (void)length;
+}
+
+static void
+on_dropped_data (void *arg, struct evbuffer *data)
+{
+  (void)arg;
+  evbuffer_drain (data, evbuffer_get_length (data));
+}
+
+static const struct pool_events drop_events
+    = { on_dropped_head, on_dropped_data, on_dropped };
+
+/* Frees what was read for this request and not fetched.  */
+void
+reading_drop (struct exchange *e)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  const struct upstream_info *info
+      = upstreams_info (parts->upstreams, e->reader);
+  if (e->read_by && info)
+    {
+      struct http_head *h = parts->platform->free_reading (e->read_by);
+      struct pool_request r = { .upstream = info->id,
+                                .address = info->address,
+                                .connections = exchange_connection_share (e),
+                                .head = h,
+                                .reuse_ms = EXCHANGE_REUSE_MS };
+      (void)pool_send (parts->pool, &r, &drop_events, NULL);
+      http_head_destroy (h);
+      metrics_add (METRIC_readings_dropped_total, 1);
+    }
+  g_clear_pointer (&e->read_by, g_free);
+}
+
+/* The prompt has been read, or not: either way the request is sent to an
+   engine that takes it whole.  The call did not run it.  */
+void
+reading_ended (struct exchange *e, enum pool_end end)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  const struct upstream_info *info
+      = upstreams_info (parts->upstreams, e->work.handle);
+  int64_t now = exchange_now_ms ();
+  size_t n = evbuffer_get_length (e->held);
+  bool whole = end == POOL_WHOLE && e->answer && e->answer->status == 200;
+  e->call = NULL;
+  e->reading = false;
+  e->read_once = true;
+  if (whole && info)
+    {
+      e->reader = e->work.handle;
+      e->read_by = parts->platform->take_reading (
+          info->address, evbuffer_pullup (e->held, -1), n);
+    }
+  enum attempt_outcome outcome
+      = e->read_by ? ATTEMPT_ANSWERED
+                   : (e->answer_facts.not_run ? ATTEMPT_NOT_RUN
+                      : end == POOL_NOT_SENT  ? ATTEMPT_NOT_SENT
+                                              : ATTEMPT_LOST);
+  upstreams_first_byte (parts->upstreams, &e->work, now);
+  upstreams_ended (parts->upstreams, &e->work, outcome, now);
+  log_event (e->read_by ? LOG_DEBUG : LOG_INFO, "prompt_read", "request",
+             e->facts.id, "upstream", e->upstream_id, "outcome",
+             attempt_outcome_name (outcome), "status",
+             log_num (e->answer ? e->answer->status : 0), "ms",
+             log_num (now - e->since_ms), NULL);
+  exchange_clear_answer (e);
+  if (outcome == ATTEMPT_ANSWERED || exchange_may_try_again (e, outcome, now))
+    exchange_attempt (e);
+  else
+    exchange_give_up (e, ATTEMPT_REFUSE, outcome);
+}
--- /dev/null
+++ b/src/decide/placing.c
@@ -0,0 +1,303 @@
+#include "decide/placing.h"
+
+#include "decide/upstreams_table.h"
+
+#include <float.h>
+#include <math.h>
+#include <string.h>
+#include <xxhash.h>
+
+/* Shares of prompts: an engine that only reads, reads twice as fast.  */
+#define READER_WEIGHT 2.0
+#define DECODER_WEIGHT 1.0
+/* Transfer of a read prompt by distance.  */
+#define TRANSFER_NEAR_MS 4.0
+#define TRANSFER_REGION_MS 8.0
+#define TRANSFER_FAR_MS 60.0
+/* What a request at an engine, and the reading before it, cost one that is
+   already read.  */
+#define DECODE_SHARE_MS 0.5
+#define DECODE_READING_PART 0.25
+/* What another engine than a prompt's first choice must be faster by, for each
+   1,000 shared tokens: it would cache them a second time.  */
+#define SPILL_MS_PER_1000 4.0
+/* What the failures of an instance, as a share of its latest outcomes, cost in
+   the choice.  */
+#define FAILURE_COST_MS 400.0
+/* Part of an engine's slots that requests which only generate may fill before
+   one more engine is kept for them, and what another engine costs them.  */
+#define GENERATING_PERCENT 75
+#define DISTURBED_MS 150.0
+/* What a long prompt costs each request that only generates at its engine.  */
+#define DISTURBING_MS 10.0
+/* Wait for one more slot of an engine whose slots are all taken.  */
+#define SLOT_WAIT_MS 150.0
+
+static bool
+was_tried (const struct upstream_ask *ask, upstream_handle h)
+{
+  for (unsigned i = 0; i < ask->n_tried; i++)
+    if (ask->tried[i] == h)
+      return true;
+  return false;
+}
+
+/* The part by which prompts are gathered: the last one that is shared.  */
+static uint64_t
+gathering_part (const struct prompt *p)
+{
+  if (p->n_parts == 0)
+    return 0;
+  return p->parts[p->n_parts >= 2 ? p->n_parts - 2 : 0].id;
+}
+
+/* Weighted rendezvous: an engine's chance to rank first is its weight.  */
+static double
+rank (uint64_t part, const struct upstream *x)
+{
+  const char *id = x->info.id;
+  double u = ((double)XXH64 (id, strlen (id), part) + 1) / 0x1p64;
+  double weight
+      = x->info.role == UPSTREAM_PREFILL ? READER_WEIGHT : DECODER_WEIGHT;
+  return u < 1 ? weight / -log (u) : DBL_MAX;
+}
+
+static bool
+may_read_apart (const struct upstream_ask *ask)
+{
+  return ask->prompt && !ask->whole && ask->reader == 0
+         && ask->prompt->tokens >= READ_APART_MIN_TOKENS;
+}
+
+static bool
+has_long_prompt (const struct upstream_ask *ask)
+{
+  return ask->prompt && ask->reader == 0
+         && ask->prompt->tokens >= READ_APART_MIN_TOKENS;
+}
+
+static bool
+is_decoder (const struct upstream *x, const char *service)
+{
+  return x->used && !x->info.leaving && x->info.role == UPSTREAM_DECODE
+         && strcmp (x->info.service, service) == 0;
+}
+
+static uint64_t
+keep_rank (const struct upstream *x)
+{
+  return XXH64 (x->info.id, strlen (x->info.id), 0);
+}
+
+/* Decides which decoding engines of SERVICE are kept free of long prompts; all
+   VMs find the same ones, in the order of keep_rank.  */
+static void
+mark_kept (const struct upstreams *u, const char *service, int64_t now_ms)
+{
+  unsigned decoders = 0;
+  unsigned slots = 0;
+  unsigned generating = 0;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      struct upstream *x = upstreams_slot (u, i);
+      x->kept = false;
+      if (!is_decoder (x, service))
+        continue;
+      decoders++;
+      slots = MAX (slots, x->info.slots);
+      generating += upstreams_whole_load (x, now_ms).generating;
+    }
+  unsigned room = MAX (slots * GENERATING_PERCENT / 100, 1);
+  unsigned wanted = MIN (1 + generating / room, decoders - MIN (decoders, 1));
+  for (; wanted > 0; wanted--)
+    {
+      struct upstream *first = NULL;
+      for (guint i = 1; i < u->slots->len; i++)
+        {
+          struct upstream *x = upstreams_slot (u, i);
+          if (is_decoder (x, service) && !x->kept
+              && (first == NULL || keep_rank (x) > keep_rank (first)))
+            first = x;
+        }
+      first->kept = true;
+    }
+}
+
+static bool
+takes (const struct upstream *x, const struct upstream_ask *ask)
+{
+  return x->used && !x->info.leaving
+         && (x->info.role != UPSTREAM_PREFILL || may_read_apart (ask))
+         && !(x->kept && has_long_prompt (ask))
+         && strcmp (x->info.service, ask->service) == 0;
+}
+
+static guint
+find_home (const struct upstreams *u, const struct upstream_ask *ask)
+{
+  guint home = 0;
+  double highest = 0;
+  if (ask->prompt == NULL)
+    return 0;
+  uint64_t part = gathering_part (ask->prompt);
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = upstreams_slot (u, i);
+      if (!takes (x, ask))
+        continue;
+      double r = rank (part, x);
+      if (home == 0 || r > highest)
+        {
+          home = i;
+          highest = r;
+        }
+    }
+  return home;
+}
+
+/* Time of a transfer between two engines.  */
+static double
+transfer_ms (const struct upstreams *u, const struct upstream *from,
+             const struct upstream *to)
+{
+  const char *a = from->info.failure_domain;
+  const char *b = to->info.failure_domain;
+  if (strcmp (a, b) == 0)
+    return TRANSFER_NEAR_MS;
+  const char *x = u->place.region_of (u->place.arg, a);
+  const char *y = u->place.region_of (u->place.arg, b);
+  return x && y && strcmp (x, y) == 0 ? TRANSFER_REGION_MS : TRANSFER_FAR_MS;
+}
+
+/* Wait for a slot at X.  */
+static double
+slot_wait_ms (const struct upstream *x, const struct upstream_load *load)
+{
+  unsigned slots = MAX (x->info.slots, 1);
+  return load->running >= slots ? (load->running - slots + 1) * SLOT_WAIT_MS
+                                : 0;
+}
+
+/* Time to the first token at X of a prompt that FROM has read.  */
+static double
+decode_ms (const struct upstreams *u, const struct upstream *from,
+           const struct upstream *x, int64_t now_ms)
+{
+  struct upstream_load load = upstreams_whole_load (x, now_ms);
+  return transfer_ms (u, from, x) + upstreams_rtt_ms (u, x) + FIRST_TOKEN_MS
+         + load.running * DECODE_SHARE_MS
+         + (double)load.tokens / x->tokens_per_ms * DECODE_READING_PART;
+}
+
+/* The shortest such time, of engines that take whole requests.  */
+static double
+nearest_decode_ms (const struct upstreams *u, const struct upstream *from,
+                   int64_t now_ms)
+{
+  double best = DBL_MAX;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = upstreams_slot (u, i);
+      if (!x->used || x->info.leaving || x->info.role != UPSTREAM_DECODE
+          || strcmp (x->info.service, from->info.service) != 0
+          || upstreams_is_resting (x, now_ms))
+        continue;
+      best = MIN (best, decode_ms (u, from, x, now_ms));
+    }
+  return best;
+}
+
+static uint64_t
+shared_tokens (const struct prompt *p)
+{
+  uint64_t own = p->n_parts > 0 ? p->parts[p->n_parts - 1].tokens : 0;
+  return p->n_parts >= 2 && p->tokens > own ? p->tokens - own : 0;
+}
+
+static double
+spill_ms (const struct prompt *p)
+{
+  return (double)shared_tokens (p) / 1000 * SPILL_MS_PER_1000;
+}
+
+static uint64_t
+tokens_to_read (const struct upstream *x, const struct prompt *p, bool is_home)
+{
+  uint64_t cached = prefixes_match (x->prefixes, p);
+  /* Other VMs send the same parts to the same home.  */
+  if (is_home)
+    cached = MAX (cached, shared_tokens (p));
+  return p->tokens > cached ? p->tokens - cached : 0;
+}
+
+/* Fills what is expected of X, and returns what it is ranked by: the same
+   time, and what choosing it costs others or risks.  */
+static double
+expect (const struct upstreams *u, const struct upstream *x, bool is_home,
+        const struct upstream_ask *ask, int64_t now_ms,
+        struct upstream_choice *out)
+{
+  const struct upstream *reader = upstreams_at (u, ask->reader);
+  struct upstream_load load = upstreams_whole_load (x, now_ms);
+  double ms = upstreams_rtt_ms (u, x);
+  double cost = x->failures * FAILURE_COST_MS;
+  if (reader)
+    ms = decode_ms (u, reader, x, now_ms);
+  else if (ask->prompt)
+    {
+      out->tokens = tokens_to_read (x, ask->prompt, is_home);
+      out->reads_apart = x->info.role == UPSTREAM_PREFILL;
+      ms += (double)(load.tokens + out->tokens) / x->tokens_per_ms;
+      ms += out->reads_apart ? nearest_decode_ms (u, x, now_ms)
+                             : FIRST_TOKEN_MS;
+      cost += is_home ? 0 : spill_ms (ask->prompt);
+      if (has_long_prompt (ask))
+        cost += load.generating * DISTURBING_MS;
+      if (!has_long_prompt (ask) && x->info.role == UPSTREAM_DECODE)
+        {
+          ms += slot_wait_ms (x, &load);
+          cost
+              += load.running * DECODE_SHARE_MS + (x->kept ? 0 : DISTURBED_MS);
+        }
+    }
+  else
+    {
+      double turns = (double)load.running / (double)MAX (x->info.slots, 1);
+      ms += x->service_ms * (1 + (turns < 1 ? turns / 8 : turns));
+    }
+  out->expected_ms = ms;
+  return ms + cost;
+}
+
+struct upstream_choice
+placing_choose (const struct upstreams *u, const struct upstream_ask *ask,
+                int64_t now_ms)
+{
+  struct upstream_choice best = { 0 };
+  bool best_rests = false;
+  double best_cost = DBL_MAX;
+  if (ask->prompt)
+    mark_kept (u, ask->service, now_ms);
+  guint home = find_home (u, ask);
+  unsigned candidates = 0;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = upstreams_slot (u, i);
+      if (!takes (x, ask) || was_tried (ask, upstreams_handle_of (u, i)))
+        continue;
+      struct upstream_choice c
+          = { .handle = upstreams_handle_of (u, i), .is_home = i == home };
+      bool rests = upstreams_is_resting (x, now_ms);
+      double cost = expect (u, x, c.is_home, ask, now_ms, &c);
+      candidates++;
+      if (best.handle
+          && (rests > best_rests
+              || (rests == best_rests && cost >= best_cost)))
+        continue;
+      best_cost = cost;
+      best = c;
+      best_rests = rests;
+    }
+  best.candidates = candidates;
+  return best;
+}
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -1,13 +1,9 @@
 /** @file
-    Upstreams: the instances of each service, what they are busy with, how they
-    did, and which of them a request is sent to.
-
-    Load it answers: prompts of thousands of tokens that share long parts,
-    beside short ones, on engines whose own reports are late.  An engine that
-    reads a prompt between the tokens of its other requests makes these pause;
-    so a part of the engines, as many as the requests that only generate need,
-    reads no long prompts.  A VM counts what
-    it sent itself exactly, and adds what other VMs last told.  Pure.  */
+    Upstreams: the instances of each service, what they are busy with, and how
+    they did.
+
+    A VM counts what it sent itself exactly, and adds what other VMs last told.
+    Pure.  */
 #ifndef DECIDE_UPSTREAMS_H
 #define DECIDE_UPSTREAMS_H
 
@@ -88,18 +84,7 @@
 /** Number of instances.  */
 unsigned upstreams_count (const struct upstreams *u);
 
-/* Choosing.  */
-
-/** A request that looks for an instance.  */
-struct upstream_ask
-{
-  const char *service;
-  const struct prompt *prompt;  /**< NULL for plain requests */
-  const upstream_handle *tried; /**< instances that are passed over */
-  unsigned n_tried;
-  bool whole;             /**< only instances that take the whole request */
-  upstream_handle reader; /**< engine that has read the prompt, or 0 */
-};
+/* Work.  */
 
 /** What was chosen, and why.  */
 struct upstream_choice
@@ -113,11 +98,6 @@
   unsigned candidates;
 };
 
-/** Chooses the instance that is expected to answer first.  */
-struct upstream_choice upstreams_choose (const struct upstreams *u,
-                                         const struct upstream_ask *ask,
-                                         int64_t now_ms);
-
 /** Work that was given to an instance.  */
 struct upstream_work
 {
--- /dev/null
+++ b/src/decide/upstreams_table.h
@@ -0,0 +1,75 @@
+/** @file
+    The table behind decide/upstreams.h, for the modules of decide/ that read
+    it.  */
+#ifndef DECIDE_UPSTREAMS_TABLE_H
+#define DECIDE_UPSTREAMS_TABLE_H
+
+#include "decide/upstreams.h"
+
+/* Round trips by distance, before anything was measured.  */
+#define NEAR_RTT_MS 1.0
+#define REGION_RTT_MS 3.0
+#define FAR_RTT_MS 25.0
+/* Prompts below this many tokens are not read apart: the second call and the
+   transfer would take longer.  */
+#define READ_APART_MIN_TOKENS 1500
+/* An engine's own time for a token of the answer's start.  */
+#define FIRST_TOKEN_MS 8.0
+
+/** Load that another VM told.  */
+struct heard
+{
+  struct upstream_load load;
+  int64_t at_ms;
+};
+
+/** One instance.  */
+struct upstream
+{
+  struct upstream_info info;
+  uint16_t generation;
+  bool used;
+  struct upstream_load own;
+  bool kept;         /* free of long prompts, as of the latest choice */
+  GHashTable *heard; /* vm -> struct heard */
+  struct prefixes *prefixes;
+  double tokens_per_ms;
+  double service_ms;
+  double failures; /* share of the latest outcomes, 0 to 1 */
+  int64_t failed_ms;
+  int64_t
+      heard_ms; /* when it last sent a byte, or got work after having none */
+  int64_t full_until_ms;
+};
+
+/** The table.  */
+struct upstreams
+{
+  struct upstream_place place;
+  GArray *slots;      /* struct upstream; 0 is never used */
+  GHashTable *by_id;  /* id -> index */
+  GHashTable *memory; /* service -> tokens */
+};
+
+/** Place number I, used or not; 0 is never used.  */
+static inline struct upstream *
+upstreams_slot (const struct upstreams *u, guint i)
+{
+  return &g_array_index (u->slots, struct upstream, i);
+}
+
+/** Handle of the instance in place I.  */
+upstream_handle upstreams_handle_of (const struct upstreams *u, guint i);
+/** The instance of H, or NULL.  */
+struct upstream *upstreams_at (const struct upstreams *u, upstream_handle h);
+/** Load that all VMs put on X, as far as it is known.  */
+struct upstream_load upstreams_whole_load (const struct upstream *x,
+                                           int64_t now_ms);
+/** Round trip to X.  */
+double upstreams_rtt_ms (const struct upstreams *u, const struct upstream *x);
+/** Whether X has answered none of its requests for long.  */
+bool upstreams_is_quiet (const struct upstream *x, int64_t now_ms);
+/** Whether X is passed over for now.  */
+bool upstreams_is_resting (const struct upstream *x, int64_t now_ms);
+
+#endif
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -2,6 +2,7 @@
     Decisions of the routed path: routes, attempts, the retry budget, the
    prefix index, the choice of an upstream.  */
 #include "decide/attempts.h"
+#include "decide/placing.h"
 #include "decide/prefixes.h"
 #include "decide/retry_window.h"
 #include "decide/routes.h"
@@ -228,7 +229,7 @@
 chosen (const struct upstreams *u, const struct prompt *p, int64_t now)
 {
   struct upstream_ask ask = { .service = "s", .prompt = p };
-  struct upstream_choice c = upstreams_choose (u, &ask, now);
+  struct upstream_choice c = placing_choose (u, &ask, now);
   const struct upstream_info *info = upstreams_info (u, c.handle);
   return info ? info->id : NULL;
 }
@@ -245,7 +246,7 @@
   for (unsigned i = 0; i < 8; i++)
     {
       struct upstream_work work;
-      struct upstream_choice c = upstreams_choose (u, &ask, 0);
+      struct upstream_choice c = placing_choose (u, &ask, 0);
       const char *id = upstreams_info (u, c.handle)->id;
       g_assert_cmpstr (id, !=, "leaving");
       far += strcmp (id, "far") == 0;
@@ -292,7 +293,7 @@
   upstream_handle tried = upstreams_find (u, "b");
   ask.tried = &tried;
   ask.n_tried = 1;
-  struct upstream_choice c = upstreams_choose (u, &ask, 20);
+  struct upstream_choice c = placing_choose (u, &ask, 20);
   g_assert_cmpstr (upstreams_info (u, c.handle)->id, ==, "a");
   /* Its failures say nothing of how long an answer takes.  */
   g_assert_cmpfloat (c.expected_ms, <, 100);
@@ -372,7 +373,7 @@
   for (unsigned n = 0; n < 40; n++)
     {
       struct upstream_ask ask = { .service = "s", .prompt = &small };
-      struct upstream_choice c = upstreams_choose (u, &ask, 0);
+      struct upstream_choice c = placing_choose (u, &ask, 0);
       struct upstream_work work;
       unsigned reading[5] = { 0 };
       for (unsigned i = 0; i < 100; i++)
@@ -422,19 +423,19 @@
     {
       struct prompt p = make_prompt (1, 1000 + i, 5000 + i);
       struct upstream_ask ask = { .service = "s", .prompt = &p };
-      struct upstream_choice c = upstreams_choose (u, &ask, 0);
+      struct upstream_choice c = placing_choose (u, &ask, 0);
       g_assert_true (c.reads_apart
                      == (c.handle == upstreams_find (u, "reader")));
       apart += c.reads_apart;
       /* Once it has been read, a near engine generates.  */
       ask.reader = upstreams_find (u, "reader");
-      c = upstreams_choose (u, &ask, 0);
+      c = placing_choose (u, &ask, 0);
       g_assert_cmpstr (upstreams_info (u, c.handle)->id, ==, "decoder");
       g_assert_cmpuint (c.tokens, ==, 0);
       /* A short prompt, and one whose reading failed, are not.  */
       ask.reader = 0;
       ask.whole = true;
-      c = upstreams_choose (u, &ask, 0);
+      c = placing_choose (u, &ask, 0);
       g_assert_false (c.reads_apart);
     }
   struct prompt small = { .n_parts = 1, .tokens = 200 };
