--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -4,7 +4,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/discovery.h"
-#include "daemon/fleet.h"
+#include "daemon/roster.h"
 #include "daemon/inspect.h"
 #include "daemon/proxy.h"
 
@@ -45,7 +45,7 @@
   struct retry_windows *retries;
   struct proxy *proxy;
   struct discovery *discovery;
-  struct fleet *fleet;
+  struct roster *roster;
   struct front *callers;
   struct front *ready;
   struct front *entry;
@@ -78,7 +78,7 @@
 count_vms (void *arg)
 {
   const struct gateway *r = arg;
-  return fleet_size (r->fleet);
+  return roster_size (r->roster);
 }
 
 static bool
@@ -159,7 +159,7 @@
       return;
     }
   g_autoptr (GPtrArray) addresses
-      = fleet_entry_addresses (r->fleet, q.failure_domain, q.region);
+      = roster_entry_addresses (r->roster, q.failure_domain, q.region);
   if (addresses->len > 0 && (is_ready (r) || r->leaving_ms != 0))
     {
       g_autofree char *body = r->platform->write_entry_answer (
@@ -181,7 +181,7 @@
                                  .ready = is_ready (r),
                                  .proxy = r->proxy,
                                  .discovery = r->discovery,
-                                 .fleet = r->fleet,
+                                 .roster = r->roster,
                                  .upstreams = r->upstreams,
                                  .pool = r->pool,
                                  .kv = r->kv };
@@ -203,7 +203,7 @@
     return;
   r->was_ready = ready;
   if (ready)
-    fleet_join (r->fleet);
+    roster_join (r->roster);
   const struct route_table *t = proxy_routes (r->proxy);
   log_event (LOG_INFO, ready ? "ready" : "not_ready", "routes_version",
              log_num (t ? (long long)route_table_version (t) : -1),
@@ -304,7 +304,7 @@
   log_event (LOG_INFO, "stopping", "signal", log_num (signal), "open",
              log_num (proxy_open (r->proxy)), "deadline_s",
              log_num ((long long)r->settings->leave_deadline_s), NULL);
-  fleet_leave (r->fleet);
+  roster_leave (r->roster);
   front_drain (r->callers, STOP_IDLE_MS);
 }
 
@@ -391,17 +391,17 @@
   r->upstreams = upstreams_create (&place);
   r->retries = retry_windows_create (&bounds);
   apply_settings (r);
-  struct fleet_parts fleet = { .base = r->base,
-                               .kv = r->kv,
-                               .upstreams = r->upstreams,
-                               .vm = s->vm,
-                               .ip = s->ip,
-                               .peer_port = (uint16_t)s->peer_port,
-                               .front_port = port_of (s->front_address),
-                               .failure_domain = s->failure_domain,
-                               .region_of = region_of,
-                               .arg = r };
-  r->fleet = fleet_create (&fleet);
+  struct roster_parts roster = { .base = r->base,
+                                 .kv = r->kv,
+                                 .upstreams = r->upstreams,
+                                 .vm = s->vm,
+                                 .ip = s->ip,
+                                 .peer_port = (uint16_t)s->peer_port,
+                                 .front_port = port_of (s->front_address),
+                                 .failure_domain = s->failure_domain,
+                                 .region_of = region_of,
+                                 .arg = r };
+  r->roster = roster_create (&roster);
   struct proxy_parts parts = { .base = r->base,
                                .platform = r->platform,
                                .pool = r->pool,
@@ -450,7 +450,7 @@
              "region", r->settings->region, "failure_domain",
              r->settings->failure_domain, "kv", r->settings->kv, NULL);
   event_base_dispatch (r->base);
-  fleet_left (r->fleet);
+  roster_left (r->roster);
   log_event (LOG_INFO, "stopped", "cut", log_num (proxy_open (r->proxy)),
              NULL);
   event_free (term);
@@ -466,7 +466,7 @@
   if (r->timer)
     event_free (r->timer);
   discovery_destroy (r->discovery);
-  fleet_destroy (r->fleet);
+  roster_destroy (r->roster);
   proxy_destroy (r->proxy);
   front_destroy (r->callers);
   front_destroy (r->ready);
--- a/src/daemon/inspect.h
+++ b/src/daemon/inspect.h
@@ -5,7 +5,7 @@
 #define DAEMON_INSPECT_H
 
 #include "daemon/discovery.h"
-#include "daemon/fleet.h"
+#include "daemon/roster.h"
 #include "daemon/proxy.h"
 #include "links/front.h"
 #include "links/kv.h"
@@ -20,7 +20,7 @@
   bool ready;
   const struct proxy *proxy;
   const struct discovery *discovery;
-  const struct fleet *fleet;
+  const struct roster *roster;
   const struct upstreams *upstreams;
   const struct pool *pool;
   const struct kv *kv;
--- a/src/daemon/fleet.c
+++ b/src/daemon/roster.c
@@ -1,4 +1,4 @@
-#include "daemon/fleet.h"
+#include "daemon/roster.h"
 
 #include "base/log.h"
 #include "base/metrics.h"
@@ -25,7 +25,7 @@
 #define GOSSIP_REGION "fleet"
 
 /* Steps of joining.  */
-enum fleet_step
+enum roster_step
 {
   STEP_IDLE,
   STEP_KEY,   /* the fleet's key is read, or made */
@@ -34,13 +34,13 @@
   STEP_JOINED
 };
 
-struct fleet
+struct roster
 {
-  struct fleet_parts parts;
+  struct roster_parts parts;
   struct members *members;
   struct gossip_link *gossip;
   struct event *timer;
-  enum fleet_step step;
+  enum roster_step step;
   bool busy; /* a call to the service is under way */
   char *fleet_key;
   GPtrArray *addresses; /* IP:PORT of VMs that the service named */
@@ -58,13 +58,13 @@
 }
 
 static char *
-own_key (const struct fleet *f)
+own_key (const struct roster *f)
 {
   return g_strconcat (KEYS_OF_VMS, f->parts.vm, NULL);
 }
 
 static char *
-own_address (const struct fleet *f)
+own_address (const struct roster *f)
 {
   return g_strdup_printf ("%s:%u", f->parts.ip, f->parts.peer_port);
 }
@@ -72,7 +72,7 @@
 /* Joining.  */
 
 static void
-failed (struct fleet *f, const char *what, enum kv_status status)
+failed (struct roster *f, const char *what, enum kv_status status)
 {
   log_event (LOG_WARN, "join_waits", "step", what, "status", log_num (status),
              "retry_ms", log_num (RETRY_MS), NULL);
@@ -82,7 +82,7 @@
 static const char *
 join_address (void *arg, unsigned i)
 {
-  const struct fleet *f = arg;
+  const struct roster *f = arg;
   return i < f->addresses->len ? g_ptr_array_index (f->addresses, i) : NULL;
 }
 
@@ -104,7 +104,7 @@
 static void
 on_frame (void *arg, const struct frame *frame)
 {
-  struct fleet *f = arg;
+  struct roster *f = arg;
   if (frame->type != MESSAGE_UPSTREAM_SHARES)
     return;
   const struct upstream_shares *m = frame->message;
@@ -121,7 +121,7 @@
 }
 
 static void
-open_gossip (struct fleet *f)
+open_gossip (struct roster *f)
 {
   g_autoptr (GError) error = NULL;
   struct gossip_parts parts = { .base = f->parts.base,
@@ -150,7 +150,7 @@
 static void
 on_written (void *arg, enum kv_status status, int64_t revision)
 {
-  struct fleet *f = arg;
+  struct roster *f = arg;
   f->busy = false;
   /* An answer that was lost, or a newer entry: read again what stands.  */
   if (status != KV_OK)
@@ -164,7 +164,7 @@
 }
 
 static void
-write_own (struct fleet *f)
+write_own (struct roster *f)
 {
   g_autofree char *key = own_key (f);
   g_autofree char *address = own_address (f);
@@ -178,7 +178,7 @@
 on_listed (void *arg, enum kv_status status, const struct kv_change *changes,
            size_t n, int64_t as_of)
 {
-  struct fleet *f = arg;
+  struct roster *f = arg;
   (void)as_of;
   f->busy = false;
   if (status != KV_OK)
@@ -207,12 +207,12 @@
     f->step = STEP_WRITE;
 }
 
-static void read_key (struct fleet *f);
+static void read_key (struct roster *f);
 
 static void
 on_key_made (void *arg, enum kv_status status, int64_t revision)
 {
-  struct fleet *f = arg;
+  struct roster *f = arg;
   (void)revision;
   f->busy = false;
   /* Whoever wrote it: read it.  */
@@ -223,7 +223,7 @@
 }
 
 static void
-make_key (struct fleet *f)
+make_key (struct roster *f)
 {
   unsigned char bytes[FLEET_KEY_BYTES];
   if (getrandom (bytes, sizeof bytes, 0) != (ssize_t)sizeof bytes)
@@ -242,7 +242,7 @@
 on_key (void *arg, enum kv_status status, const struct kv_value *values,
         size_t n)
 {
-  struct fleet *f = arg;
+  struct roster *f = arg;
   f->busy = false;
   if (status != KV_OK)
     {
@@ -261,21 +261,21 @@
 }
 
 static void
-read_key (struct fleet *f)
+read_key (struct roster *f)
 {
   f->busy = true;
   kv_get (f->parts.kv, KEY_OF_FLEET, false, on_key, f);
 }
 
 static void
-list_others (struct fleet *f)
+list_others (struct roster *f)
 {
   f->busy = true;
   kv_list (f->parts.kv, KEYS_OF_VMS, on_listed, f);
 }
 
 static void
-go_on (struct fleet *f, int64_t now)
+go_on (struct roster *f, int64_t now)
 {
   if (f->busy || now < f->next_ms)
     return;
@@ -291,7 +291,7 @@
 
 /* A VM that hears nobody looks for others in the service.  */
 static void
-look_around (struct fleet *f, int64_t now)
+look_around (struct roster *f, int64_t now)
 {
   int64_t silence = gossip_link_silence_ms (f->gossip);
   if (f->busy || (silence >= 0 && silence < ALONE_MS)
@@ -304,7 +304,7 @@
 /* Loads.  */
 
 static void
-tell_loads (struct fleet *f)
+tell_loads (struct roster *f)
 {
   const struct upstreams *u = f->parts.upstreams;
   struct upstream_shares m = { 0 };
@@ -339,7 +339,7 @@
 {
   (void)fd;
   (void)what;
-  struct fleet *f = arg;
+  struct roster *f = arg;
   int64_t now = now_ms ();
   if (f->step != STEP_JOINED)
     {
@@ -348,7 +348,7 @@
     }
   look_around (f, now);
   int64_t interval
-      = (int64_t)LOADS_MS * MAX (fleet_size (f), LOADS_VMS) / LOADS_VMS;
+      = (int64_t)LOADS_MS * MAX (roster_size (f), LOADS_VMS) / LOADS_VMS;
   if (now - f->loads_ms < interval)
     return;
   f->loads_ms = now;
@@ -358,7 +358,7 @@
 /* What others ask.  */
 
 unsigned
-fleet_size (const struct fleet *f)
+roster_size (const struct roster *f)
 {
   const GPtrArray *all = members_all (f->members);
   unsigned n = 1;
@@ -369,7 +369,7 @@
 
 /* How near a VM is to the asker: 0 is its failure domain.  */
 static unsigned
-distance (const struct fleet *f, const struct member *m,
+distance (const struct roster *f, const struct member *m,
           const char *failure_domain, const char *region)
 {
   if (failure_domain && strcmp (m->info.failure_domain, failure_domain) == 0)
@@ -385,8 +385,8 @@
 }
 
 GPtrArray *
-fleet_entry_addresses (const struct fleet *f, const char *failure_domain,
-                       const char *region)
+roster_entry_addresses (const struct roster *f, const char *failure_domain,
+                        const char *region)
 {
   const GPtrArray *all = members_all (f->members);
   GPtrArray *out = g_ptr_array_new_with_free_func (g_free);
@@ -404,11 +404,11 @@
 
 /* Making and releasing.  */
 
-struct fleet *
-fleet_create (const struct fleet_parts *parts)
+struct roster *
+roster_create (const struct roster_parts *parts)
 {
   static const struct timeval tick = { 0, 50000 };
-  struct fleet *f = g_new0 (struct fleet, 1);
+  struct roster *f = g_new0 (struct roster, 1);
   guint32 seed = 0;
   if (getrandom (&seed, sizeof seed, 0) != (ssize_t)sizeof seed)
     g_error ("no random bytes");
@@ -430,7 +430,7 @@
 }
 
 void
-fleet_destroy (struct fleet *f)
+roster_destroy (struct roster *f)
 {
   if (f == NULL)
     return;
@@ -443,21 +443,21 @@
 }
 
 void
-fleet_join (struct fleet *f)
+roster_join (struct roster *f)
 {
   if (f->step == STEP_IDLE)
     f->step = STEP_KEY;
 }
 
 void
-fleet_leave (struct fleet *f)
+roster_leave (struct roster *f)
 {
   if (f->gossip)
     gossip_link_leave (f->gossip);
 }
 
 void
-fleet_left (struct fleet *f)
+roster_left (struct roster *f)
 {
   if (f->gossip)
     gossip_link_left (f->gossip);
--- a/src/daemon/fleet.h
+++ b/src/daemon/roster.h
@@ -3,8 +3,8 @@
     its own into the key-value service once, finds the others there, and then
     goes by gossip.  VMs tell each other the load that they put on upstreams.
  */
-#ifndef DAEMON_FLEET_H
-#define DAEMON_FLEET_H
+#ifndef DAEMON_ROSTER_H
+#define DAEMON_ROSTER_H
 
 #include "decide/members.h"
 #include "decide/upstreams.h"
@@ -12,10 +12,10 @@
 
 #include <event2/event.h>
 
-struct fleet;
+struct roster;
 
-/** What a fleet works with; all of it outlives the fleet.  */
-struct fleet_parts
+/** What a roster works with; all of it outlives the roster.  */
+struct roster_parts
 {
   struct event_base *base;
   struct kv *kv;
@@ -30,29 +30,29 @@
   void *arg;
 };
 
-/** Makes a fleet of this VM alone.  */
-struct fleet *fleet_create (const struct fleet_parts *parts);
+/** Makes a roster of this VM alone.  */
+struct roster *roster_create (const struct roster_parts *parts);
 
 /** Releases F.  */
-void fleet_destroy (struct fleet *f);
+void roster_destroy (struct roster *f);
 
 /** This VM takes requests from now on: it joins.  */
-void fleet_join (struct fleet *f);
+void roster_join (struct roster *f);
 
 /** Announces that this VM is leaving.  */
-void fleet_leave (struct fleet *f);
+void roster_leave (struct roster *f);
 
 /** Announces that this VM has left.  */
-void fleet_left (struct fleet *f);
+void roster_left (struct roster *f);
 
 /** VMs that share upstreams and budgets, this one included; not below 1.  */
-unsigned fleet_size (const struct fleet *f);
+unsigned roster_size (const struct roster *f);
 
 /** IP:PORT of the VMs that callers of a failure domain and region should use:
     of the domain, else of the region, else all.  Free with
     g_ptr_array_unref.  */
-GPtrArray *fleet_entry_addresses (const struct fleet *f,
-                                  const char *failure_domain,
-                                  const char *region);
+GPtrArray *roster_entry_addresses (const struct roster *f,
+                                   const char *failure_domain,
+                                   const char *region);
 
 #endif
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -356,6 +356,11 @@
   if (x == NULL || !work->reading)
     return;
   stop_reading (x, work);
+  if (x->info.role == UPSTREAM_SERVICE)
+    {
+      double took = (double)(now_ms - work->sent_ms) - upstreams_rtt_ms (u, x);
+      x->service_ms += (MAX (took, 1) - x->service_ms) * SERVICE_SAMPLE_WEIGHT;
+    }
   double ms = (double)(now_ms - work->sent_ms) - upstreams_rtt_ms (u, x)
               - FIRST_TOKEN_MS;
   if (work->ahead < READ_SAMPLE_TOKENS)
@@ -421,9 +426,4 @@
   x->failures += ((failed ? 1.0 : 0.0) - x->failures) * FAILURE_WEIGHT;
   if (failed)
     x->failed_ms = now_ms;
-  else if (x->info.role == UPSTREAM_SERVICE)
-    {
-      double ms = (double)(now_ms - work->sent_ms) - upstreams_rtt_ms (u, x);
-      x->service_ms += (MAX (ms, 1) - x->service_ms) * SERVICE_SAMPLE_WEIGHT;
-    }
 }
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -23,6 +23,9 @@
       stream         5 events, 20 ms apart, after Last-Event-Id
       stream-cut     2 events and a part of the third, unless it goes on
       long           events without end, 20 ms apart
+      two            2 events at once
+      fast           1,000 events at once
+      held           1 event, and then nothing
 
     GET /seen tells {"runs":{ID:COUNT},"left":N,"heads":{ID:HEAD}}.  */
 #include "base/http_head.h"
@@ -34,6 +37,7 @@
 #include <glib.h>
 #include <jansson.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -42,6 +46,7 @@
 #define EVENTS 5
 #define EVENT_MS 20
 #define SLOW_MS 300
+#define FAST_EVENTS 1000
 #define LINGER_OFF_S 0
 
 struct conn
@@ -189,6 +194,28 @@
                        strlen (text), text);
 }
 
+/* COUNT events at once; the end follows unless HELD.  */
+static void
+send_burst (struct conn *c, unsigned count, bool held)
+{
+  g_autofree char *head = answer_head (c->id, "200 OK", true);
+  g_autofree char *text
+      = g_strdup_printf ("%sContent-Type: text/event-stream\r\n"
+                         "Transfer-Encoding: chunked\r\n\r\n",
+                         head);
+  send_text (c, text);
+  for (unsigned i = 1; i <= count; i++)
+    {
+      g_autofree char *event
+          = g_strdup_printf ("id: %u\ndata: piece %u\n\n", i, i);
+      send_chunk (c, event);
+    }
+  if (held)
+    return;
+  send_text (c, "0\r\n\r\n");
+  finish (c, false);
+}
+
 static void
 next_event (struct conn *c)
 {
@@ -295,6 +322,12 @@
       send_unframed (c);
       arm (c, EVENT_MS);
     }
+  else if (strcmp (d, "two") == 0)
+    send_burst (c, 2, false);
+  else if (strcmp (d, "fast") == 0)
+    send_burst (c, FAST_EVENTS, false);
+  else if (strcmp (d, "held") == 0)
+    send_burst (c, 1, true);
   else if (g_str_has_prefix (d, "stream") || strcmp (d, "long") == 0)
     start_stream (c);
   else if (!answer_oddly (c, d) && !break_off (c, d))
@@ -430,6 +463,8 @@
   (void)sa;
   (void)len;
   (void)arg;
+  int one = 1;
+  setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   struct conn *c = g_new0 (struct conn, 1);
   c->bev = bufferevent_socket_new (base, fd, BEV_OPT_CLOSE_ON_FREE);
   c->codec = http_codec_create (HTTP_SIDE_REQUESTS, &none);
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -1,6 +1,6 @@
 /** @file
-    Fuzz target: what lies in the platform's store, and the fields of a request.
-    Whatever the bytes, there is a value or an error, not both.  */
+    Fuzz target: what lies in the platform's store, and the fields of a
+   request. Whatever the bytes, there is a value or an error, not both.  */
 #include "platform/adapter.h"
 
 #include <string.h>
@@ -25,8 +25,8 @@
 {
   g_autoptr (GError) error = NULL;
   struct upstream_info info;
-  bool ok = platform_decode_upstream ("servers/i-1", data, size, &info,
-                                      &error);
+  bool ok
+      = platform_decode_upstream ("servers/i-1", data, size, &info, &error);
   if (ok == (error != NULL))
     __builtin_trap ();
   if (ok)
@@ -36,9 +36,8 @@
 static void
 try_fields (const uint8_t *data, size_t size)
 {
-  static const char *const names[]
-      = { "X-Request-Id", "X-Deadline-Ms", "X-Token-Counts",
-          "X-Prompt-Prefix" };
+  static const char *const names[] = { "X-Request-Id", "X-Deadline-Ms",
+                                       "X-Token-Counts", "X-Prompt-Prefix" };
   g_autofree char *text = g_strndup ((const char *)data, size);
   struct http_head *h = http_head_create ();
   struct request_facts facts;
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -49,8 +49,9 @@
       routes,
       json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}", "name",
                  name, "host", SITE_HOST, "pathPrefix", prefix, "kind", kind,
-                 "timeoutMs", 2000, "targetLatencyMs", 200, "priority", 0,
-                 "service", "s", "maxAttempts", 2, "resumable", resumable));
+                 "timeoutMs", strcmp (kind, "streaming") == 0 ? 60000 : 2000,
+                 "targetLatencyMs", 200, "priority", 0, "service", "s",
+                 "maxAttempts", 2, "resumable", resumable));
 }
 
 void
@@ -66,7 +67,7 @@
   json_t *root = json_pack (
       "{s:i, s:o, s:[{s:s, s:s, s:i}], s:{s:i, s:i, s:i, s:i}}", "version",
       (int)version, "routes", routes, "services", "name", "s", "healthPath",
-      "/health", "maxConns", 60, "limits", "maxHeaderBytes", 8192,
+      "/health", "maxConns", 8000, "limits", "maxHeaderBytes", 8192,
       "maxBodyBytes", 100000, "headerTimeoutMs", 1000, "idleTimeoutMs", 4000);
   char *text = json_dumps (root, 0);
   json_decref (root);
@@ -87,7 +88,7 @@
   json_t *root
       = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i}", "service", "s",
                    "address", s->upstream_given[i], "zone", "d", "version",
-                   "v1", "slots", 6, "state", state, "seq", 1);
+                   "v1", "slots", (int)s->slots, "state", state, "seq", 1);
   char *text = json_dumps (root, 0);
   json_decref (root);
   site_put (s, key, text);
@@ -118,6 +119,7 @@
   s->n_vms = vms;
   s->n_upstreams = upstreams;
   s->leave_s = 5;
+  s->slots = 6;
   s->store = start_fake (s, "fake_store", "store", &s->store_address);
   s->store_given = g_strdup (s->store_address);
   for (unsigned i = 0; i < upstreams; i++)
@@ -222,6 +224,10 @@
                    leave,
                    "--retry-slack",
                    "1000",
+                   "--max-connections",
+                   "4000",
+                   "--log-level",
+                   s->quiet ? (char *)"warn" : (char *)"info",
                    NULL };
   proc_destroy (s->vms[i]);
   s->vms[i] = proc_start_logged (name, argv, log);
