Demo on a platform; pages on the routed path

Cause: make demo showed the product's own interface only, and the pages did not know the routed path.

--- a/Makefile
+++ b/Makefile
@@ -78,7 +78,7 @@
 test-programs: $(programs) $(fakes) $(unit_tests) $(process_tests)
 
 demo: deps
-	$(MAKE) -s -j6 all $(fakes) $(bin)/process/demo
+	$(MAKE) -s -j6 all $(fakes) $(bin)/process/demo $(bin)/process/demo_site
 	./scripts/demo $(bin)
 
 check: deps
