--- a/src/base/file.c
+++ b/src/base/file.c
@@ -1,5 +1,7 @@
 #include "base/file.h"
 
+#include "base/address.h"
+
 #include <arpa/inet.h>
 #include <string.h>
 #include <yaml.h>
@@ -55,25 +57,6 @@
   g_array_append_val (r->problems, p);
 }
 
-bool
-address_split (const char *address, char **ip, uint16_t *port)
-{
-  const char *colon = strrchr (address, ':');
-  if (colon == NULL)
-    return false;
-  g_autofree char *host = g_strndup (address, (gsize)(colon - address));
-  unsigned char buf[16];
-  guint64 value = 0;
-  if (inet_pton (AF_INET, host, buf) != 1
-      || !g_ascii_string_to_unsigned (colon + 1, 10, 1, 65535, &value, NULL))
-    return false;
-  if (ip)
-    *ip = g_steal_pointer (&host);
-  if (port)
-    *port = (uint16_t)value;
-  return true;
-}
-
 static const char *
 scalar_text (const yaml_node_t *node)
 {
--- a/src/base/file.h
+++ b/src/base/file.h
@@ -39,7 +39,4 @@
 /** Whether TEXTS holds TEXT.  */
 bool texts_hold (const GPtrArray *texts, const char *text);
 
-/** Splits "IP:PORT" into a newly made IP and PORT; false when malformed.  */
-bool address_split (const char *address, char **ip, uint16_t *port);
-
 #endif
--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -1,6 +1,6 @@
 #include "base/settings.h"
 
-#include "base/file.h"
+#include "base/address.h"
 #include "base/log.h"
 #include "generated/settings_table.h"
 
--- a/src/ctl/remote.c
+++ b/src/ctl/remote.c
@@ -1,6 +1,6 @@
 #include "ctl/remote.h"
 
-#include "base/file.h"
+#include "base/address.h"
 #include "links/http_client.h"
 
 #include <string.h>
--- a/src/daemon/daemon.h
+++ b/src/daemon/daemon.h
@@ -3,6 +3,7 @@
 #ifndef DAEMON_DAEMON_H
 #define DAEMON_DAEMON_H
 
+#include "base/clock.h"
 #include "decide/members.h"
 #include "generated/settings_table.h"
 #include "links/http_client.h"
@@ -68,20 +69,6 @@
 /** A new file is in force.  */
 void daemon_file_changed (struct daemon *d);
 
-/** Milliseconds of the monotonic clock.  */
-static inline int64_t
-clock_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
-/** Milliseconds of the wall clock.  */
-static inline int64_t
-wall_ms (void)
-{
-  return g_get_real_time () / 1000;
-}
-
 /** Sends MESSAGE to the member VM; returns its connection, or 0 where VM is no
     live member.  */
 peer_handle daemon_send (struct daemon *d, const char *vm, unsigned type,
--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -1,5 +1,6 @@
 #include "daemon/discovery.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/feed.h"
@@ -38,12 +39,6 @@
   GHashTable *missing; /* id -> struct missing */
 };
 
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 /* Routes.  */
 
 static void
@@ -125,7 +120,7 @@
 static void
 upstream_vanished (struct discovery *d, const char *id)
 {
-  int64_t now = now_ms ();
+  int64_t now = clock_ms ();
   bool many = many_vanish (d, now);
   if (!many && now - d->regained_ms > RETURN_MS)
     {
@@ -163,7 +158,7 @@
       drop_upstream (d, id, "entry_malformed");
       return;
     }
-  if (upstreams_put (d->upstreams, &info, now_ms ()))
+  if (upstreams_put (d->upstreams, &info, clock_ms ()))
     log_event (LOG_INFO, "upstream_known", "upstream", info.id, "service",
                info.service, "address", info.address, "failure_domain",
                info.failure_domain, "leaving", info.leaving ? "true" : "false",
@@ -185,7 +180,7 @@
 {
   struct discovery *d = arg;
   if (up)
-    d->regained_ms = now_ms ();
+    d->regained_ms = clock_ms ();
 }
 
 static const struct feed_events upstream_events
@@ -197,7 +192,7 @@
   (void)fd;
   (void)what;
   struct discovery *d = arg;
-  int64_t now = now_ms ();
+  int64_t now = clock_ms ();
   GHashTableIter it;
   gpointer id;
   gpointer value;
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -1,5 +1,6 @@
 #include "daemon/exchange.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "decide/placing.h"
@@ -61,7 +62,7 @@
 exchange_log_end (const struct exchange *e, const char *outcome,
                   unsigned status)
 {
-  int64_t now = exchange_now_ms ();
+  int64_t now = clock_ms ();
   log_event (
       LOG_INFO, "request_end", "request", e->facts.id, "route",
       e->route ? e->route->name : "", "service", e->service ? e->service : "",
@@ -148,7 +149,7 @@
 {
   if (e->first_byte)
     return;
-  int64_t now = exchange_now_ms ();
+  int64_t now = clock_ms ();
   e->first_byte = true;
   e->first_ms = now;
   upstreams_first_byte (e->proxy->parts.upstreams, &e->work, now);
@@ -166,8 +167,7 @@
 on_data (void *arg, struct evbuffer *data)
 {
   struct exchange *e = arg;
-  upstreams_heard (e->proxy->parts.upstreams, e->work.handle,
-                   exchange_now_ms ());
+  upstreams_heard (e->proxy->parts.upstreams, e->work.handle, clock_ms ());
   if (e->reading || !is_good (e))
     {
       evbuffer_add_buffer (e->held, data);
@@ -233,8 +233,7 @@
                            n);
     }
   metrics_add (METRIC_answered_total, 1);
-  metrics_time (METRIC_request_seconds,
-                (exchange_now_ms () - e->since_ms) * 1000);
+  metrics_time (METRIC_request_seconds, (clock_ms () - e->since_ms) * 1000);
   exchange_log_end (e, is_good (e) ? "answered" : "upstream_failed",
                     e->answer->status);
   exchange_free (e);
@@ -312,7 +311,7 @@
 exchange_attempt_ended (void *arg, enum pool_end end)
 {
   struct exchange *e = arg;
-  int64_t now = exchange_now_ms ();
+  int64_t now = clock_ms ();
   if (e->reading)
     {
       reading_ended (e, end);
@@ -425,7 +424,7 @@
   e->answer_facts = (struct answer_facts){ 0 };
   for (;;)
     {
-      int64_t now = exchange_now_ms ();
+      int64_t now = clock_ms ();
       ask.n_tried = e->n_tried;
       ask.reader = e->read_by ? e->reader : 0;
       struct upstream_choice c = placing_choose (parts->upstreams, &ask, now);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -4,6 +4,7 @@
 #ifndef DAEMON_EXCHANGE_H
 #define DAEMON_EXCHANGE_H
 
+#include "base/clock.h"
 #include "daemon/proxy.h"
 #include "daemon/sse.h"
 #include "decide/attempts.h"
@@ -65,13 +66,6 @@
   int64_t first_ms;
 };
 
-/** Milliseconds of the monotonic clock.  */
-static inline int64_t
-exchange_now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 /* Ending; E is gone after each of these.  */
 
 /** Releases E, with what is under way for it.  */
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -1,10 +1,14 @@
 #include "daemon/feed.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 
 /* Longest wait of one call; a service that is silent is missed within it and
    the adapter's own margin.  */
 #define WAIT_MS 10000
+/* Pause after changes: many upstreams that start or end together are then told
+   in one answer, not in one each.  */
+#define GATHER_MS 150
 /* Pause after a failure.  */
 #define RETRY_MS 250
 #define RETRY_MAX_MS 1000
@@ -24,12 +28,6 @@
   bool listed;
 };
 
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 static void go_on (struct feed *f);
 
 static void
@@ -38,7 +36,7 @@
   bool up = status == KV_OK || status == KV_FORGOT;
   if (up)
     {
-      f->answered_ms = now_ms ();
+      f->answered_ms = clock_ms ();
       f->pause_ms = RETRY_MS;
     }
   if (up == f->up)
@@ -50,12 +48,18 @@
   f->events->on_state (f->arg, up);
 }
 
+static void
+go_on_later (struct feed *f, unsigned ms)
+{
+  struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+  evtimer_add (f->timer, &tv);
+}
+
 static void
 pause_feed (struct feed *f)
 {
-  struct timeval tv = { f->pause_ms / 1000, (f->pause_ms % 1000) * 1000 };
+  go_on_later (f, f->pause_ms);
   f->pause_ms = MIN (f->pause_ms * 2, RETRY_MAX_MS);
-  evtimer_add (f->timer, &tv);
 }
 
 static void
@@ -138,9 +142,13 @@
   for (size_t i = 0; i < n; i++)
     take (f, &changes[i]);
   f->as_of = MAX (f->as_of, as_of);
-  if (n > 0)
-    f->events->on_batch (f->arg, false);
-  go_on (f);
+  if (n == 0)
+    {
+      go_on (f);
+      return;
+    }
+  f->events->on_batch (f->arg, false);
+  go_on_later (f, GATHER_MS);
 }
 
 static void
@@ -191,7 +199,7 @@
 int64_t
 feed_age_ms (const struct feed *f)
 {
-  return f->answered_ms == 0 ? -1 : now_ms () - f->answered_ms;
+  return f->answered_ms == 0 ? -1 : clock_ms () - f->answered_ms;
 }
 
 bool
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -1,6 +1,7 @@
 #include "daemon/gateway.h"
 
-#include "base/file.h"
+#include "base/clock.h"
+#include "base/address.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/discovery.h"
@@ -59,12 +60,6 @@
   bool was_ready;
 };
 
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 /* What other parts ask.  */
 
 static const char *
@@ -282,7 +277,7 @@
   (void)fd;
   (void)what;
   struct gateway *r = arg;
-  int64_t now = now_ms ();
+  int64_t now = clock_ms ();
   log_readiness (r);
   if (r->leaving_ms != 0 && stop_is_over (r, now))
     event_base_loopbreak (r->base);
@@ -300,7 +295,7 @@
   struct gateway *r = arg;
   if (r->leaving_ms != 0)
     return;
-  r->leaving_ms = now_ms ();
+  r->leaving_ms = clock_ms ();
   log_event (LOG_INFO, "stopping", "signal", log_num (signal), "open",
              log_num (proxy_open (r->proxy)), "deadline_s",
              log_num ((long long)r->settings->leave_deadline_s), NULL);
--- a/src/daemon/gossip_link.c
+++ b/src/daemon/gossip_link.c
@@ -1,7 +1,8 @@
 #include "daemon/gossip_link.h"
 
+#include "base/clock.h"
 #include "base/error.h"
-#include "base/file.h"
+#include "base/address.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "config.h"
@@ -30,12 +31,6 @@
   uint64_t seen_version;
 };
 
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 /* Sending.  */
 
 static size_t
@@ -101,12 +96,12 @@
 {
   char ip[INET_ADDRSTRLEN];
   inet_ntop (AF_INET, &from->sin_addr, ip, sizeof ip);
-  g->heard_ms = now_ms ();
+  g->heard_ms = clock_ms ();
   if (f->type == MESSAGE_GOSSIP)
     {
       g_autoptr (GArray) out = gossip_out_create ();
       const struct gossip *m = f->message;
-      members_receive (g->parts.members, now_ms (), m, ip,
+      members_receive (g->parts.members, clock_ms (), m, ip,
                        ntohs (from->sin_port), out);
       send_all (g, out);
       g->parts.on_revision (g->parts.arg, m->from, m->revision);
@@ -209,7 +204,7 @@
   (void)fd;
   (void)what;
   struct gossip_link *g = arg;
-  int64_t now = now_ms ();
+  int64_t now = clock_ms ();
   g_autoptr (GArray) out = gossip_out_create ();
   members_set_revision (g->parts.members, g->parts.revision (g->parts.arg));
   members_tick (g->parts.members, now, out);
@@ -255,7 +250,7 @@
   event_add (g->readable, NULL);
   g->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, g);
   event_add (g->timer, &tick);
-  join (g, now_ms ());
+  join (g, clock_ms ());
   return g;
 }
 
@@ -273,19 +268,19 @@
 void
 gossip_link_leave (struct gossip_link *g)
 {
-  members_leave (g->parts.members, now_ms ());
+  members_leave (g->parts.members, clock_ms ());
 }
 
 void
 gossip_link_left (struct gossip_link *g)
 {
   g_autoptr (GArray) out = gossip_out_create ();
-  members_left (g->parts.members, now_ms (), out);
+  members_left (g->parts.members, clock_ms (), out);
   send_all (g, out);
 }
 
 int64_t
 gossip_link_silence_ms (const struct gossip_link *g)
 {
-  return g->heard_ms == 0 ? -1 : now_ms () - g->heard_ms;
+  return g->heard_ms == 0 ? -1 : clock_ms () - g->heard_ms;
 }
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -1,5 +1,6 @@
 #include "daemon/proxy.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/exchange.h"
@@ -44,7 +45,7 @@
   if (e->facts.patience_ms >= 0)
     ms = MIN (ms, e->facts.patience_ms);
   e->until_ms = e->since_ms + ms;
-  int64_t left = MAX (e->until_ms - exchange_now_ms (), 0);
+  int64_t left = MAX (e->until_ms - clock_ms (), 0);
   struct timeval tv = { left / 1000, (left % 1000) * 1000 };
   e->timer = evtimer_new (e->proxy->parts.base, on_timeout, e);
   evtimer_add (e->timer, &tv);
@@ -106,7 +107,7 @@
 {
   log_event (LOG_INFO, "upstream_silent", "request", e->facts.id, "upstream",
              e->upstream_id, "waited_ms",
-             log_num (exchange_now_ms () - e->work.sent_ms), "expected_ms",
+             log_num (clock_ms () - e->work.sent_ms), "expected_ms",
              log_num ((long long)e->work.expected_ms), NULL);
   pool_cancel (e->call);
   e->answer_facts = (struct answer_facts){ 0 };
@@ -119,7 +120,7 @@
   (void)fd;
   (void)what;
   struct proxy *p = arg;
-  int64_t now = exchange_now_ms ();
+  int64_t now = clock_ms ();
   g_autoptr (GList) open = g_hash_table_get_keys (p->open);
   for (GList *l = open; l; l = l->next)
     {
--- a/src/daemon/reading.c
+++ b/src/daemon/reading.c
@@ -1,3 +1,4 @@
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/exchange.h"
@@ -59,7 +60,7 @@
   const struct proxy_parts *parts = &e->proxy->parts;
   const struct upstream_info *info
       = upstreams_info (parts->upstreams, e->work.handle);
-  int64_t now = exchange_now_ms ();
+  int64_t now = clock_ms ();
   size_t n = evbuffer_get_length (e->held);
   bool whole = end == POOL_WHOLE && e->answer && e->answer->status == 200;
   e->call = NULL;
--- a/src/daemon/roster.c
+++ b/src/daemon/roster.c
@@ -1,5 +1,6 @@
 #include "daemon/roster.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/gossip_link.h"
@@ -51,12 +52,6 @@
   int64_t looked_ms;
 };
 
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 static char *
 own_key (const struct roster *f)
 {
@@ -76,7 +71,7 @@
 {
   log_event (LOG_WARN, "join_waits", "step", what, "status", log_num (status),
              "retry_ms", log_num (RETRY_MS), NULL);
-  f->next_ms = now_ms () + RETRY_MS;
+  f->next_ms = clock_ms () + RETRY_MS;
 }
 
 static const char *
@@ -108,7 +103,7 @@
   if (frame->type != MESSAGE_UPSTREAM_SHARES)
     return;
   const struct upstream_shares *m = frame->message;
-  int64_t now = now_ms ();
+  int64_t now = clock_ms ();
   upstreams_unhear (f->parts.upstreams, m->from);
   for (guint i = 0; i < m->shares->len; i++)
     {
@@ -139,7 +134,7 @@
   if (f->gossip == NULL)
     {
       log_event (LOG_ERROR, "gossip_failed", "error", error->message, NULL);
-      f->next_ms = now_ms () + RETRY_MS;
+      f->next_ms = clock_ms () + RETRY_MS;
       return;
     }
   f->step = STEP_JOINED;
@@ -340,7 +335,7 @@
   (void)fd;
   (void)what;
   struct roster *f = arg;
-  int64_t now = now_ms ();
+  int64_t now = clock_ms ();
   if (f->step != STEP_JOINED)
     {
       go_on (f, now);
@@ -423,7 +418,7 @@
           .failure_domain = (char *)parts->failure_domain,
           .incarnation
           = member_first_incarnation (g_get_real_time () / 1000) };
-  f->members = members_create (&self, seed, now_ms ());
+  f->members = members_create (&self, seed, clock_ms ());
   f->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, f);
   event_add (f->timer, &tick);
   return f;
--- a/src/daemon/vm_list.c
+++ b/src/daemon/vm_list.c
@@ -1,5 +1,7 @@
 #include "daemon/vm_list.h"
 
+#include "base/clock.h"
+
 #include "config.h"
 
 #include <jansson.h>
@@ -16,19 +18,13 @@
   int64_t last_ms;
 };
 
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 /* The VM list: {"vms":[{"id":"...","state":"live"|"leaving"}]}.  Members that
    it no longer shows are removed where only it can tell.  */
 
 static void
 note_shown (struct vm_list *l, GHashTable *shown)
 {
-  int64_t now = now_ms ();
+  int64_t now = clock_ms ();
   GHashTableIter it;
   gpointer vm;
   l->last_ms = now;
@@ -71,7 +67,7 @@
     {
       const struct member *m = g_ptr_array_index (all, k);
       if (!g_hash_table_contains (shown, m->info.id))
-        members_hint_gone (l->parts.members, m->info.id, now_ms ());
+        members_hint_gone (l->parts.members, m->info.id, clock_ms ());
     }
 }
 
--- a/src/links/front.c
+++ b/src/links/front.c
@@ -1,9 +1,9 @@
 #include "links/front.h"
 
+#include "base/clock.h"
 #include "base/error.h"
-#include "base/file.h"
+#include "base/address.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <event2/listener.h>
@@ -71,12 +71,6 @@
 
 /* Connections.  */
 
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 static void
 set_timer (struct front_conn *c, unsigned ms)
 {
@@ -204,7 +198,7 @@
   if (c->state == CONN_IDLE)
     {
       c->state = CONN_READING;
-      c->since_ms = now_ms ();
+      c->since_ms = clock_ms ();
       set_timer (c, c->front->limits.read_ms);
     }
   switch (http_codec_feed (c->codec, in, c->body))
@@ -334,17 +328,13 @@
               const struct front_limits *limits,
               const struct front_events *events, void *arg, GError **error)
 {
-  g_autofree char *ip = NULL;
-  uint16_t port = 0;
-  struct sockaddr_in sa = { .sin_family = AF_INET };
-  if (!address_split (address, &ip, &port)
-      || inet_pton (AF_INET, ip, &sa.sin_addr) != 1)
+  struct sockaddr_in sa;
+  if (!address_parse (address, &sa))
     {
       g_set_error (error, BUCKTHORN_ERROR, RESULT_USAGE, "'%s' is not IP:PORT",
                    address);
       return NULL;
     }
-  sa.sin_port = htons (port);
   struct front *f = g_new0 (struct front, 1);
   f->base = base;
   f->limits = *limits;
--- a/src/links/http_client.c
+++ b/src/links/http_client.c
@@ -1,6 +1,6 @@
 #include "links/http_client.h"
 
-#include "base/file.h"
+#include "base/address.h"
 
 #include <event2/bufferevent.h>
 #include <event2/http.h>
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -1,8 +1,8 @@
 #include "links/pool.h"
 
-#include "base/file.h"
+#include "base/clock.h"
+#include "base/address.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <event2/bufferevent.h>
 #include <netinet/in.h>
@@ -73,12 +73,6 @@
 
 /* Connections.  */
 
-static int64_t
-now_ms (void)
-{
-  return g_get_monotonic_time () / 1000;
-}
-
 static void
 conn_free (struct conn *c)
 {
@@ -160,7 +154,7 @@
 conn_keep (struct conn *c)
 {
   struct timeval tv = { c->keep_ms / 1000, (c->keep_ms % 1000) * 1000 };
-  c->idle_since_ms = now_ms ();
+  c->idle_since_ms = clock_ms ();
   g_ptr_array_add (c->host->idle, c);
   evtimer_add (c->idle_timer, &tv);
   http_codec_next (c->codec, false);
@@ -378,13 +372,9 @@
 static bool
 conn_connect (struct conn *c)
 {
-  g_autofree char *ip = NULL;
-  uint16_t port = 0;
-  struct sockaddr_in sa = { .sin_family = AF_INET };
-  if (!address_split (c->host->address, &ip, &port)
-      || inet_pton (AF_INET, ip, &sa.sin_addr) != 1)
+  struct sockaddr_in sa;
+  if (!address_parse (c->host->address, &sa))
     return false;
-  sa.sin_port = htons (port);
   evutil_socket_t fd
       = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
   if (fd < 0)
@@ -437,7 +427,7 @@
   while (h->idle->len > 0)
     {
       struct conn *c = g_ptr_array_index (h->idle, h->idle->len - 1);
-      if (now_ms () - c->idle_since_ms > (int64_t)reuse_ms)
+      if (clock_ms () - c->idle_since_ms > (int64_t)reuse_ms)
         return NULL;
       if (conn_is_quiet (c))
         {
