--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -5,9 +5,11 @@
 #define DAEMON_EXCHANGE_H
 
 #include "base/clock.h"
-#include "daemon/proxy.h"
+#include "daemon/proxy_parts.h"
 #include "daemon/sse.h"
 #include "decide/attempts.h"
+#include "decide/routes.h"
+#include "links/front.h"
 
 /** Instances that one request is offered to at most.  */
 #define EXCHANGE_TRIED_MAX 8
--- a/src/daemon/proxy.h
+++ b/src/daemon/proxy.h
@@ -5,29 +5,12 @@
 #ifndef DAEMON_PROXY_H
 #define DAEMON_PROXY_H
 
-#include "decide/retry_window.h"
-#include "decide/upstreams.h"
+#include "daemon/proxy_parts.h"
+#include "decide/routes.h"
 #include "links/front.h"
-#include "links/platform.h"
-#include "links/pool.h"
-
-#include <event2/event.h>
 
 struct proxy;
 
-/** What a proxy works with; all of it outlives the proxy.  */
-struct proxy_parts
-{
-  struct event_base *base;
-  const struct platform_ops *platform;
-  struct pool *pool;
-  struct upstreams *upstreams;
-  struct retry_windows *retries;
-  /** Number of VMs that share upstreams and budgets, this one included.  */
-  unsigned (*count_vms) (void *arg);
-  void *arg;
-};
-
 /** Makes a proxy that knows no routes yet.  */
 struct proxy *proxy_create (const struct proxy_parts *parts);
 
