Loads by failure domain in large fleets; what generates is told

And the count of requests that only generate was never put into the message: each VM kept engines for its own only. Change: above 12 VMs a VM tells the first of its domain, these tell each other the sums and their own the sum of all; engines are kept from twice their slots. Also: a path on which the table changed while an engine was marked (lint).

--- a/src/daemon/inspect.c
+++ b/src/daemon/inspect.c
@@ -1,5 +1,6 @@
 #include "daemon/inspect.h"
 
+#include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
 
@@ -49,13 +50,14 @@
   upstream_handle h = upstreams_find (p->upstreams, id);
   const struct upstream_info *info = upstreams_info (p->upstreams, h);
   struct upstream_load load = upstreams_own_load (p->upstreams, h);
-  return json_pack ("{s:s, s:s, s:s, s:s, s:s, s:b, s:i, s:I, s:i}",
+  struct upstream_load all = upstreams_all_load (p->upstreams, h, clock_ms ());
+  return json_pack ("{s:s, s:s, s:s, s:s, s:s, s:b, s:i, s:i, s:I, s:i}",
                     "upstream", info->id, "service", info->service, "address",
                     info->address, "failure_domain", info->failure_domain,
                     "role", role_name (info->role), "leaving", info->leaving,
-                    "running", (int)load.running, "tokens",
-                    (json_int_t)load.tokens, "connections",
-                    (int)pool_connections (p->pool, id));
+                    "running", (int)load.running, "running_of_all",
+                    (int)all.running, "tokens", (json_int_t)load.tokens,
+                    "connections", (int)pool_connections (p->pool, id));
 }
 
 static void
--- a/src/daemon/roster.c
+++ b/src/daemon/roster.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/gossip_link.h"
+#include "daemon/load_link.h"
 
 #include <string.h>
 #include <sys/random.h>
@@ -17,9 +18,8 @@
 /* A VM that hears nobody looks for others as often.  */
 #define ALONE_MS 3000
 #define LOOK_MS 2000
-/* Loads are told as often, more seldom in a large fleet.  */
+/* How often loads are told.  */
 #define LOADS_MS 100
-#define LOADS_VMS 10
 /* Callers get no more addresses than this.  */
 #define ENTRY_MAX 64
 /* All VMs probe each other: a region of one VM has nobody to miss it.  */
@@ -48,6 +48,7 @@
   int64_t own_revision; /* of the own entry; 0 where it does not stand */
   bool own_is_right;
   int64_t next_ms;
+  struct load_link *loads;
   int64_t loads_ms;
   int64_t looked_ms;
 };
@@ -100,19 +101,16 @@
 on_frame (void *arg, const struct frame *frame)
 {
   struct roster *f = arg;
-  if (frame->type != MESSAGE_UPSTREAM_SHARES)
-    return;
-  const struct upstream_shares *m = frame->message;
-  int64_t now = clock_ms ();
-  upstreams_unhear (f->parts.upstreams, m->from);
-  for (guint i = 0; i < m->shares->len; i++)
-    {
-      const struct upstream_share *s
-          = &g_array_index (m->shares, struct upstream_share, i);
-      struct upstream_load load
-          = { (uint32_t)s->running, (uint32_t)s->generating, s->tokens };
-      upstreams_hear (f->parts.upstreams, m->from, s->upstream, &load, now);
-    }
+  if (frame->type == MESSAGE_UPSTREAM_SHARES)
+    load_link_take (f->loads, frame->message, clock_ms ());
+}
+
+static void
+send_shares (void *arg, const struct member *to,
+             const struct upstream_shares *message)
+{
+  struct roster *f = arg;
+  gossip_link_send (f->gossip, to, MESSAGE_UPSTREAM_SHARES, message);
 }
 
 static void
@@ -296,38 +294,7 @@
   list_others (f);
 }
 
-/* Loads.  */
-
-static void
-tell_loads (struct roster *f)
-{
-  const struct upstreams *u = f->parts.upstreams;
-  struct upstream_shares m = { 0 };
-  record_init (&upstream_shares_record, &m);
-  g_free (m.from);
-  m.from = g_strdup (f->parts.vm);
-  g_autoptr (GPtrArray) ids = upstreams_ids (u);
-  for (guint i = 0; i < ids->len; i++)
-    {
-      const char *id = g_ptr_array_index (ids, i);
-      struct upstream_load load
-          = upstreams_own_load (u, upstreams_find (u, id));
-      struct upstream_share s
-          = { .running = load.running, .tokens = load.tokens };
-      if (load.running == 0 && load.tokens == 0)
-        continue;
-      s.upstream = g_strdup (id);
-      g_array_append_val (m.shares, s);
-    }
-  const GPtrArray *all = members_all (f->members);
-  for (guint i = 1; i < all->len; i++)
-    {
-      const struct member *to = g_ptr_array_index (all, i);
-      if (member_live (to))
-        gossip_link_send (f->gossip, to, MESSAGE_UPSTREAM_SHARES, &m);
-    }
-  record_clear (&upstream_shares_record, &m);
-}
+/* Time.  */
 
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
@@ -342,12 +309,10 @@
       return;
     }
   look_around (f, now);
-  int64_t interval
-      = (int64_t)LOADS_MS * MAX (roster_size (f), LOADS_VMS) / LOADS_VMS;
-  if (now - f->loads_ms < interval)
+  if (now - f->loads_ms < LOADS_MS)
     return;
   f->loads_ms = now;
-  tell_loads (f);
+  load_link_tell (f->loads, now);
 }
 
 /* What others ask.  */
@@ -419,6 +384,13 @@
           .incarnation
           = member_first_incarnation (g_get_real_time () / 1000) };
   f->members = members_create (&self, seed, clock_ms ());
+  struct load_link_parts loads = { .upstreams = parts->upstreams,
+                                   .members = f->members,
+                                   .vm = parts->vm,
+                                   .failure_domain = parts->failure_domain,
+                                   .send = send_shares,
+                                   .arg = f };
+  f->loads = load_link_create (&loads);
   f->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, f);
   event_add (f->timer, &tick);
   return f;
@@ -431,6 +403,7 @@
     return;
   event_free (f->timer);
   gossip_link_destroy (f->gossip);
+  load_link_destroy (f->loads);
   members_destroy (f->members);
   g_ptr_array_unref (f->addresses);
   g_free (f->fleet_key);
--- /dev/null
+++ b/src/decide/load_sums.c
@@ -0,0 +1,111 @@
+#include "decide/load_sums.h"
+
+struct source
+{
+  int64_t at_ms;
+  GHashTable *loads; /* upstream -> struct upstream_load */
+};
+
+struct load_sums
+{
+  unsigned fresh_ms;
+  GHashTable *sources; /* name -> struct source */
+};
+
+static void
+source_free (void *p)
+{
+  struct source *s = p;
+  g_hash_table_destroy (s->loads);
+  g_free (s);
+}
+
+struct load_sums *
+load_sums_create (unsigned fresh_ms)
+{
+  struct load_sums *l = g_new0 (struct load_sums, 1);
+  l->fresh_ms = fresh_ms;
+  l->sources
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, source_free);
+  return l;
+}
+
+void
+load_sums_destroy (struct load_sums *l)
+{
+  if (l == NULL)
+    return;
+  g_hash_table_destroy (l->sources);
+  g_free (l);
+}
+
+void
+load_sums_begin (struct load_sums *l, const char *source, int64_t now_ms)
+{
+  struct source *s = g_new0 (struct source, 1);
+  s->at_ms = now_ms;
+  s->loads = load_table_create ();
+  g_hash_table_replace (l->sources, g_strdup (source), s);
+}
+
+void
+load_sums_add (struct load_sums *l, const char *source, const char *upstream,
+               const struct upstream_load *load)
+{
+  struct source *s = g_hash_table_lookup (l->sources, source);
+  if (s)
+    load_table_add (s->loads, upstream, load);
+}
+
+void
+load_sums_into (const struct load_sums *l, int64_t now_ms, GHashTable *out)
+{
+  GHashTableIter it;
+  gpointer value;
+  g_hash_table_iter_init (&it, l->sources);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct source *s = value;
+      GHashTableIter loads;
+      gpointer id;
+      gpointer load;
+      if (now_ms - s->at_ms > (int64_t)l->fresh_ms)
+        continue;
+      g_hash_table_iter_init (&loads, s->loads);
+      while (g_hash_table_iter_next (&loads, &id, &load))
+        load_table_add (out, id, load);
+    }
+}
+
+GHashTable *
+load_table_create (void)
+{
+  return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void
+load_table_add (GHashTable *table, const char *upstream,
+                const struct upstream_load *load)
+{
+  struct upstream_load *sum = g_hash_table_lookup (table, upstream);
+  if (sum == NULL)
+    {
+      sum = g_new0 (struct upstream_load, 1);
+      g_hash_table_insert (table, g_strdup (upstream), sum);
+    }
+  sum->running += load->running;
+  sum->generating += load->generating;
+  sum->tokens += load->tokens;
+}
+
+void
+load_table_take (GHashTable *table, const char *upstream,
+                 const struct upstream_load *load)
+{
+  struct upstream_load *sum = g_hash_table_lookup (table, upstream);
+  if (sum == NULL)
+    return;
+  sum->running -= MIN (sum->running, load->running);
+  sum->generating -= MIN (sum->generating, load->generating);
+  sum->tokens -= MIN (sum->tokens, load->tokens);
+}
--- a/src/decide/placing.c
+++ b/src/decide/placing.c
@@ -24,9 +24,10 @@
 /* What the failures of an instance, as a share of its latest outcomes, cost in
    the choice.  */
 #define FAILURE_COST_MS 400.0
-/* Part of an engine's slots that requests which only generate may fill before
-   one more engine is kept for them, and what another engine costs them.  */
-#define GENERATING_PERCENT 75
+/* Requests that only generate, as a part of an engine's slots, for which one
+   more engine is kept, and what another engine costs them.  Past its slots
+   they run at engines that also read.  */
+#define GENERATING_PERCENT 200
 #define DISTURBED_MS 150.0
 /* What a long prompt costs each request that only generates at its engine.  */
 #define DISTURBING_MS 10.0
@@ -119,6 +120,8 @@
               && (first == NULL || keep_rank (x) > keep_rank (first)))
             first = x;
         }
+      if (first == NULL)
+        return;
       first->kept = true;
     }
 }
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -252,6 +252,14 @@
   return x ? x->own : (struct upstream_load){ 0 };
 }
 
+struct upstream_load
+upstreams_all_load (const struct upstreams *u, upstream_handle h,
+                    int64_t now_ms)
+{
+  const struct upstream *x = upstreams_at (u, h);
+  return x ? upstreams_whole_load (x, now_ms) : (struct upstream_load){ 0 };
+}
+
 void
 upstreams_unhear (struct upstreams *u, const char *vm)
 {
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -143,6 +143,9 @@
 /** Load that this VM puts on H.  */
 struct upstream_load upstreams_own_load (const struct upstreams *u,
                                          upstream_handle h);
+/** Load that all VMs put on H, as far as it was told.  */
+struct upstream_load upstreams_all_load (const struct upstreams *u,
+                                         upstream_handle h, int64_t now_ms);
 /** Takes back what VM told.  */
 void upstreams_unhear (struct upstreams *u, const char *vm);
 /** VM told its load on ID.  */
