Silence is judged by all VMs; expectations follow what answers took

And answers expected in 0.1 s took 0.5 to 0.7 s at the peak (shared parts that should be cached are not), so that too many were let in. Ruled out: longer silence (a dead engine then costs the whole patience of 2 s); learning a speed for each engine faster (88 VMs see too few answers of each). Change: VMs tell how long each engine has been quiet to them; one that answers any VM is not silent. Expected times of long prompts are stretched by what answers took of late, 1 to 4 times. Tests: upstreams/silent (longer) and upstreams/expectations; not run on the old code, which has no such functions.

--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -150,6 +150,9 @@
   if (e->first_byte)
     return;
   int64_t now = clock_ms ();
+  if (e->plain_ms > 0 && e->first_ms == 0)
+    upstreams_took (e->proxy->parts.upstreams, e->plain_ms,
+                    (double)(now - e->since_ms));
   e->first_byte = true;
   e->first_ms = now;
   upstreams_first_byte (e->proxy->parts.upstreams, &e->work, now);
@@ -435,6 +438,8 @@
           return;
         }
       e->expected_ms = c.expected_ms;
+      if (e->n_tried == 0 && placing_is_long (prompt))
+        e->plain_ms = c.plain_ms;
       if (e->tries == 0 && e->read_by == NULL && is_hopeless (e, &c, now))
         {
           refuse_full (e, &c);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -49,6 +49,7 @@
   struct upstream_work work;
   struct pool_call *call;
   double expected_ms;
+  double plain_ms; /* at the first attempt, of a long prompt; or 0 */
   char upstream_id[64];
 
   bool reading;   /* the call under way only reads the prompt */
--- a/src/daemon/load_link.c
+++ b/src/daemon/load_link.c
@@ -36,7 +36,8 @@
 {
   struct upstream_share s = { .running = load->running,
                               .generating = load->generating,
-                              .tokens = load->tokens };
+                              .tokens = load->tokens,
+                              .quiet_ms = load->quiet_ms };
   if (load->running == 0 && load->tokens == 0)
     return;
   s.upstream = g_strdup (upstream);
@@ -67,7 +68,7 @@
 
 /* This VM's own load.  */
 static GHashTable *
-own_table (const struct load_link *l)
+own_table (const struct load_link *l, int64_t now_ms)
 {
   const struct upstreams *u = l->parts.upstreams;
   GHashTable *table = load_table_create ();
@@ -75,8 +76,9 @@
   for (guint i = 0; i < ids->len; i++)
     {
       const char *id = g_ptr_array_index (ids, i);
-      struct upstream_load load
-          = upstreams_own_load (u, upstreams_find (u, id));
+      upstream_handle h = upstreams_find (u, id);
+      struct upstream_load load = upstreams_own_load (u, h);
+      load.quiet_ms = upstreams_quiet_ms (u, h, now_ms);
       load_table_add (table, id, &load);
     }
   return table;
@@ -118,7 +120,7 @@
 static void
 hear_all (struct load_link *l, GHashTable *table, int64_t now_ms)
 {
-  g_autoptr (GHashTable) own = own_table (l);
+  g_autoptr (GHashTable) own = own_table (l, now_ms);
   GHashTableIter it;
   gpointer id;
   gpointer load;
@@ -136,7 +138,7 @@
 tell_sums (struct load_link *l, int64_t now_ms)
 {
   struct upstream_shares m;
-  g_autoptr (GHashTable) sum = own_table (l);
+  g_autoptr (GHashTable) sum = own_table (l, now_ms);
   load_sums_into (l->near, now_ms, sum);
   message_start (l, SCOPE_DOMAIN, &m);
   add_table (&m, sum);
@@ -151,10 +153,11 @@
 }
 
 static void
-tell_own (struct load_link *l, enum scope scope, const struct member *first)
+tell_own (struct load_link *l, enum scope scope, const struct member *first,
+          int64_t now_ms)
 {
   struct upstream_shares m;
-  g_autoptr (GHashTable) own = own_table (l);
+  g_autoptr (GHashTable) own = own_table (l, now_ms);
   message_start (l, scope, &m);
   add_table (&m, own);
   if (first)
@@ -182,11 +185,11 @@
   const struct member *first
       = rank_domain_first (members, l->parts.failure_domain);
   if (count_live (members) <= DIRECT_VMS_MAX)
-    tell_own (l, SCOPE_VM, NULL);
+    tell_own (l, SCOPE_VM, NULL, now_ms);
   else if (first == self)
     tell_sums (l, now_ms);
   else if (first)
-    tell_own (l, SCOPE_PART, first);
+    tell_own (l, SCOPE_PART, first, now_ms);
 }
 
 /* Hearing.  */
@@ -196,7 +199,8 @@
 {
   return (struct upstream_load){ .running = (uint32_t)s->running,
                                  .generating = (uint32_t)s->generating,
-                                 .tokens = s->tokens };
+                                 .tokens = s->tokens,
+                                 .quiet_ms = (uint32_t)s->quiet_ms };
 }
 
 static void
--- a/src/decide/load_sums.c
+++ b/src/decide/load_sums.c
@@ -93,6 +93,9 @@
       sum = g_new0 (struct upstream_load, 1);
       g_hash_table_insert (table, g_strdup (upstream), sum);
     }
+  if (load->running > 0)
+    sum->quiet_ms = sum->running > 0 ? MIN (sum->quiet_ms, load->quiet_ms)
+                                     : load->quiet_ms;
   sum->running += load->running;
   sum->generating += load->generating;
   sum->tokens += load->tokens;
--- a/src/decide/placing.c
+++ b/src/decide/placing.c
@@ -34,6 +34,12 @@
 /* Wait for one more slot of an engine whose slots are all taken.  */
 #define SLOT_WAIT_MS 150.0
 
+bool
+placing_is_long (const struct prompt *prompt)
+{
+  return prompt && prompt->tokens >= READ_APART_MIN_TOKENS;
+}
+
 static bool
 was_tried (const struct upstream_ask *ask, upstream_handle h)
 {
@@ -66,15 +72,13 @@
 static bool
 may_read_apart (const struct upstream_ask *ask)
 {
-  return ask->prompt && !ask->whole && ask->reader == 0
-         && ask->prompt->tokens >= READ_APART_MIN_TOKENS;
+  return !ask->whole && ask->reader == 0 && placing_is_long (ask->prompt);
 }
 
 static bool
 has_long_prompt (const struct upstream_ask *ask)
 {
-  return ask->prompt && ask->reader == 0
-         && ask->prompt->tokens >= READ_APART_MIN_TOKENS;
+  return ask->reader == 0 && placing_is_long (ask->prompt);
 }
 
 static bool
@@ -268,7 +272,8 @@
       double turns = (double)load.running / (double)MAX (x->info.slots, 1);
       ms += x->service_ms * (1 + (turns < 1 ? turns / 8 : turns));
     }
-  out->expected_ms = ms;
+  out->plain_ms = ms;
+  out->expected_ms = ms * (has_long_prompt (ask) ? u->stretch : 1);
   return ms + cost;
 }
 
--- a/src/decide/placing.h
+++ b/src/decide/placing.h
@@ -29,4 +29,7 @@
                                        const struct upstream_ask *ask,
                                        int64_t now_ms);
 
+/** Whether PROMPT, which may be NULL, is one that engines are kept free of. */
+bool placing_is_long (const struct prompt *prompt);
+
 #endif
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -29,6 +29,11 @@
 #define QUIET_FACTOR 3.0
 /* Part of an engine's memory that is taken as cache.  */
 #define CACHE_PERCENT 80
+/* How fast expectations follow what answers took; the base keeps short times
+   from counting much, the bound leaves requests to measure by.  */
+#define STRETCH_WEIGHT 0.08
+#define STRETCH_BASE_MS 50.0
+#define STRETCH_MAX 4.0
 /* Of a handle; the rest counts the uses of its place.  */
 #define INDEX_BITS 16
 
@@ -70,6 +75,7 @@
 {
   struct upstreams *u = g_new0 (struct upstreams, 1);
   u->place = *place;
+  u->stretch = 1;
   u->slots = g_array_new (FALSE, TRUE, sizeof (struct upstream));
   g_array_set_size (u->slots, 1);
   u->by_id = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -252,6 +258,14 @@
   return x ? x->own : (struct upstream_load){ 0 };
 }
 
+uint32_t
+upstreams_quiet_ms (const struct upstreams *u, upstream_handle h,
+                    int64_t now_ms)
+{
+  const struct upstream *x = upstreams_at (u, h);
+  return x ? (uint32_t)CLAMP (now_ms - x->heard_ms, 0, UINT32_MAX) : 0;
+}
+
 struct upstream_load
 upstreams_all_load (const struct upstreams *u, upstream_handle h,
                     int64_t now_ms)
@@ -283,6 +297,9 @@
     }
   h->load = *load;
   h->at_ms = now_ms;
+  /* An instance that answers another VM is not silent.  */
+  if (load->running > 0)
+    x->heard_ms = MAX (x->heard_ms, now_ms - load->quiet_ms);
 }
 
 /* Distance and rest.  */
@@ -378,6 +395,14 @@
   x->tokens_per_ms += (speed - x->tokens_per_ms) * READ_SAMPLE_WEIGHT;
 }
 
+void
+upstreams_took (struct upstreams *u, double expected_ms, double took_ms)
+{
+  double ratio = (took_ms + STRETCH_BASE_MS) / (expected_ms + STRETCH_BASE_MS);
+  u->stretch += (ratio - u->stretch) * STRETCH_WEIGHT;
+  u->stretch = CLAMP (u->stretch, 1, STRETCH_MAX);
+}
+
 void
 upstreams_heard (struct upstreams *u, upstream_handle h, int64_t now_ms)
 {
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -91,6 +91,7 @@
 {
   upstream_handle handle; /**< 0 where there is none */
   double expected_ms;     /**< until the first byte of the answer */
+  double plain_ms;        /**< the same before it was stretched */
   uint64_t tokens;        /**< that it has to read of the prompt */
   bool is_home;           /**< it is the prompt's first choice */
   bool reads_apart;       /**< HANDLE only reads the prompt; another engine,
@@ -118,6 +119,9 @@
 /** The first byte of the answer's body came.  */
 void upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
                            int64_t now_ms);
+/** A long prompt that was expected to be answered in EXPECTED_MS was answered
+    in TOOK_MS; later expectations are stretched by it.  */
+void upstreams_took (struct upstreams *u, double expected_ms, double took_ms);
 /** Bytes of an answer came from H.  */
 void upstreams_heard (struct upstreams *u, upstream_handle h, int64_t now_ms);
 /** Whether H has sent nothing for so long, to none of the requests that it was
@@ -138,11 +142,15 @@
   uint32_t running;
   uint32_t generating; /**< of these, that have next to nothing to read */
   uint64_t tokens;     /**< sent and not yet read */
+  uint32_t quiet_ms;   /**< since a byte of an answer came, while running */
 };
 
 /** Load that this VM puts on H.  */
 struct upstream_load upstreams_own_load (const struct upstreams *u,
                                          upstream_handle h);
+/** Milliseconds since H sent a byte to this VM or, as told, to another.  */
+uint32_t upstreams_quiet_ms (const struct upstreams *u, upstream_handle h,
+                             int64_t now_ms);
 /** Load that all VMs put on H, as far as it was told.  */
 struct upstream_load upstreams_all_load (const struct upstreams *u,
                                          upstream_handle h, int64_t now_ms);
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -49,6 +49,7 @@
   GArray *slots;      /* struct upstream; 0 is never used */
   GHashTable *by_id;  /* id -> index */
   GHashTable *memory; /* service -> tokens */
+  double stretch;     /* times of long prompts, taken to expected, of late */
 };
 
 /** Place number I, used or not; 0 is never used.  */
--- a/tests/unit/test_loads.c
+++ b/tests/unit/test_loads.c
@@ -15,8 +15,8 @@
 test_sums (void)
 {
   struct load_sums *l = load_sums_create (1000);
-  struct upstream_load a = { 1, 1, 100 };
-  struct upstream_load b = { 2, 0, 50 };
+  struct upstream_load a = { 1, 1, 100, 0 };
+  struct upstream_load b = { 2, 0, 50, 0 };
   load_sums_begin (l, "x", 0);
   load_sums_add (l, "x", "e1", &a);
   load_sums_begin (l, "y", 500);
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -323,6 +323,38 @@
   g_assert_cmpstr (chosen (u, NULL, 1950), ==, "other");
   upstreams_ended (u, &a, ATTEMPT_ANSWERED, 1960);
   g_assert_false (upstreams_is_silent (u, &b, 1960));
+  /* One that answers another VM is only busy.  */
+  struct upstream_load told = { .running = 3, .quiet_ms = 40 };
+  g_assert_true (upstreams_is_silent (u, &b, 2600));
+  upstreams_hear (u, "vm-2", "dark", &told, 2600);
+  g_assert_false (upstreams_is_silent (u, &b, 2600));
+  g_assert_true (upstreams_is_silent (u, &b, 3200));
+  upstreams_destroy (u);
+}
+
+/* Load: answers take far longer than expected, as parts that should be cached
+   are not.  What is expected follows within some 20 answers, so that more is
+   refused at once, and goes back when they are quick again.  */
+static void
+test_expectations_follow (void)
+{
+  struct upstreams *u = make_table ();
+  struct prompt p = make_prompt (1, 10, 100);
+  struct upstream_ask ask = { .service = "s", .prompt = &p };
+  put (u, "e1", "n1", UPSTREAM_DECODE, false);
+  double before = placing_choose (u, &ask, 0).expected_ms;
+  for (unsigned i = 0; i < 20; i++)
+    upstreams_took (u, 100, 600);
+  struct upstream_choice c = placing_choose (u, &ask, 0);
+  g_assert_cmpfloat (c.expected_ms, >, 3 * before);
+  g_assert_cmpfloat (c.plain_ms, <, 1.01 * before);
+  for (unsigned i = 0; i < 2000; i++)
+    upstreams_took (u, 100, 100000);
+  /* However late, what is quick without load is still sent.  */
+  g_assert_cmpfloat (placing_choose (u, &ask, 0).expected_ms, <=, 4 * before);
+  for (unsigned i = 0; i < 60; i++)
+    upstreams_took (u, 100, 60);
+  g_assert_cmpfloat (placing_choose (u, &ask, 0).expected_ms, <, 1.1 * before);
   upstreams_destroy (u);
 }
 
@@ -479,6 +511,7 @@
   g_test_add_func ("/upstreams/told-load", test_told_load_counts_and_ages);
   g_test_add_func ("/upstreams/failing", test_failing_is_passed_over);
   g_test_add_func ("/upstreams/silent", test_silent_is_left);
+  g_test_add_func ("/upstreams/expectations", test_expectations_follow);
   g_test_add_func ("/upstreams/homes", test_subjects_have_homes);
   g_test_add_func ("/upstreams/kept", test_engines_are_kept_for_short_prompts);
   g_test_add_func ("/upstreams/spill", test_busy_home_spills);
