The prefix index gets the engines' memory; names and leftovers

Test: upstreams/cached. Also: variables of the gateway and the roster are named after them, unused fields and parameters are gone.

--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -158,7 +158,7 @@
       drop_upstream (d, id, "entry_malformed");
       return;
     }
-  if (upstreams_put (d->upstreams, &info, clock_ms ()))
+  if (upstreams_put (d->upstreams, &info))
     log_event (LOG_INFO, "upstream_known", "upstream", info.id, "service",
                info.service, "address", info.address, "failure_domain",
                info.failure_domain, "leaving", info.leaving ? "true" : "false",
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -65,51 +65,60 @@
 static const char *
 region_of (void *arg, const char *failure_domain)
 {
-  struct gateway *r = arg;
-  return g_hash_table_lookup (r->regions, failure_domain);
+  struct gateway *g = arg;
+  return g_hash_table_lookup (g->regions, failure_domain);
 }
 
 static unsigned
 count_vms (void *arg)
 {
-  const struct gateway *r = arg;
-  return roster_size (r->roster);
+  const struct gateway *g = arg;
+  return roster_size (g->roster);
 }
 
 static bool
-is_ready (const struct gateway *r)
+is_ready (const struct gateway *g)
 {
-  return r->leaving_ms == 0 && discovery_is_complete (r->discovery);
+  return g->leaving_ms == 0 && discovery_is_complete (g->discovery);
 }
 
 /* Routes.  */
 
 static void
-set_caller_limits (struct gateway *r, const struct caller_limits *l)
+set_caller_limits (struct gateway *g, const struct caller_limits *l)
 {
   struct front_limits limits
       = { .head_bytes = l->head_bytes ? l->head_bytes : FIRST_HEAD_BYTES,
           .body_bytes
-          = l->body_bytes ? l->body_bytes : r->settings->max_body_bytes,
+          = l->body_bytes ? l->body_bytes : g->settings->max_body_bytes,
           .read_ms = l->read_ms ? l->read_ms : FIRST_READ_MS,
           .idle_ms = l->idle_ms ? l->idle_ms : FIRST_IDLE_MS,
-          .connections = (unsigned)r->settings->max_connections };
-  front_set_limits (r->callers, &limits);
+          .connections = (unsigned)g->settings->max_connections };
+  front_set_limits (g->callers, &limits);
+}
+
+static void
+set_memory (void *arg, const struct route_service *s)
+{
+  struct gateway *g = arg;
+  if (s->is_engine)
+    upstreams_set_memory (g->upstreams, s->name, s->kv_tokens);
 }
 
 static void
 on_routes (void *arg, struct route_table *table)
 {
-  struct gateway *r = arg;
-  set_caller_limits (r, route_table_limits (table));
-  proxy_set_routes (r->proxy, table);
+  struct gateway *g = arg;
+  set_caller_limits (g, route_table_limits (table));
+  route_table_each_service (table, set_memory, g);
+  proxy_set_routes (g->proxy, table);
 }
 
 static void
 on_upstream_gone (void *arg, const char *id)
 {
-  struct gateway *r = arg;
-  pool_forget (r->pool, id);
+  struct gateway *g = arg;
+  pool_forget (g->pool, id);
 }
 
 static const struct discovery_events discovery_events
@@ -120,8 +129,8 @@
 static void
 on_caller (void *arg, struct front_request *request)
 {
-  struct gateway *r = arg;
-  proxy_take (r->proxy, request);
+  struct gateway *g = arg;
+  proxy_take (g->proxy, request);
 }
 
 static char *
@@ -137,28 +146,28 @@
 static void
 on_ready_question (void *arg, struct front_request *request)
 {
-  struct gateway *r = arg;
-  bool asked = r->platform->is_ready_question (front_request_head (request));
-  inspect_reply (request, !asked ? 404 : (is_ready (r) ? 200 : 503), NULL,
+  struct gateway *g = arg;
+  bool asked = g->platform->is_ready_question (front_request_head (request));
+  inspect_reply (request, !asked ? 404 : (is_ready (g) ? 200 : 503), NULL,
                  NULL);
 }
 
 static void
 on_entry_question (void *arg, struct front_request *request)
 {
-  struct gateway *r = arg;
+  struct gateway *g = arg;
   struct entry_question q;
-  if (!r->platform->read_entry_question (front_request_head (request), &q))
+  if (!g->platform->read_entry_question (front_request_head (request), &q))
     {
       inspect_reply (request, 404, NULL, NULL);
       return;
     }
   g_autoptr (GPtrArray) addresses
-      = roster_entry_addresses (r->roster, q.failure_domain, q.region);
-  if (addresses->len > 0 && (is_ready (r) || r->leaving_ms != 0))
+      = roster_entry_addresses (g->roster, q.failure_domain, q.region);
+  if (addresses->len > 0 && (is_ready (g) || g->leaving_ms != 0))
     {
-      g_autofree char *body = r->platform->write_entry_answer (
-          addresses, (double)r->settings->entry_ttl_s);
+      g_autofree char *body = g->platform->write_entry_answer (
+          addresses, (double)g->settings->entry_ttl_s);
       inspect_reply (request, 200, "application/json", body);
     }
   else
@@ -171,15 +180,15 @@
 static void
 on_inspection (void *arg, struct front_request *request)
 {
-  const struct gateway *r = arg;
-  struct inspect_parts parts = { .vm = r->settings->vm,
-                                 .ready = is_ready (r),
-                                 .proxy = r->proxy,
-                                 .discovery = r->discovery,
-                                 .roster = r->roster,
-                                 .upstreams = r->upstreams,
-                                 .pool = r->pool,
-                                 .kv = r->kv };
+  const struct gateway *g = arg;
+  struct inspect_parts parts = { .vm = g->settings->vm,
+                                 .ready = is_ready (g),
+                                 .proxy = g->proxy,
+                                 .discovery = g->discovery,
+                                 .roster = g->roster,
+                                 .upstreams = g->upstreams,
+                                 .pool = g->pool,
+                                 .kv = g->kv };
   inspect_answer (&parts, request);
 }
 
@@ -191,47 +200,47 @@
 /* Time: readiness, reload, the end of a stop.  */
 
 static void
-log_readiness (struct gateway *r)
+log_readiness (struct gateway *g)
 {
-  bool ready = is_ready (r);
-  if (ready == r->was_ready)
+  bool ready = is_ready (g);
+  if (ready == g->was_ready)
     return;
-  r->was_ready = ready;
+  g->was_ready = ready;
   if (ready)
-    roster_join (r->roster);
-  const struct route_table *t = proxy_routes (r->proxy);
+    roster_join (g->roster);
+  const struct route_table *t = proxy_routes (g->proxy);
   log_event (LOG_INFO, ready ? "ready" : "not_ready", "routes_version",
              log_num (t ? (long long)route_table_version (t) : -1),
-             "upstreams", log_num (upstreams_count (r->upstreams)), NULL);
+             "upstreams", log_num (upstreams_count (g->upstreams)), NULL);
 }
 
 static bool
-stop_is_over (const struct gateway *r, int64_t now)
+stop_is_over (const struct gateway *g, int64_t now)
 {
-  int64_t age = now - r->leaving_ms;
-  double all = (double)r->settings->leave_deadline_s * SECOND_MS;
+  int64_t age = now - g->leaving_ms;
+  double all = (double)g->settings->leave_deadline_s * SECOND_MS;
   if ((double)age >= all * STOP_END_PART)
     return true;
   if ((double)age >= all * STOP_TAKE_PART)
-    front_close_listener (r->callers);
+    front_close_listener (g->callers);
   return age >= STOP_QUIET_MS && (double)age >= all * STOP_TAKE_PART
-         && proxy_open (r->proxy) == 0 && front_connections (r->callers) == 0;
+         && proxy_open (g->proxy) == 0 && front_connections (g->callers) == 0;
 }
 
 static int64_t
-file_time (const struct gateway *r)
+file_time (const struct gateway *g)
 {
   struct stat st;
-  const char *path = r->settings->settings_file;
+  const char *path = g->settings->settings_file;
   if (path[0] == '\0' || stat (path, &st) != 0)
     return 0;
   return (int64_t)st.st_mtim.tv_sec * 1000000000 + st.st_mtim.tv_nsec;
 }
 
 static void
-apply_settings (struct gateway *r)
+apply_settings (struct gateway *g)
 {
-  const struct settings *s = r->settings;
+  const struct settings *s = g->settings;
   struct retry_bounds bounds
       = { .ratio = s->retry_ratio,
           .window_ms = (unsigned)s->retry_window_s * SECOND_MS,
@@ -240,33 +249,33 @@
   (void)log_level_parse (s->log_level, &level);
   log_setup (level, s->vm);
   log_set_rate ((unsigned)s->log_lines_per_s);
-  retry_windows_set_bounds (r->retries, &bounds);
+  retry_windows_set_bounds (g->retries, &bounds);
 }
 
 /* Takes over what may change while it runs; addresses and names may not.  */
 static void
-reload_settings (struct gateway *r, const char *why)
+reload_settings (struct gateway *g, const char *why)
 {
-  struct settings *s = r->reload (r->reload_arg);
-  r->file_changed_ns = file_time (r);
+  struct settings *s = g->reload (g->reload_arg);
+  g->file_changed_ns = file_time (g);
   if (s == NULL)
     {
       log_event (LOG_ERROR, "reload_refused", "why", why, "kept",
                  "the settings in force", NULL);
       return;
     }
-  bool same_place = strcmp (s->front_address, r->settings->front_address) == 0
-                    && strcmp (s->kv, r->settings->kv) == 0
-                    && strcmp (s->vm, r->settings->vm) == 0;
-  r->settings->retry_ratio = s->retry_ratio;
-  r->settings->retry_window_s = s->retry_window_s;
-  r->settings->retry_slack = s->retry_slack;
-  r->settings->entry_ttl_s = s->entry_ttl_s;
-  r->settings->leave_deadline_s = s->leave_deadline_s;
-  g_free (r->settings->log_level);
-  r->settings->log_level = g_strdup (s->log_level);
+  bool same_place = strcmp (s->front_address, g->settings->front_address) == 0
+                    && strcmp (s->kv, g->settings->kv) == 0
+                    && strcmp (s->vm, g->settings->vm) == 0;
+  g->settings->retry_ratio = s->retry_ratio;
+  g->settings->retry_window_s = s->retry_window_s;
+  g->settings->retry_slack = s->retry_slack;
+  g->settings->entry_ttl_s = s->entry_ttl_s;
+  g->settings->leave_deadline_s = s->leave_deadline_s;
+  g_free (g->settings->log_level);
+  g->settings->log_level = g_strdup (s->log_level);
   settings_destroy (s);
-  apply_settings (r);
+  apply_settings (g);
   log_event (LOG_INFO, "reloaded", "why", why, "needs_restart",
              same_place ? "false" : "true", NULL);
 }
@@ -276,31 +285,31 @@
 {
   (void)fd;
   (void)what;
-  struct gateway *r = arg;
+  struct gateway *g = arg;
   int64_t now = clock_ms ();
-  log_readiness (r);
-  if (r->leaving_ms != 0 && stop_is_over (r, now))
-    event_base_loopbreak (r->base);
-  if (now - r->second_ms < SECOND_MS)
+  log_readiness (g);
+  if (g->leaving_ms != 0 && stop_is_over (g, now))
+    event_base_loopbreak (g->base);
+  if (now - g->second_ms < SECOND_MS)
     return;
-  r->second_ms = now;
-  if (file_time (r) != r->file_changed_ns)
-    reload_settings (r, "file_changed");
+  g->second_ms = now;
+  if (file_time (g) != g->file_changed_ns)
+    reload_settings (g, "file_changed");
 }
 
 static void
 on_stop (evutil_socket_t signal, short what, void *arg)
 {
   (void)what;
-  struct gateway *r = arg;
-  if (r->leaving_ms != 0)
+  struct gateway *g = arg;
+  if (g->leaving_ms != 0)
     return;
-  r->leaving_ms = clock_ms ();
+  g->leaving_ms = clock_ms ();
   log_event (LOG_INFO, "stopping", "signal", log_num (signal), "open",
-             log_num (proxy_open (r->proxy)), "deadline_s",
-             log_num ((long long)r->settings->leave_deadline_s), NULL);
-  roster_leave (r->roster);
-  front_drain (r->callers, STOP_IDLE_MS);
+             log_num (proxy_open (g->proxy)), "deadline_s",
+             log_num ((long long)g->settings->leave_deadline_s), NULL);
+  roster_leave (g->roster);
+  front_drain (g->callers, STOP_IDLE_MS);
 }
 
 static void
@@ -331,9 +340,9 @@
 }
 
 static bool
-listen_for_all (struct gateway *r, GError **error)
+listen_for_all (struct gateway *g, GError **error)
 {
-  const struct settings *s = r->settings;
+  const struct settings *s = g->settings;
   struct front_limits callers
       = { .head_bytes = FIRST_HEAD_BYTES,
           .body_bytes = s->max_body_bytes,
@@ -347,18 +356,18 @@
                                     .connections = QUESTION_CONNECTIONS };
   g_autofree char *metrics
       = g_strdup_printf ("%s:%u", s->ip, (unsigned)s->metrics_port);
-  r->callers = front_create (r->base, s->front_address, &callers,
-                             &caller_events, r, error);
-  if (r->callers)
-    r->ready = front_create (r->base, s->ready_address, &questions,
-                             &ready_events, r, error);
-  if (r->ready)
-    r->entry = front_create (r->base, s->entry_address, &questions,
-                             &entry_events, r, error);
-  if (r->entry && s->metrics_port > 0)
-    r->metrics = front_create (r->base, metrics, &questions, &metrics_events,
-                               r, error);
-  return r->entry && (s->metrics_port == 0 || r->metrics);
+  g->callers = front_create (g->base, s->front_address, &callers,
+                             &caller_events, g, error);
+  if (g->callers)
+    g->ready = front_create (g->base, s->ready_address, &questions,
+                             &ready_events, g, error);
+  if (g->ready)
+    g->entry = front_create (g->base, s->entry_address, &questions,
+                             &entry_events, g, error);
+  if (g->entry && s->metrics_port > 0)
+    g->metrics = front_create (g->base, metrics, &questions, &metrics_events,
+                               g, error);
+  return g->entry && (s->metrics_port == 0 || g->metrics);
 }
 
 static uint16_t
@@ -371,42 +380,42 @@
 }
 
 static void
-make_parts (struct gateway *r)
+make_parts (struct gateway *g)
 {
-  const struct settings *s = r->settings;
+  const struct settings *s = g->settings;
   struct upstream_place place = { .failure_domain = s->failure_domain,
                                   .region = s->region,
                                   .region_of = region_of,
-                                  .arg = r };
+                                  .arg = g };
   struct retry_bounds bounds = { 0 };
-  r->regions = read_domains (s->domains);
-  r->http = http_client_create (r->base);
-  r->kv = r->platform->open_kv (r->base, r->http, s->kv);
-  r->pool = pool_create (r->base);
-  r->upstreams = upstreams_create (&place);
-  r->retries = retry_windows_create (&bounds);
-  apply_settings (r);
-  struct roster_parts roster = { .base = r->base,
-                                 .kv = r->kv,
-                                 .upstreams = r->upstreams,
+  g->regions = read_domains (s->domains);
+  g->http = http_client_create (g->base);
+  g->kv = g->platform->open_kv (g->base, g->http, s->kv);
+  g->pool = pool_create (g->base);
+  g->upstreams = upstreams_create (&place);
+  g->retries = retry_windows_create (&bounds);
+  apply_settings (g);
+  struct roster_parts roster = { .base = g->base,
+                                 .kv = g->kv,
+                                 .upstreams = g->upstreams,
                                  .vm = s->vm,
                                  .ip = s->ip,
                                  .peer_port = (uint16_t)s->peer_port,
                                  .front_port = port_of (s->front_address),
                                  .failure_domain = s->failure_domain,
                                  .region_of = region_of,
-                                 .arg = r };
-  r->roster = roster_create (&roster);
-  struct proxy_parts parts = { .base = r->base,
-                               .platform = r->platform,
-                               .pool = r->pool,
-                               .upstreams = r->upstreams,
-                               .retries = r->retries,
+                                 .arg = g };
+  g->roster = roster_create (&roster);
+  struct proxy_parts parts = { .base = g->base,
+                               .platform = g->platform,
+                               .pool = g->pool,
+                               .upstreams = g->upstreams,
+                               .retries = g->retries,
                                .count_vms = count_vms,
-                               .arg = r };
-  r->proxy = proxy_create (&parts);
-  r->discovery = discovery_create (r->base, r->kv, r->platform, r->upstreams,
-                                   &discovery_events, r);
+                               .arg = g };
+  g->proxy = proxy_create (&parts);
+  g->discovery = discovery_create (g->base, g->kv, g->platform, g->upstreams,
+                                   &discovery_events, g);
 }
 
 struct gateway *
@@ -414,39 +423,39 @@
                 gateway_reload *reload, void *arg, GError **error)
 {
   static const struct timeval tick = { 0, TICK_MS * 1000 };
-  struct gateway *r = g_new0 (struct gateway, 1);
-  r->base = event_base_new ();
-  r->settings = settings;
-  r->platform = platform;
-  r->reload = reload;
-  r->reload_arg = arg;
-  r->file_changed_ns = file_time (r);
-  if (!listen_for_all (r, error))
+  struct gateway *g = g_new0 (struct gateway, 1);
+  g->base = event_base_new ();
+  g->settings = settings;
+  g->platform = platform;
+  g->reload = reload;
+  g->reload_arg = arg;
+  g->file_changed_ns = file_time (g);
+  if (!listen_for_all (g, error))
     {
-      gateway_destroy (r);
+      gateway_destroy (g);
       return NULL;
     }
-  make_parts (r);
-  r->timer = event_new (r->base, -1, EV_PERSIST, on_tick, r);
-  event_add (r->timer, &tick);
-  return r;
+  make_parts (g);
+  g->timer = event_new (g->base, -1, EV_PERSIST, on_tick, g);
+  event_add (g->timer, &tick);
+  return g;
 }
 
 void
-gateway_run (struct gateway *r)
+gateway_run (struct gateway *g)
 {
-  struct event *term = evsignal_new (r->base, SIGTERM, on_stop, r);
-  struct event *intr = evsignal_new (r->base, SIGINT, on_stop, r);
-  struct event *hup = evsignal_new (r->base, SIGHUP, on_reload, r);
+  struct event *term = evsignal_new (g->base, SIGTERM, on_stop, g);
+  struct event *intr = evsignal_new (g->base, SIGINT, on_stop, g);
+  struct event *hup = evsignal_new (g->base, SIGHUP, on_reload, g);
   event_add (term, NULL);
   event_add (intr, NULL);
   event_add (hup, NULL);
-  log_event (LOG_INFO, "started", "front", r->settings->front_address,
-             "region", r->settings->region, "failure_domain",
-             r->settings->failure_domain, "kv", r->settings->kv, NULL);
-  event_base_dispatch (r->base);
-  roster_left (r->roster);
-  log_event (LOG_INFO, "stopped", "cut", log_num (proxy_open (r->proxy)),
+  log_event (LOG_INFO, "started", "front", g->settings->front_address,
+             "region", g->settings->region, "failure_domain",
+             g->settings->failure_domain, "kv", g->settings->kv, NULL);
+  event_base_dispatch (g->base);
+  roster_left (g->roster);
+  log_event (LOG_INFO, "stopped", "cut", log_num (proxy_open (g->proxy)),
              NULL);
   event_free (term);
   event_free (intr);
@@ -454,26 +463,26 @@
 }
 
 void
-gateway_destroy (struct gateway *r)
+gateway_destroy (struct gateway *g)
 {
-  if (r == NULL)
+  if (g == NULL)
     return;
-  if (r->timer)
-    event_free (r->timer);
-  discovery_destroy (r->discovery);
-  roster_destroy (r->roster);
-  proxy_destroy (r->proxy);
-  front_destroy (r->callers);
-  front_destroy (r->ready);
-  front_destroy (r->entry);
-  front_destroy (r->metrics);
-  pool_destroy (r->pool);
-  kv_destroy (r->kv);
-  http_client_destroy (r->http);
-  upstreams_destroy (r->upstreams);
-  retry_windows_destroy (r->retries);
-  g_clear_pointer (&r->regions, g_hash_table_destroy);
-  settings_destroy (r->settings);
-  event_base_free (r->base);
-  g_free (r);
+  if (g->timer)
+    event_free (g->timer);
+  discovery_destroy (g->discovery);
+  roster_destroy (g->roster);
+  proxy_destroy (g->proxy);
+  front_destroy (g->callers);
+  front_destroy (g->ready);
+  front_destroy (g->entry);
+  front_destroy (g->metrics);
+  pool_destroy (g->pool);
+  kv_destroy (g->kv);
+  http_client_destroy (g->http);
+  upstreams_destroy (g->upstreams);
+  retry_windows_destroy (g->retries);
+  g_clear_pointer (&g->regions, g_hash_table_destroy);
+  settings_destroy (g->settings);
+  event_base_free (g->base);
+  g_free (g);
 }
--- a/src/daemon/gateway.h
+++ b/src/daemon/gateway.h
@@ -22,9 +22,9 @@
                                 GError **error);
 
 /** Runs until SIGTERM or SIGINT has been carried out.  */
-void gateway_run (struct gateway *r);
+void gateway_run (struct gateway *g);
 
-/** Releases R.  */
-void gateway_destroy (struct gateway *r);
+/** Releases G.  */
+void gateway_destroy (struct gateway *g);
 
 #endif
--- a/src/daemon/roster.c
+++ b/src/daemon/roster.c
@@ -54,32 +54,32 @@
 };
 
 static char *
-own_key (const struct roster *f)
+own_key (const struct roster *r)
 {
-  return g_strconcat (KEYS_OF_VMS, f->parts.vm, NULL);
+  return g_strconcat (KEYS_OF_VMS, r->parts.vm, NULL);
 }
 
 static char *
-own_address (const struct roster *f)
+own_address (const struct roster *r)
 {
-  return g_strdup_printf ("%s:%u", f->parts.ip, f->parts.peer_port);
+  return g_strdup_printf ("%s:%u", r->parts.ip, r->parts.peer_port);
 }
 
 /* Joining.  */
 
 static void
-failed (struct roster *f, const char *what, enum kv_status status)
+failed (struct roster *r, const char *what, enum kv_status status)
 {
   log_event (LOG_WARN, "join_waits", "step", what, "status", log_num (status),
              "retry_ms", log_num (RETRY_MS), NULL);
-  f->next_ms = clock_ms () + RETRY_MS;
+  r->next_ms = clock_ms () + RETRY_MS;
 }
 
 static const char *
 join_address (void *arg, unsigned i)
 {
-  const struct roster *f = arg;
-  return i < f->addresses->len ? g_ptr_array_index (f->addresses, i) : NULL;
+  const struct roster *r = arg;
+  return i < r->addresses->len ? g_ptr_array_index (r->addresses, i) : NULL;
 }
 
 static uint64_t
@@ -100,90 +100,90 @@
 static void
 on_frame (void *arg, const struct frame *frame)
 {
-  struct roster *f = arg;
+  struct roster *r = arg;
   if (frame->type == MESSAGE_UPSTREAM_SHARES)
-    load_link_take (f->loads, frame->message, clock_ms ());
+    load_link_take (r->loads, frame->message, clock_ms ());
 }
 
 static void
 send_shares (void *arg, const struct member *to,
              const struct upstream_shares *message)
 {
-  struct roster *f = arg;
-  gossip_link_send (f->gossip, to, MESSAGE_UPSTREAM_SHARES, message);
+  struct roster *r = arg;
+  gossip_link_send (r->gossip, to, MESSAGE_UPSTREAM_SHARES, message);
 }
 
 static void
-open_gossip (struct roster *f)
+open_gossip (struct roster *r)
 {
   g_autoptr (GError) error = NULL;
-  struct gossip_parts parts = { .base = f->parts.base,
-                                .members = f->members,
-                                .ip = f->parts.ip,
-                                .port = f->parts.peer_port,
+  struct gossip_parts parts = { .base = r->parts.base,
+                                .members = r->members,
+                                .ip = r->parts.ip,
+                                .port = r->parts.peer_port,
                                 .region = GOSSIP_REGION,
-                                .fleet_key = f->fleet_key,
+                                .fleet_key = r->fleet_key,
                                 .join_address = join_address,
                                 .revision = no_revision,
                                 .on_revision = on_revision,
                                 .on_frame = on_frame,
-                                .arg = f };
-  f->gossip = gossip_link_create (&parts, &error);
-  if (f->gossip == NULL)
+                                .arg = r };
+  r->gossip = gossip_link_create (&parts, &error);
+  if (r->gossip == NULL)
     {
       log_event (LOG_ERROR, "gossip_failed", "error", error->message, NULL);
-      f->next_ms = clock_ms () + RETRY_MS;
+      r->next_ms = clock_ms () + RETRY_MS;
       return;
     }
-  f->step = STEP_JOINED;
-  log_event (LOG_INFO, "joined", "addresses", log_num (f->addresses->len),
+  r->step = STEP_JOINED;
+  log_event (LOG_INFO, "joined", "addresses", log_num (r->addresses->len),
              NULL);
 }
 
 static void
 on_written (void *arg, enum kv_status status, int64_t revision)
 {
-  struct roster *f = arg;
-  f->busy = false;
+  struct roster *r = arg;
+  r->busy = false;
   /* An answer that was lost, or a newer entry: read again what stands.  */
   if (status != KV_OK)
     {
-      failed (f, "write", status);
-      f->step = STEP_LIST;
+      failed (r, "write", status);
+      r->step = STEP_LIST;
       return;
     }
-  f->own_revision = revision;
-  f->own_is_right = true;
+  r->own_revision = revision;
+  r->own_is_right = true;
 }
 
 static void
-write_own (struct roster *f)
+write_own (struct roster *r)
 {
-  g_autofree char *key = own_key (f);
-  g_autofree char *address = own_address (f);
+  g_autofree char *key = own_key (r);
+  g_autofree char *address = own_address (r);
   g_autoptr (GBytes) value = g_bytes_new (address, strlen (address));
   struct kv_put put = { key, value };
-  f->busy = true;
-  kv_txn (f->parts.kv, key, f->own_revision, &put, 1, on_written, f);
+  r->busy = true;
+  kv_txn (r->parts.kv, key, r->own_revision, &put, 1, on_written, r);
 }
 
 static void
 on_listed (void *arg, enum kv_status status, const struct kv_change *changes,
            size_t n, int64_t as_of)
 {
-  struct roster *f = arg;
+  struct roster *r = arg;
   (void)as_of;
-  f->busy = false;
+  r->busy = false;
   if (status != KV_OK)
     {
-      failed (f, "list", status);
+      failed (r, "list", status);
       return;
     }
-  g_autofree char *key = own_key (f);
-  g_autofree char *own = own_address (f);
-  g_ptr_array_set_size (f->addresses, 0);
-  f->own_revision = 0;
-  f->own_is_right = false;
+  g_autofree char *key = own_key (r);
+  g_autofree char *own = own_address (r);
+  g_ptr_array_set_size (r->addresses, 0);
+  r->own_revision = 0;
+  r->own_is_right = false;
   for (size_t i = 0; i < n; i++)
     {
       gsize size = 0;
@@ -191,107 +191,107 @@
       char *address = g_strndup (data, size);
       if (strcmp (changes[i].key, key) == 0)
         {
-          f->own_revision = changes[i].revision;
-          f->own_is_right = strcmp (address, own) == 0;
+          r->own_revision = changes[i].revision;
+          r->own_is_right = strcmp (address, own) == 0;
         }
-      g_ptr_array_add (f->addresses, address);
+      g_ptr_array_add (r->addresses, address);
     }
-  if (f->step == STEP_LIST)
-    f->step = STEP_WRITE;
+  if (r->step == STEP_LIST)
+    r->step = STEP_WRITE;
 }
 
-static void read_key (struct roster *f);
+static void read_key (struct roster *r);
 
 static void
 on_key_made (void *arg, enum kv_status status, int64_t revision)
 {
-  struct roster *f = arg;
+  struct roster *r = arg;
   (void)revision;
-  f->busy = false;
+  r->busy = false;
   /* Whoever wrote it: read it.  */
   if (status == KV_OK || status == KV_CONFLICT)
-    read_key (f);
+    read_key (r);
   else
-    failed (f, "make_key", status);
+    failed (r, "make_key", status);
 }
 
 static void
-make_key (struct roster *f)
+make_key (struct roster *r)
 {
   unsigned char bytes[FLEET_KEY_BYTES];
   if (getrandom (bytes, sizeof bytes, 0) != (ssize_t)sizeof bytes)
     {
-      failed (f, "random", KV_DOWN);
+      failed (r, "random", KV_DOWN);
       return;
     }
   g_autofree char *text = g_base64_encode (bytes, sizeof bytes);
   g_autoptr (GBytes) value = g_bytes_new (text, strlen (text));
   struct kv_put put = { KEY_OF_FLEET, value };
-  f->busy = true;
-  kv_txn (f->parts.kv, KEY_OF_FLEET, 0, &put, 1, on_key_made, f);
+  r->busy = true;
+  kv_txn (r->parts.kv, KEY_OF_FLEET, 0, &put, 1, on_key_made, r);
 }
 
 static void
 on_key (void *arg, enum kv_status status, const struct kv_value *values,
         size_t n)
 {
-  struct roster *f = arg;
-  f->busy = false;
+  struct roster *r = arg;
+  r->busy = false;
   if (status != KV_OK)
     {
-      failed (f, "read_key", status);
+      failed (r, "read_key", status);
       return;
     }
   if (n == 0)
     {
-      make_key (f);
+      make_key (r);
       return;
     }
   gsize size = 0;
   const char *data = g_bytes_get_data (values[0].value, &size);
-  f->fleet_key = g_strndup (data, size);
-  f->step = STEP_LIST;
+  r->fleet_key = g_strndup (data, size);
+  r->step = STEP_LIST;
 }
 
 static void
-read_key (struct roster *f)
+read_key (struct roster *r)
 {
-  f->busy = true;
-  kv_get (f->parts.kv, KEY_OF_FLEET, false, on_key, f);
+  r->busy = true;
+  kv_get (r->parts.kv, KEY_OF_FLEET, false, on_key, r);
 }
 
 static void
-list_others (struct roster *f)
+list_others (struct roster *r)
 {
-  f->busy = true;
-  kv_list (f->parts.kv, KEYS_OF_VMS, on_listed, f);
+  r->busy = true;
+  kv_list (r->parts.kv, KEYS_OF_VMS, on_listed, r);
 }
 
 static void
-go_on (struct roster *f, int64_t now)
+go_on (struct roster *r, int64_t now)
 {
-  if (f->busy || now < f->next_ms)
+  if (r->busy || now < r->next_ms)
     return;
-  if (f->step == STEP_KEY)
-    read_key (f);
-  else if (f->step == STEP_LIST)
-    list_others (f);
-  else if (f->step == STEP_WRITE && !f->own_is_right)
-    write_own (f);
-  else if (f->step == STEP_WRITE)
-    open_gossip (f);
+  if (r->step == STEP_KEY)
+    read_key (r);
+  else if (r->step == STEP_LIST)
+    list_others (r);
+  else if (r->step == STEP_WRITE && !r->own_is_right)
+    write_own (r);
+  else if (r->step == STEP_WRITE)
+    open_gossip (r);
 }
 
 /* A VM that hears nobody looks for others in the service.  */
 static void
-look_around (struct roster *f, int64_t now)
+look_around (struct roster *r, int64_t now)
 {
-  int64_t silence = gossip_link_silence_ms (f->gossip);
-  if (f->busy || (silence >= 0 && silence < ALONE_MS)
-      || now - f->looked_ms < LOOK_MS)
+  int64_t silence = gossip_link_silence_ms (r->gossip);
+  if (r->busy || (silence >= 0 && silence < ALONE_MS)
+      || now - r->looked_ms < LOOK_MS)
     return;
-  f->looked_ms = now;
-  list_others (f);
+  r->looked_ms = now;
+  list_others (r);
 }
 
 /* Time.  */
@@ -301,26 +301,26 @@
 {
   (void)fd;
   (void)what;
-  struct roster *f = arg;
+  struct roster *r = arg;
   int64_t now = clock_ms ();
-  if (f->step != STEP_JOINED)
+  if (r->step != STEP_JOINED)
     {
-      go_on (f, now);
+      go_on (r, now);
       return;
     }
-  look_around (f, now);
-  if (now - f->loads_ms < LOADS_MS)
+  look_around (r, now);
+  if (now - r->loads_ms < LOADS_MS)
     return;
-  f->loads_ms = now;
-  load_link_tell (f->loads, now);
+  r->loads_ms = now;
+  load_link_tell (r->loads, now);
 }
 
 /* What others ask.  */
 
 unsigned
-roster_size (const struct roster *f)
+roster_size (const struct roster *r)
 {
-  const GPtrArray *all = members_all (f->members);
+  const GPtrArray *all = members_all (r->members);
   unsigned n = 1;
   for (guint i = 1; i < all->len; i++)
     n += member_live (g_ptr_array_index (all, i));
@@ -329,12 +329,12 @@
 
 /* How near a VM is to the asker: 0 is its failure domain.  */
 static unsigned
-distance (const struct roster *f, const struct member *m,
+distance (const struct roster *r, const struct member *m,
           const char *failure_domain, const char *region)
 {
   if (failure_domain && strcmp (m->info.failure_domain, failure_domain) == 0)
     return 0;
-  const char *of = f->parts.region_of (f->parts.arg, m->info.failure_domain);
+  const char *of = r->parts.region_of (r->parts.arg, m->info.failure_domain);
   return region && of && strcmp (of, region) == 0 ? 1 : 2;
 }
 
@@ -345,17 +345,17 @@
 }
 
 GPtrArray *
-roster_entry_addresses (const struct roster *f, const char *failure_domain,
+roster_entry_addresses (const struct roster *r, const char *failure_domain,
                         const char *region)
 {
-  const GPtrArray *all = members_all (f->members);
+  const GPtrArray *all = members_all (r->members);
   GPtrArray *out = g_ptr_array_new_with_free_func (g_free);
   for (unsigned near = 0; near <= 2 && out->len == 0; near++)
     for (guint i = 0; i < all->len && out->len < ENTRY_MAX; i++)
       {
         const struct member *m = g_ptr_array_index (all, i);
         if (takes_callers (m)
-            && distance (f, m, failure_domain, region) == near)
+            && distance (r, m, failure_domain, region) == near)
           g_ptr_array_add (out, g_strdup_printf ("%s:%u", m->info.ip,
                                                  (unsigned)m->info.http_port));
       }
@@ -368,12 +368,12 @@
 roster_create (const struct roster_parts *parts)
 {
   static const struct timeval tick = { 0, 50000 };
-  struct roster *f = g_new0 (struct roster, 1);
+  struct roster *r = g_new0 (struct roster, 1);
   guint32 seed = 0;
   if (getrandom (&seed, sizeof seed, 0) != (ssize_t)sizeof seed)
     g_error ("no random bytes");
-  f->parts = *parts;
-  f->addresses = g_ptr_array_new_with_free_func (g_free);
+  r->parts = *parts;
+  r->addresses = g_ptr_array_new_with_free_func (g_free);
   struct member_update self
       = { .id = (char *)parts->vm,
           .ip = (char *)parts->ip,
@@ -383,50 +383,50 @@
           .failure_domain = (char *)parts->failure_domain,
           .incarnation
           = member_first_incarnation (g_get_real_time () / 1000) };
-  f->members = members_create (&self, seed, clock_ms ());
+  r->members = members_create (&self, seed, clock_ms ());
   struct load_link_parts loads = { .upstreams = parts->upstreams,
-                                   .members = f->members,
+                                   .members = r->members,
                                    .vm = parts->vm,
                                    .failure_domain = parts->failure_domain,
                                    .send = send_shares,
-                                   .arg = f };
-  f->loads = load_link_create (&loads);
-  f->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, f);
-  event_add (f->timer, &tick);
-  return f;
+                                   .arg = r };
+  r->loads = load_link_create (&loads);
+  r->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, r);
+  event_add (r->timer, &tick);
+  return r;
 }
 
 void
-roster_destroy (struct roster *f)
+roster_destroy (struct roster *r)
 {
-  if (f == NULL)
+  if (r == NULL)
     return;
-  event_free (f->timer);
-  gossip_link_destroy (f->gossip);
-  load_link_destroy (f->loads);
-  members_destroy (f->members);
-  g_ptr_array_unref (f->addresses);
-  g_free (f->fleet_key);
-  g_free (f);
+  event_free (r->timer);
+  gossip_link_destroy (r->gossip);
+  load_link_destroy (r->loads);
+  members_destroy (r->members);
+  g_ptr_array_unref (r->addresses);
+  g_free (r->fleet_key);
+  g_free (r);
 }
 
 void
-roster_join (struct roster *f)
+roster_join (struct roster *r)
 {
-  if (f->step == STEP_IDLE)
-    f->step = STEP_KEY;
+  if (r->step == STEP_IDLE)
+    r->step = STEP_KEY;
 }
 
 void
-roster_leave (struct roster *f)
+roster_leave (struct roster *r)
 {
-  if (f->gossip)
-    gossip_link_leave (f->gossip);
+  if (r->gossip)
+    gossip_link_leave (r->gossip);
 }
 
 void
-roster_left (struct roster *f)
+roster_left (struct roster *r)
 {
-  if (f->gossip)
-    gossip_link_left (f->gossip);
+  if (r->gossip)
+    gossip_link_left (r->gossip);
 }
--- a/src/daemon/roster.h
+++ b/src/daemon/roster.h
@@ -33,25 +33,25 @@
 /** Makes a roster of this VM alone.  */
 struct roster *roster_create (const struct roster_parts *parts);
 
-/** Releases F.  */
-void roster_destroy (struct roster *f);
+/** Releases R.  */
+void roster_destroy (struct roster *r);
 
 /** This VM takes requests from now on: it joins.  */
-void roster_join (struct roster *f);
+void roster_join (struct roster *r);
 
 /** Announces that this VM is leaving.  */
-void roster_leave (struct roster *f);
+void roster_leave (struct roster *r);
 
 /** Announces that this VM has left.  */
-void roster_left (struct roster *f);
+void roster_left (struct roster *r);
 
 /** VMs that share upstreams and budgets, this one included; not below 1.  */
-unsigned roster_size (const struct roster *f);
+unsigned roster_size (const struct roster *r);
 
 /** IP:PORT of the VMs that callers of a failure domain and region should use:
     of the domain, else of the region, else all.  Free with
     g_ptr_array_unref.  */
-GPtrArray *roster_entry_addresses (const struct roster *f,
+GPtrArray *roster_entry_addresses (const struct roster *r,
                                    const char *failure_domain,
                                    const char *region);
 
--- a/src/decide/prefixes.c
+++ b/src/decide/prefixes.c
@@ -36,6 +36,12 @@
   g_free (p);
 }
 
+void
+prefixes_set_bound (struct prefixes *p, uint64_t tokens)
+{
+  p->bound = tokens;
+}
+
 static void
 drop_oldest (struct prefixes *p)
 {
--- a/src/decide/prefixes.h
+++ b/src/decide/prefixes.h
@@ -38,6 +38,9 @@
 /** Releases P.  */
 void prefixes_destroy (struct prefixes *p);
 
+/** Replaces the bound.  */
+void prefixes_set_bound (struct prefixes *p, uint64_t tokens);
+
 /** The prompt was sent at NOW_MS.  */
 void prefixes_add (struct prefixes *p, const struct prompt *prompt,
                    int64_t now_ms);
--- a/src/decide/routes.c
+++ b/src/decide/routes.c
@@ -164,6 +164,19 @@
   return g_hash_table_lookup (t->services, name);
 }
 
+void
+route_table_each_service (const struct route_table *t,
+                          void (*back) (void *arg,
+                                        const struct route_service *s),
+                          void *arg)
+{
+  GHashTableIter it;
+  gpointer service;
+  g_hash_table_iter_init (&it, t->services);
+  while (g_hash_table_iter_next (&it, NULL, &service))
+    back (arg, service);
+}
+
 const char *
 route_pick (const struct route *route, const char *request_id)
 {
--- a/src/decide/routes.h
+++ b/src/decide/routes.h
@@ -100,6 +100,12 @@
 const struct route_service *route_table_service (const struct route_table *t,
                                                  const char *name);
 
+/** Calls BACK for each service.  */
+void route_table_each_service (const struct route_table *t,
+                               void (*back) (void *arg,
+                                             const struct route_service *s),
+                               void *arg);
+
 /** The target of ROUTE for a request, by its weights; the same for the same
     REQUEST_ID.  */
 const char *route_pick (const struct route *route, const char *request_id);
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -96,6 +96,13 @@
   g_free (u);
 }
 
+/* Tokens of an engine's memory that are taken as cache.  */
+static uint64_t
+cache_tokens (uint64_t kv_tokens)
+{
+  return kv_tokens * CACHE_PERCENT / 100;
+}
+
 void
 upstreams_set_memory (struct upstreams *u, const char *service,
                       uint64_t kv_tokens)
@@ -103,6 +110,12 @@
   uint64_t *tokens = g_new (uint64_t, 1);
   *tokens = kv_tokens;
   g_hash_table_replace (u->memory, g_strdup (service), tokens);
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = upstreams_slot (u, i);
+      if (x->used && strcmp (x->info.service, service) == 0)
+        prefixes_set_bound (x->prefixes, cache_tokens (kv_tokens));
+    }
 }
 
 upstream_handle
@@ -159,7 +172,7 @@
                                                     : READ_TOKENS_PER_MS;
   x->service_ms = SERVICE_MS;
   x->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  x->prefixes = prefixes_create (tokens ? *tokens * CACHE_PERCENT / 100 : 0);
+  x->prefixes = prefixes_create (tokens ? cache_tokens (*tokens) : 0);
   info_copy (&x->info, info);
   g_hash_table_insert (u->by_id, g_strdup (info->id), GUINT_TO_POINTER (i));
 }
@@ -175,10 +188,8 @@
 }
 
 bool
-upstreams_put (struct upstreams *u, const struct upstream_info *info,
-               int64_t now_ms)
+upstreams_put (struct upstreams *u, const struct upstream_info *info)
 {
-  (void)now_ms;
   guint i = GPOINTER_TO_UINT (g_hash_table_lookup (u->by_id, info->id));
   if (i == 0)
     {
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -61,7 +61,8 @@
 /** Releases U.  */
 void upstreams_destroy (struct upstreams *u);
 
-/** Service SERVICE has engines whose memory holds KV_TOKENS.  */
+/** Engines of SERVICE, those to come and those that are there, have memory for
+    KV_TOKENS.  */
 void upstreams_set_memory (struct upstreams *u, const char *service,
                            uint64_t kv_tokens);
 
@@ -69,8 +70,7 @@
 
 /** Adds or changes an instance; INFO is copied.  Returns whether anything
     changed.  */
-bool upstreams_put (struct upstreams *u, const struct upstream_info *info,
-                    int64_t now_ms);
+bool upstreams_put (struct upstreams *u, const struct upstream_info *info);
 /** Removes an instance; requests under way at it are told apart by their
     handle.  Returns whether it was there.  */
 bool upstreams_remove (struct upstreams *u, const char *id);
--- a/src/links/front.c
+++ b/src/links/front.c
@@ -50,7 +50,6 @@
   void (*on_gone) (void *);
   void *gone_arg;
   enum http_framing framing;
-  bool started;
 };
 
 struct front_conn
@@ -170,13 +169,11 @@
 conn_request (struct front_conn *c)
 {
   struct front *f = c->front;
-  const struct http_head *h = http_codec_head (c->codec);
   evtimer_del (c->timer);
   c->state = CONN_ANSWERING;
   c->close_after = !http_codec_keep_alive (c->codec) || f->draining;
   c->request = (struct front_request){ .conn = c };
   f->open_requests++;
-  (void)h;
   f->events->on_request (f->arg, &c->request);
 }
 
@@ -482,7 +479,6 @@
 {
   g_autofree char *text = NULL;
   bool old = front_request_head (r)->minor == 0;
-  r->started = true;
   if (framing == HTTP_FRAMING_CHUNKED || framing == HTTP_FRAMING_CLOSE)
     framing = old ? HTTP_FRAMING_CLOSE : HTTP_FRAMING_CHUNKED;
   r->framing = framing;
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -53,7 +53,6 @@
 /** The table.  */
 struct platform_ops
 {
-  const char *name;
   const char *id_field;           /**< field that names a request */
   const char *const *kept_fields; /**< fields that no Connection field may
                                        remove, ended by NULL */
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -222,8 +222,8 @@
   events->on_end (arg, POOL_WHOLE);
 }
 
-/* Passes over what is no answer of this call; false where it has ended.  */
-static bool
+/* Passes over what is no answer of this call.  */
+static void
 next_answer (struct conn *c)
 {
   struct pool_call *call = c->call;
@@ -231,7 +231,6 @@
   call->stray = false;
   call->head_seen = false;
   http_codec_next (c->codec, call->bodiless);
-  return true;
 }
 
 static bool
@@ -262,13 +261,20 @@
   if (head == NULL)
     return false;
   if (head->status < 200)
-    return p == HTTP_WHOLE && next_answer (c);
+    {
+      if (p == HTTP_WHOLE)
+        next_answer (c);
+      return p == HTTP_WHOLE;
+    }
   if (!call->head_seen && !take_head (c, head))
     return false;
   if (!pass_data (c) || p != HTTP_WHOLE)
     return false;
   if (call->stray)
-    return next_answer (c);
+    {
+      next_answer (c);
+      return true;
+    }
   answer_whole (c);
   return false;
 }
--- a/tests/unit/test_loads.c
+++ b/tests/unit/test_loads.c
@@ -128,7 +128,7 @@
                                 .failure_domain = v->domain,
                                 .software = (char *)"1",
                                 .slots = 1000 };
-  upstreams_put (v->upstreams, &info, 0);
+  upstreams_put (v->upstreams, &info);
   struct member_update self = update_of (v);
   v->members = members_create (&self, i + 1, 0);
   struct load_link_parts parts = { .upstreams = v->upstreams,
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -222,7 +222,7 @@
                                 .slots = 4,
                                 .role = role,
                                 .leaving = leaving };
-  upstreams_put (u, &info, 0);
+  upstreams_put (u, &info);
 }
 
 static const char *
@@ -358,6 +358,28 @@
   upstreams_destroy (u);
 }
 
+/* What an engine was sent counts as cached there, within its memory, which may
+   become known after the engine.  */
+static void
+test_sent_prompts_count_as_cached (void)
+{
+  struct upstreams *u = make_table ();
+  struct upstream_work work;
+  put (u, "e1", "n1", UPSTREAM_DECODE, false);
+  upstreams_set_memory (u, "s", 50000);
+  struct upstream_choice to = { .handle = upstreams_find (u, "e1") };
+  for (unsigned i = 0; i < 4; i++)
+    {
+      struct prompt p = make_prompt (1, 20 + i, 200 + i);
+      upstreams_sent (u, &to, &p, i, &work);
+      upstreams_cancelled (u, &work);
+    }
+  struct prompt again = make_prompt (1, 20, 200);
+  struct upstream_ask ask = { .service = "s", .prompt = &again };
+  g_assert_cmpuint (placing_choose (u, &ask, 10).tokens, ==, 0);
+  upstreams_destroy (u);
+}
+
 /* All VMs choose the same engine for one subject, and subjects spread.  */
 static void
 test_subjects_have_homes (void)
@@ -512,6 +534,7 @@
   g_test_add_func ("/upstreams/failing", test_failing_is_passed_over);
   g_test_add_func ("/upstreams/silent", test_silent_is_left);
   g_test_add_func ("/upstreams/expectations", test_expectations_follow);
+  g_test_add_func ("/upstreams/cached", test_sent_prompts_count_as_cached);
   g_test_add_func ("/upstreams/homes", test_subjects_have_homes);
   g_test_add_func ("/upstreams/kept", test_engines_are_kept_for_short_prompts);
   g_test_add_func ("/upstreams/spill", test_busy_home_spills);
