A stopping VM takes no request that could outlast it

Ruled out: closing the listener sooner (callers keep an address for seconds; they would meet closed ports); waiting longer (the platform kills after 8 s). Before: routed/late-in-a-stop fails with 200.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -27,6 +27,8 @@
   struct route_table *table;
   GHashTable *open; /* struct exchange */
   struct event *timer;
+  int64_t end_from_ms; /* see proxy_set_end; 0 while the VM does not stop */
+  int64_t end_ms;
 };
 
 /** One request of a caller.  */
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -25,8 +25,10 @@
 #define QUESTION_BODY_BYTES 4096
 #define QUESTION_CONNECTIONS 400
 /* Parts of the time that a stop may take: until then new requests are taken,
-   and at the end of it what is still open is cut.  */
+   until then also those that could outlast the stop, and at the end of it what
+   is still open is cut.  */
 #define STOP_TAKE_PART 0.45
+#define STOP_TAKE_LONG_PART 0.3
 #define STOP_END_PART 0.92
 #define STOP_IDLE_MS 1500
 #define STOP_QUIET_MS 1200
@@ -309,6 +311,10 @@
              log_num (proxy_open (g->proxy)), "deadline_s",
              log_num ((long long)g->settings->leave_deadline_s), NULL);
   roster_leave (g->roster);
+  double all = (double)g->settings->leave_deadline_s * SECOND_MS;
+  proxy_set_end (g->proxy,
+                 g->leaving_ms + (int64_t)(all * STOP_TAKE_LONG_PART),
+                 g->leaving_ms + (int64_t)(all * STOP_END_PART));
   front_drain (g->callers, STOP_IDLE_MS);
 }
 
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -61,6 +61,15 @@
   return e->service != NULL;
 }
 
+/* Whether the VM stops before the request must have ended.  */
+static bool
+outlasts_the_vm (const struct exchange *e)
+{
+  const struct proxy *p = e->proxy;
+  return p->end_ms != 0 && clock_ms () >= p->end_from_ms
+         && e->until_ms > p->end_ms;
+}
+
 static void
 route_exchange (struct exchange *e, const struct http_head *head)
 {
@@ -73,6 +82,11 @@
   else
     {
       set_deadline (e);
+      if (outlasts_the_vm (e))
+        {
+          exchange_refuse (e, "stopping", EXCHANGE_RETRY_AFTER_MIN_MS);
+          return;
+        }
       e->attempts
           = attempts_start (route_repeatable (e->route), e->route->attempts);
       retry_windows_request (e->proxy->parts.retries, e->service, e->since_ms);
@@ -173,6 +187,13 @@
   return p->table;
 }
 
+void
+proxy_set_end (struct proxy *p, int64_t from_ms, int64_t end_ms)
+{
+  p->end_from_ms = from_ms;
+  p->end_ms = end_ms;
+}
+
 unsigned
 proxy_open (const struct proxy *p)
 {
--- a/src/daemon/proxy.h
+++ b/src/daemon/proxy.h
@@ -27,6 +27,10 @@
 /** Takes a caller's request.  */
 void proxy_take (struct proxy *p, struct front_request *r);
 
+/** The VM stops at END_MS of the monotonic clock: from FROM_MS on, requests
+   that could last longer are refused.  */
+void proxy_set_end (struct proxy *p, int64_t from_ms, int64_t end_ms);
+
 /** Requests under way.  */
 unsigned proxy_open (const struct proxy *p);
 
--- a/tests/process/test_routed.c
+++ b/tests/process/test_routed.c
@@ -389,6 +389,28 @@
   site_wait (all_are_named, NULL, WHOLE_MS);
 }
 
+/* Late in a stop, a VM takes no request that could outlast it; shorter ones
+   are still served.  */
+static void
+test_late_in_a_stop (void)
+{
+  proc_signal (site->vms[1], SIGTERM);
+  /* New connections are taken for 0.45 of the time that a stop may take.  */
+  g_usleep (site->leave_s * 400000);
+  struct web *w = site_ask (site, 1, "POST", "/live/stream", "late-1");
+  g_autofree char *after = web_header (w, "Retry-After");
+  g_assert_cmpint (w->status, ==, 503);
+  g_assert_nonnull (after);
+  g_assert_cmpuint (site_runs (site, -1, "late-1"), ==, 0);
+  web_close (w);
+  w = site_ask (site, 1, "GET", "/safe/ok", "late-2");
+  g_assert_cmpint (w->status, ==, 200);
+  web_close (w);
+  g_assert_true (proc_wait (site->vms[1], site->leave_s * 1000));
+  site_start_vm (site, 1);
+  site_wait (all_are_named, NULL, WHOLE_MS);
+}
+
 static void
 test_kill (void)
 {
@@ -419,6 +441,7 @@
   g_test_add_func ("/routed/metrics-and-log", test_metrics_and_log);
   g_test_add_func ("/routed/status", test_status);
   g_test_add_func ("/routed/stop", test_stop);
+  g_test_add_func ("/routed/late-in-a-stop", test_late_in_a_stop);
   g_test_add_func ("/routed/kill", test_kill);
   int result = g_test_run ();
   site_destroy (site);
