One count of live members; what constants hold, without how they came

Cause: three modules counted live members by themselves, and three comments told when a constant was set instead of what it holds. Ruled out: leaving roster_size out of it; it is now the same call.

--- a/src/daemon/gossip_link.c
+++ b/src/daemon/gossip_link.c
@@ -175,16 +175,6 @@
   g->joined_ms = now;
 }
 
-static unsigned
-count_live (const struct members *m)
-{
-  const GPtrArray *all = members_all (m);
-  unsigned n = 0;
-  for (guint i = 0; i < all->len; i++)
-    n += member_live (g_ptr_array_index (all, i));
-  return n;
-}
-
 static void
 log_changes (struct gossip_link *g)
 {
@@ -192,7 +182,7 @@
   if (version == g->seen_version)
     return;
   g->seen_version = version;
-  unsigned live = count_live (g->parts.members);
+  unsigned live = members_count_live (g->parts.members);
   metrics_set (METRIC_members_live, live);
   log_event (LOG_INFO, "members_changed", "live", log_num (live), "known",
              log_num (members_all (g->parts.members)->len), NULL);
--- a/src/daemon/load_link.c
+++ b/src/daemon/load_link.c
@@ -167,16 +167,6 @@
   record_clear (&upstream_shares_record, &m);
 }
 
-static unsigned
-count_live (const struct members *members)
-{
-  const GPtrArray *all = members_all (members);
-  unsigned n = 1;
-  for (guint i = 1; i < all->len; i++)
-    n += member_live (g_ptr_array_index (all, i));
-  return n;
-}
-
 void
 load_link_tell (struct load_link *l, int64_t now_ms)
 {
@@ -184,7 +174,7 @@
   const struct member *self = g_ptr_array_index (members_all (members), 0);
   const struct member *first
       = rank_domain_first (members, l->parts.failure_domain);
-  if (count_live (members) <= DIRECT_VMS_MAX)
+  if (members_count_live (members) <= DIRECT_VMS_MAX)
     tell_own (l, SCOPE_VM, NULL, now_ms);
   else if (first == self)
     tell_sums (l, now_ms);
--- a/src/daemon/roster.c
+++ b/src/daemon/roster.c
@@ -320,11 +320,7 @@
 unsigned
 roster_size (const struct roster *r)
 {
-  const GPtrArray *all = members_all (r->members);
-  unsigned n = 1;
-  for (guint i = 1; i < all->len; i++)
-    n += member_live (g_ptr_array_index (all, i));
-  return n;
+  return members_count_live (r->members);
 }
 
 /* How near a VM is to the asker: 0 is its failure domain.  */
--- a/src/decide/members.c
+++ b/src/decide/members.c
@@ -111,6 +111,15 @@
   return m->info.status < MEMBER_DEAD;
 }
 
+unsigned
+members_count_live (const struct members *m)
+{
+  unsigned n = 1;
+  for (guint i = 1; i < m->list->len; i++)
+    n += member_live (g_ptr_array_index (m->list, i));
+  return n;
+}
+
 /* Small parts.  */
 
 static void
--- a/src/decide/members.h
+++ b/src/decide/members.h
@@ -115,6 +115,8 @@
 const GPtrArray *members_all (const struct members *m);
 /** The member named VM, or NULL.  */
 const struct member *members_find (const struct members *m, const char *vm);
+/** Members that run, this VM included.  */
+unsigned members_count_live (const struct members *m);
 /** Whether requests may go to MEMBER: alive or suspect, not leaving.  */
 bool member_usable (const struct member *member);
 /** Whether MEMBER runs: usable or leaving.  */
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -2,14 +2,15 @@
 
 #include <string.h>
 
-/* Speed of an engine's reading before it was measured.  */
+/* Speed of an engine's reading: to begin with, its bounds, and how much one
+   answer, of so many tokens at least, changes it.  */
 #define READ_TOKENS_PER_MS 150.0
 #define READ_APART_TOKENS_PER_MS 300.0
 #define READ_TOKENS_PER_MS_MIN 15.0
 #define READ_TOKENS_PER_MS_MAX 800.0
 #define READ_SAMPLE_TOKENS 1000
 #define READ_SAMPLE_WEIGHT 0.1
-/* Time of a plain request before it was measured.  */
+/* Time of a plain request: to begin with, and how much one answer changes it.  */
 #define SERVICE_MS 20.0
 #define SERVICE_SAMPLE_WEIGHT 0.05
 /* Load that another VM told is used for as long.  */
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -6,7 +6,7 @@
 
 #include "decide/upstreams.h"
 
-/* Round trips by distance, before anything was measured.  */
+/* Round trips by distance.  */
 #define NEAR_RTT_MS 1.0
 #define REGION_RTT_MS 3.0
 #define FAR_RTT_MS 25.0
