VMs that miss a change hear of it from others

Ruled out: shorter waits (0.8 calls a second more a VM); one revision for both prefixes (a live feed would hide a silent one); the list's revision as what is known (it counts other keys, so that VMs would look without end). Change: gossip carries the revision of the latest change of routes and of upstreams that a VM knows; a feed that does not hear of it within 0.5 s reads its list on a connection of its own. Before: routed/store-link-is-silent: the second VM, its connections to the store silenced by a relay, does not serve the new route within 4 s.

--- a/src/daemon/conf.c
+++ b/src/daemon/conf.c
@@ -191,7 +191,7 @@
              log_num ((long long)c->revision), "digest", digest, "operator",
              head_text (head, "operator"), "apply",
              head_text (head, "apply_id"), NULL);
-  members_set_revision (c->d->members, c->revision);
+  members_set_revision (c->d->members, c->revision, 0);
   daemon_file_changed (c->d);
   return true;
 }
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -133,19 +133,19 @@
   return i < g_strv_length (d->join) ? d->join[i] : NULL;
 }
 
-static uint64_t
-own_revision (void *arg)
+static struct gossip_known
+what_is_known (void *arg)
 {
   const struct daemon *d = arg;
-  return conf_revision (d->conf);
+  return (struct gossip_known){ .revision = conf_revision (d->conf) };
 }
 
 static void
-on_revision (void *arg, const char *from, uint64_t revision)
+on_known (void *arg, const char *from, const struct gossip_known *known)
 {
   struct daemon *d = arg;
-  if (revision > conf_revision (d->conf))
-    conf_hint (d->conf, from, revision);
+  if (known->revision > conf_revision (d->conf))
+    conf_hint (d->conf, from, known->revision);
 }
 
 static void
@@ -167,8 +167,8 @@
                                 .region = s->region,
                                 .fleet_key = d->fleet_key,
                                 .join_address = join_address,
-                                .revision = own_revision,
-                                .on_revision = on_revision,
+                                .known = what_is_known,
+                                .on_known = on_known,
                                 .on_frame = on_datagram,
                                 .arg = d };
   d->join = g_strsplit (s->join, ",", -1);
--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -242,6 +242,22 @@
   g_free (d);
 }
 
+struct discovery_known
+discovery_known (const struct discovery *d)
+{
+  return (struct discovery_known){
+    .routes = (uint64_t)feed_revision (d->routes_feed),
+    .upstreams = (uint64_t)feed_revision (d->upstreams_feed)
+  };
+}
+
+void
+discovery_hint (struct discovery *d, const struct discovery_known *known)
+{
+  feed_hint (d->routes_feed, (int64_t)known->routes);
+  feed_hint (d->upstreams_feed, (int64_t)known->upstreams);
+}
+
 bool
 discovery_is_complete (const struct discovery *d)
 {
--- a/src/daemon/discovery.h
+++ b/src/daemon/discovery.h
@@ -35,6 +35,19 @@
 /** Releases D.  */
 void discovery_destroy (struct discovery *d);
 
+/** What a VM knows of the key-value service's latest changes.  */
+struct discovery_known
+{
+  uint64_t routes;    /**< revision of the routes */
+  uint64_t upstreams; /**< revision of the latest change of upstreams */
+};
+
+/** What is known here.  */
+struct discovery_known discovery_known (const struct discovery *d);
+
+/** Another VM knows KNOWN.  */
+void discovery_hint (struct discovery *d, const struct discovery_known *known);
+
 /** Whether routes and upstreams have been read at least once.  */
 bool discovery_is_complete (const struct discovery *d);
 
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -9,6 +9,9 @@
 /* Pause after changes: many upstreams that start or end together are then told
    in one answer, not in one each.  */
 #define GATHER_MS 150
+/* How long a change that another VM knows of may be missing here: the pause in
+   which changes are gathered, and their way.  */
+#define HINT_MS 500
 /* Pause after a failure.  */
 #define RETRY_MS 250
 #define RETRY_MAX_MS 1000
@@ -22,10 +25,14 @@
   struct event *timer;
   GHashTable *keys; /* key -> revision, int64_t * */
   int64_t as_of;
+  int64_t changed; /* revision of the latest change */
+  int64_t hinted;  /* revision that another VM knows of */
+  struct event *hint_timer;
   int64_t answered_ms;
   unsigned pause_ms;
   bool up;
   bool listed;
+  bool looking;
 };
 
 static void go_on (struct feed *f);
@@ -74,6 +81,7 @@
   const int64_t *known = g_hash_table_lookup (f->keys, c->key);
   if (known && *known >= c->revision)
     return;
+  f->changed = MAX (f->changed, c->revision);
   int64_t *revision = g_new (int64_t, 1);
   *revision = c->revision;
   g_hash_table_replace (f->keys, g_strdup (c->key), revision);
@@ -100,6 +108,18 @@
                                   .revision = as_of });
 }
 
+static void
+take_list (struct feed *f, const struct kv_change *changes, size_t n,
+           int64_t as_of)
+{
+  drop_absent (f, changes, n, as_of);
+  for (size_t i = 0; i < n; i++)
+    take (f, &changes[i]);
+  f->as_of = as_of;
+  f->listed = true;
+  f->events->on_batch (f->arg, true);
+}
+
 static void
 on_listed (void *arg, enum kv_status status, const struct kv_change *changes,
            size_t n, int64_t as_of)
@@ -111,12 +131,9 @@
       pause_feed (f);
       return;
     }
-  drop_absent (f, changes, n, as_of);
-  for (size_t i = 0; i < n; i++)
-    take (f, &changes[i]);
-  f->as_of = as_of;
-  f->listed = true;
-  f->events->on_batch (f->arg, true);
+  /* Another list may have been answered meanwhile, and be newer.  */
+  if (as_of >= f->as_of)
+    take_list (f, changes, n, as_of);
   go_on (f);
 }
 
@@ -140,7 +157,10 @@
       return;
     }
   for (size_t i = 0; i < n; i++)
-    take (f, &changes[i]);
+    {
+      take (f, &changes[i]);
+      f->changed = MAX (f->changed, changes[i].revision);
+    }
   f->as_of = MAX (f->as_of, as_of);
   if (n == 0)
     {
@@ -170,6 +190,58 @@
   go_on (arg);
 }
 
+/* What another VM knows.  */
+
+static bool
+is_behind (const struct feed *f)
+{
+  return f->hinted > MAX (f->changed, f->as_of);
+}
+
+static void
+on_looked (void *arg, enum kv_status status, const struct kv_change *changes,
+           size_t n, int64_t as_of)
+{
+  struct feed *f = arg;
+  f->looking = false;
+  note_state (f, status);
+  if (status == KV_OK && as_of >= f->as_of)
+    take_list (f, changes, n, as_of);
+  else
+    log_event (LOG_INFO, "look_failed", "prefix", f->prefix, "status",
+               log_num (status), NULL);
+}
+
+static void
+on_hint_due (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct feed *f = arg;
+  if (!is_behind (f) || f->looking)
+    return;
+  log_event (LOG_INFO, "change_missing", "prefix", f->prefix, "revision",
+             log_num (MAX (f->changed, f->as_of)), "known_elsewhere",
+             log_num (f->hinted), "age_ms", log_num (feed_age_ms (f)), NULL);
+  f->looking = true;
+  kv_list (f->kv, f->prefix, on_looked, f);
+}
+
+void
+feed_hint (struct feed *f, int64_t revision)
+{
+  static const struct timeval wait = { 0, HINT_MS * 1000 };
+  f->hinted = MAX (f->hinted, revision);
+  if (is_behind (f) && !evtimer_pending (f->hint_timer, NULL))
+    evtimer_add (f->hint_timer, &wait);
+}
+
+int64_t
+feed_revision (const struct feed *f)
+{
+  return f->changed;
+}
+
 struct feed *
 feed_create (struct event_base *base, struct kv *kv, const char *prefix,
              const struct feed_events *events, void *arg)
@@ -183,6 +255,7 @@
   f->up = true;
   f->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   f->timer = evtimer_new (base, on_timer, f);
+  f->hint_timer = evtimer_new (base, on_hint_due, f);
   go_on (f);
   return f;
 }
@@ -193,6 +266,7 @@
   if (f == NULL)
     return;
   event_free (f->timer);
+  event_free (f->hint_timer);
   g_hash_table_destroy (f->keys);
   g_free (f->prefix);
   g_free (f);
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -32,6 +32,13 @@
 /** Releases F.  */
 void feed_destroy (struct feed *f);
 
+/** Revision of the latest change under the prefix that is known here.  */
+int64_t feed_revision (const struct feed *f);
+
+/** Another VM knows of a change at REVISION.  Where this one does not hear of
+    it soon, it reads everything: the call that waits may have been lost.  */
+void feed_hint (struct feed *f, int64_t revision);
+
 /** Milliseconds since the service last answered; -1 for never.  */
 int64_t feed_age_ms (const struct feed *f);
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -385,6 +385,23 @@
   return port;
 }
 
+static struct gossip_known
+what_is_known (void *arg)
+{
+  const struct gateway *g = arg;
+  struct discovery_known known = discovery_known (g->discovery);
+  return (struct gossip_known){ known.routes, known.upstreams };
+}
+
+static void
+on_known (void *arg, const struct gossip_known *known)
+{
+  struct gateway *g = arg;
+  struct discovery_known theirs
+      = { known->revision, known->upstreams_revision };
+  discovery_hint (g->discovery, &theirs);
+}
+
 static void
 make_parts (struct gateway *g)
 {
@@ -410,6 +427,8 @@
                                  .front_port = port_of (s->front_address),
                                  .failure_domain = s->failure_domain,
                                  .region_of = region_of,
+                                 .known = what_is_known,
+                                 .on_known = on_known,
                                  .arg = g };
   g->roster = roster_create (&roster);
   struct proxy_parts parts = { .base = g->base,
--- a/src/daemon/gossip_link.c
+++ b/src/daemon/gossip_link.c
@@ -104,7 +104,8 @@
       members_receive (g->parts.members, clock_ms (), m, ip,
                        ntohs (from->sin_port), out);
       send_all (g, out);
-      g->parts.on_revision (g->parts.arg, m->from, m->revision);
+      struct gossip_known known = { m->revision, m->upstreams_revision };
+      g->parts.on_known (g->parts.arg, m->from, &known);
     }
   else
     g->parts.on_frame (g->parts.arg, f);
@@ -196,7 +197,9 @@
   struct gossip_link *g = arg;
   int64_t now = clock_ms ();
   g_autoptr (GArray) out = gossip_out_create ();
-  members_set_revision (g->parts.members, g->parts.revision (g->parts.arg));
+  struct gossip_known known = g->parts.known (g->parts.arg);
+  members_set_revision (g->parts.members, known.revision,
+                        known.upstreams_revision);
   members_tick (g->parts.members, now, out);
   send_all (g, out);
   /* A VM that hears nobody asks the join addresses again.  */
--- a/src/daemon/gossip_link.h
+++ b/src/daemon/gossip_link.h
@@ -10,6 +10,13 @@
 
 struct gossip_link;
 
+/** What VMs tell that they know, so that one that is behind finds out.  */
+struct gossip_known
+{
+  uint64_t revision;           /**< of the configuration in force */
+  uint64_t upstreams_revision; /**< of the latest change of upstreams; or 0 */
+};
+
 /** What a link works with; all of it outlives the link.  */
 struct gossip_parts
 {
@@ -21,10 +28,11 @@
   const char *fleet_key;
   /** Address number I to join through, or NULL after the last one.  */
   const char *(*join_address) (void *arg, unsigned i);
-  /** Revision of the configuration that this VM has in force.  */
-  uint64_t (*revision) (void *arg);
-  /** Gossip of FROM says that it has REVISION in force.  */
-  void (*on_revision) (void *arg, const char *from, uint64_t revision);
+  /** What this VM knows.  */
+  struct gossip_known (*known) (void *arg);
+  /** FROM says what it knows.  */
+  void (*on_known) (void *arg, const char *from,
+                    const struct gossip_known *known);
   /** A frame other than gossip came.  */
   void (*on_frame) (void *arg, const struct frame *f);
   void *arg;
--- a/src/daemon/roster.c
+++ b/src/daemon/roster.c
@@ -82,19 +82,19 @@
   return i < r->addresses->len ? g_ptr_array_index (r->addresses, i) : NULL;
 }
 
-static uint64_t
-no_revision (void *arg)
+static struct gossip_known
+what_is_known (void *arg)
 {
-  (void)arg;
-  return 0;
+  const struct roster *r = arg;
+  return r->parts.known (r->parts.arg);
 }
 
 static void
-on_revision (void *arg, const char *from, uint64_t revision)
+on_known (void *arg, const char *from, const struct gossip_known *known)
 {
-  (void)arg;
+  const struct roster *r = arg;
   (void)from;
-  (void)revision;
+  r->parts.on_known (r->parts.arg, known);
 }
 
 static void
@@ -124,8 +124,8 @@
                                 .region = GOSSIP_REGION,
                                 .fleet_key = r->fleet_key,
                                 .join_address = join_address,
-                                .revision = no_revision,
-                                .on_revision = on_revision,
+                                .known = what_is_known,
+                                .on_known = on_known,
                                 .on_frame = on_frame,
                                 .arg = r };
   r->gossip = gossip_link_create (&parts, &error);
--- a/src/daemon/roster.h
+++ b/src/daemon/roster.h
@@ -6,6 +6,7 @@
 #ifndef DAEMON_ROSTER_H
 #define DAEMON_ROSTER_H
 
+#include "daemon/gossip_link.h"
 #include "decide/members.h"
 #include "decide/upstreams.h"
 #include "links/kv.h"
@@ -27,6 +28,10 @@
   const char *failure_domain;
   /** Region of a failure domain, or NULL.  */
   const char *(*region_of) (void *arg, const char *failure_domain);
+  /** What this VM knows, for the others.  */
+  struct gossip_known (*known) (void *arg);
+  /** Another VM knows KNOWN.  */
+  void (*on_known) (void *arg, const struct gossip_known *known);
   void *arg;
 };
 
--- a/src/decide/members.c
+++ b/src/decide/members.c
@@ -47,6 +47,7 @@
   uint64_t seq;
   uint64_t version;
   uint64_t false_removals;
+  uint64_t upstreams_revision; /* told with this VM's messages */
   int64_t next_probe_ms;
   int64_t ticked_ms;
   unsigned urgent; /* ticks in which news is pushed to a few at once */
@@ -383,6 +384,7 @@
   o.message.target = g_strdup (target);
   o.message.after = g_strdup ("");
   o.message.revision = m->self->revision;
+  o.message.upstreams_revision = m->upstreams_revision;
   o.message.digest = own_digest (m);
   o.message.updates = record_list_create (&member_update_record);
   g_array_append_val (out, o);
@@ -882,7 +884,9 @@
 }
 
 void
-members_set_revision (struct members *m, uint64_t revision)
+members_set_revision (struct members *m, uint64_t revision,
+                      uint64_t upstreams_revision)
 {
   m->self->revision = revision;
+  m->upstreams_revision = upstreams_revision;
 }
--- a/src/decide/members.h
+++ b/src/decide/members.h
@@ -104,8 +104,10 @@
 /** The VM list no longer shows VM: remove it if nothing else has been heard of
     it for longer than the list's lag.  */
 void members_hint_gone (struct members *m, const char *vm, int64_t now_ms);
-/** The configuration's revision that this VM has in force.  */
-void members_set_revision (struct members *m, uint64_t revision);
+/** The configuration's revision that this VM has in force, and that of the
+    latest change of upstreams that it knows, 0 where they have none.  */
+void members_set_revision (struct members *m, uint64_t revision,
+                           uint64_t upstreams_revision);
 
 /* The view.  */
 
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -121,7 +121,6 @@
   s->leave_s = 5;
   s->slots = 6;
   s->store = start_fake (s, "fake_store", "store", &s->store_address);
-  s->store_given = g_strdup (s->store_address);
   for (unsigned i = 0; i < upstreams; i++)
     {
       g_autofree char *name = g_strdup_printf ("u%u", i);
@@ -166,7 +165,6 @@
   proc_destroy (s->store);
   remove_dir (s->dir);
   g_free (s->store_address);
-  g_free (s->store_given);
   g_free (s->dir);
   g_free (s->bin);
   g_free (s);
@@ -185,6 +183,8 @@
   g_autofree char *name = g_strdup_printf ("vm%u", i);
   g_autofree char *log = g_strdup_printf ("%s/%s.log", s->dir, name);
   g_autofree char *leave = g_strdup_printf ("%u", s->leave_s);
+  char *store
+      = s->vm_store[i] ? (char *)(uintptr_t)s->vm_store[i] : s->store_address;
   if (s->fronts[i] == NULL)
     {
       s->fronts[i] = any_address ();
@@ -209,7 +209,7 @@
                    "--routes-from",
                    "platform",
                    "--kv",
-                   s->store_given,
+                   store,
                    "--front-address",
                    s->fronts[i],
                    "--ready-address",
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -21,7 +21,9 @@
   unsigned n_vms;
   unsigned n_upstreams;
   char *store_address;
-  char *store_given; /**< where VMs look for it; a relay may stand before it */
+  const char
+      *vm_store[SITE_VMS_MAX]; /**< where each VM looks for it; NULL for
+                                    the store itself, else the caller's */
   struct proc *store;
   struct proc *upstreams[SITE_UPSTREAMS_MAX];
   char *upstream_addresses[SITE_UPSTREAMS_MAX];
--- a/tests/process/test_routed.c
+++ b/tests/process/test_routed.c
@@ -1,6 +1,7 @@
 /** @file
     The routed path as processes: VMs between callers, a store and instances
     that answer in every wrong way.  */
+#include "harness/relay.h"
 #include "harness/site.h"
 #include "process/common.h"
 
@@ -19,6 +20,7 @@
 #define UPSTREAMS 2
 
 static struct site *site;
+static struct relay *store_relay; /* before the store, for the second VM */
 
 static void
 check_answer (const struct web *w, const char *expected)
@@ -329,6 +331,27 @@
   site_wait (extra_route_serves, (char *)"/swallowed/ok", CALM_MS);
 }
 
+/* The second VM's connections to the store go silent while all seems well to
+   it: it hears of newer routes from the first VM.  */
+static void
+test_store_link_is_silent (void)
+{
+  static unsigned n;
+  relay_forget (store_relay);
+  site_write_routes (site, 12, "heard");
+  gint64 end = g_get_monotonic_time () + (gint64)CALM_MS * 1000;
+  bool served = false;
+  while (!served && g_get_monotonic_time () < end)
+    {
+      g_autofree char *id = g_strdup_printf ("heard-%u", n++);
+      struct web *w = site_ask (site, 1, "GET", "/heard/ok", id);
+      served = w->status == 200;
+      web_close (w);
+      g_usleep (50000);
+    }
+  g_assert_true (served);
+}
+
 static void
 test_metrics_and_log (void)
 {
@@ -359,7 +382,7 @@
   g_assert_true (g_spawn_sync (NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
                                &out, NULL, &status, NULL));
   g_assert_cmpint (status, ==, 0);
-  g_assert_true (g_str_has_prefix (out, "vm1: ready, routes version 11, "));
+  g_assert_true (g_str_has_prefix (out, "vm1: ready, routes version 12, "));
   g_assert_nonnull (strstr (out, "u0\ts\t127.0.0.1:"));
   g_assert_nonnull (strstr (out, ", 2 VMs, "));
 }
@@ -443,6 +466,8 @@
   g_test_init (&argc, &argv, NULL);
   programs_init (argv[0]);
   site = site_create (programs (), VMS, UPSTREAMS);
+  store_relay = relay_create (site->store_address);
+  site->vm_store[1] = relay_address (store_relay);
   site_start (site);
   g_test_add_func ("/routed/unchanged", test_unchanged);
   g_test_add_func ("/routed/framings", test_framings);
@@ -455,6 +480,7 @@
   g_test_add_func ("/routed/upstream-leaves", test_upstream_leaves);
   g_test_add_func ("/routed/store-away", test_store_away);
   g_test_add_func ("/routed/store-swallows", test_store_swallows);
+  g_test_add_func ("/routed/store-link-is-silent", test_store_link_is_silent);
   g_test_add_func ("/routed/metrics-and-log", test_metrics_and_log);
   g_test_add_func ("/routed/status", test_status);
   g_test_add_func ("/routed/stop", test_stop);
@@ -462,5 +488,6 @@
   g_test_add_func ("/routed/kill", test_kill);
   int result = g_test_run ();
   site_destroy (site);
+  relay_destroy (store_relay);
   return result;
 }
