One connection code towards upstreams and the platform

Ruled out: moving the callers of http_client to the pool's interface as well; theirs is smaller, and is now 150 lines over the pool.

--- a/src/daemon/calls.c
+++ b/src/daemon/calls.c
@@ -686,7 +686,7 @@
     {
       struct owned_call *o = l->data;
       if (o->journaled && !o->told && o->http && now > o->give_up_ms
-          && http_call_sent (o->http) > 0)
+          && http_call_sent (o->http))
         finish_journaled (o, &lost, true);
     }
 }
--- a/src/links/http_client.c
+++ b/src/links/http_client.c
@@ -1,301 +1,151 @@
 #include "links/http_client.h"
 
-#include "base/address.h"
+#include "links/pool.h"
 
-#include <event2/bufferevent.h>
-#include <event2/http.h>
-#include <event2/http_struct.h>
-#include <event2/keyvalq_struct.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/socket.h>
 
-#define IDLE_MAX_MS 2000
-#define CONNECT_TIMEOUT_S 2
-
-struct idle
-{
-  struct evhttp_connection *conn;
-  gint64 since_us;
-};
+/* Longest idle time of a connection that is used again.  */
+#define REUSE_MS 2000
+/* Callers bound what they ask for at once by themselves.  */
+#define CONNECTIONS_MAX 65535
 
 struct http_client
 {
   struct event_base *base;
-  GHashTable *idle; /* address -> GArray of struct idle */
-  GHashTable *calls;
+  struct pool *pool;
+  GHashTable *calls; /* struct http_call */
 };
 
 struct http_call
 {
   struct http_client *client;
-  char *address;
-  struct evhttp_connection *conn;
-  struct evhttp_request *req;
+  struct pool_call *call; /* NULL where none could be sent */
   const struct http_events *events;
   void *arg;
-  size_t sent;
-  bool reused;
+  struct event *silence; /* also ends a call that could not be sent */
+  unsigned timeout_ms;
+  int status;
+  char *content_type;
+  struct evbuffer *body;
   bool ended;
-  struct evbuffer_cb_entry *counter;
-  struct event *reaper;
 };
 
-static void
-idle_list_free (void *p)
-{
-  GArray *list = p;
-  for (guint i = 0; i < list->len; i++)
-    evhttp_connection_free (g_array_index (list, struct idle, i).conn);
-  g_array_free (list, TRUE);
-}
-
-struct http_client *
-http_client_create (struct event_base *base)
-{
-  struct http_client *c = g_new0 (struct http_client, 1);
-  c->base = base;
-  c->idle = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                   idle_list_free);
-  c->calls = g_hash_table_new (NULL, NULL);
-  return c;
-}
+/* Calls.  */
 
 static void
 call_free (struct http_call *call)
 {
   g_hash_table_remove (call->client->calls, call);
-  if (call->reaper)
-    event_free (call->reaper);
-  g_free (call->address);
+  event_free (call->silence);
+  evbuffer_free (call->body);
+  g_free (call->content_type);
   g_free (call);
 }
 
-void
-http_client_destroy (struct http_client *c)
-{
-  if (c == NULL)
-    return;
-  g_autoptr (GList) calls = g_hash_table_get_keys (c->calls);
-  for (GList *l = calls; l; l = l->next)
-    {
-      struct http_call *call = l->data;
-      if (call->conn)
-        evhttp_connection_free (call->conn);
-      call_free (call);
-    }
-  g_hash_table_destroy (c->calls);
-  g_hash_table_destroy (c->idle);
-  g_free (c);
-}
-
-/* Connections.  */
-
-static void
-count_sent (struct evbuffer *buffer, const struct evbuffer_cb_info *info,
-            void *arg)
-{
-  (void)buffer;
-  struct http_call *call = arg;
-  call->sent += info->n_deleted;
-}
-
-static struct evhttp_connection *
-take_idle (struct http_client *c, const char *address)
-{
-  GArray *list = g_hash_table_lookup (c->idle, address);
-  gint64 now = g_get_monotonic_time ();
-  while (list && list->len > 0)
-    {
-      struct idle i = g_array_index (list, struct idle, list->len - 1);
-      g_array_set_size (list, list->len - 1);
-      if (now - i.since_us < IDLE_MAX_MS * 1000)
-        return i.conn;
-      evhttp_connection_free (i.conn);
-    }
-  return NULL;
-}
-
 static void
-keep_idle (struct http_client *c, const char *address,
-           struct evhttp_connection *conn)
+call_end (struct http_call *call, enum http_end end)
 {
-  GArray *list = g_hash_table_lookup (c->idle, address);
-  if (list == NULL)
-    {
-      list = g_array_new (FALSE, FALSE, sizeof (struct idle));
-      g_hash_table_insert (c->idle, g_strdup (address), list);
-    }
-  /* The oldest go first, so that a quiet address keeps few.  */
-  gint64 now = g_get_monotonic_time ();
-  while (list->len > 0
-         && now - g_array_index (list, struct idle, 0).since_us
-                > IDLE_MAX_MS * 1000)
-    {
-      evhttp_connection_free (g_array_index (list, struct idle, 0).conn);
-      g_array_remove_index (list, 0);
-    }
-  struct idle i = { conn, now };
-  g_array_append_val (list, i);
-}
-
-static struct evhttp_connection *
-open_connection (struct http_client *c, const char *address)
-{
-  g_autofree char *ip = NULL;
-  uint16_t port = 0;
-  if (!address_split (address, &ip, &port))
-    return NULL;
-  struct evhttp_connection *conn
-      = evhttp_connection_base_new (c->base, NULL, ip, port);
-  evhttp_connection_set_flags (conn, EVHTTP_CON_READ_ON_WRITE_ERROR);
-  return conn;
-}
-
-static void
-limit_silence (struct evhttp_connection *conn, unsigned timeout_ms)
-{
-  struct timeval tv = { timeout_ms / 1000, (timeout_ms % 1000) * 1000 };
-  evhttp_connection_set_timeout_tv (conn, &tv);
-}
-
-/* Callbacks of evhttp.  */
-
-static enum http_end
-how_ended (const struct http_call *call, const struct evhttp_request *req)
-{
-  if (req && req->response_code != 0)
-    return HTTP_END_WHOLE;
-  return call->sent == 0 ? HTTP_END_NOT_SENT : HTTP_END_LOST;
+  bool whole = end == HTTP_END_WHOLE;
+  struct http_answer a
+      = { .end = end,
+          .status = whole ? call->status : 0,
+          .content_type
+          = whole && call->content_type ? call->content_type : "",
+          .body = whole ? call->body : NULL };
+  call->call = NULL;
+  call->ended = true;
+  call->events->on_end (call->arg, &a);
+  call_free (call);
 }
 
 static void
-release_connection (struct http_call *call, struct evhttp_request *req,
-                    bool whole)
+wait_for_more (struct http_call *call)
 {
-  struct evbuffer *out = bufferevent_get_output (
-      evhttp_connection_get_bufferevent (call->conn));
-  evbuffer_remove_cb_entry (out, call->counter);
-  const char *keep
-      = whole ? evhttp_find_header (req->input_headers, "Connection") : NULL;
-  bool close = !whole || (keep && g_ascii_strcasecmp (keep, "close") == 0);
-  if (!close)
-    keep_idle (call->client, call->address, call->conn);
-  call->conn = close ? call->conn : NULL;
+  struct timeval tv
+      = { call->timeout_ms / 1000, (call->timeout_ms % 1000) * 1000 };
+  evtimer_add (call->silence, &tv);
 }
 
 static void
-reap (evutil_socket_t fd, short what, void *arg)
+on_silence (evutil_socket_t fd, short what, void *arg)
 {
   (void)fd;
   (void)what;
   struct http_call *call = arg;
-  if (call->conn)
-    evhttp_connection_free (call->conn);
-  call_free (call);
-}
-
-static void
-reap_later (struct http_call *call)
-{
-  static const struct timeval at_once = { 0, 0 };
-  call->reaper = evtimer_new (call->client->base, reap, call);
-  evtimer_add (call->reaper, &at_once);
+  bool sent = http_call_sent (call);
+  pool_cancel (call->call);
+  call_end (call, sent ? HTTP_END_LOST : HTTP_END_NOT_SENT);
 }
 
 static void
-on_done (struct evhttp_request *req, void *arg)
+on_head (void *arg, struct http_head *head, enum http_framing framing,
+         uint64_t length)
 {
   struct http_call *call = arg;
-  if (call->ended)
-    return;
-  struct http_answer a = { .end = how_ended (call, req), .content_type = "" };
-  if (a.end == HTTP_END_WHOLE)
-    {
-      const char *type
-          = evhttp_find_header (req->input_headers, "Content-Type");
-      a.status = req->response_code;
-      a.content_type = type ? type : "";
-      a.body = req->input_buffer;
-    }
-  call->ended = true;
-  call->events->on_end (call->arg, &a);
-  release_connection (call, req, a.end == HTTP_END_WHOLE);
-  reap_later (call);
+  (void)framing;
+  (void)length;
+  call->status = (int)head->status;
+  call->content_type = g_strdup (http_head_get (head, "Content-Type"));
+  wait_for_more (call);
 }
 
 static void
-on_chunk (struct evhttp_request *req, void *arg)
+on_data (void *arg, struct evbuffer *data)
 {
   struct http_call *call = arg;
-  if (!call->ended && req->response_code == 200)
-    call->events->on_data (call->arg, req->input_buffer);
+  evbuffer_add_buffer (call->body, data);
+  wait_for_more (call);
+  if (call->events->on_data && call->status == 200)
+    call->events->on_data (call->arg, call->body);
 }
 
-/* A truncated answer reaches on_done with its status set; only this callback
-   tells.  */
 static void
-on_error (enum evhttp_request_error error, void *arg)
+on_end (void *arg, enum pool_end end)
 {
   struct http_call *call = arg;
-  if (call->ended || error == EVREQ_HTTP_REQUEST_CANCEL)
-    return;
-  struct http_answer a
-      = { .end = call->sent == 0 ? HTTP_END_NOT_SENT : HTTP_END_LOST,
-          .content_type = "" };
-  call->ended = true;
-  call->events->on_end (call->arg, &a);
-  reap_later (call);
+  switch (end)
+    {
+    case POOL_WHOLE:
+      call_end (call, HTTP_END_WHOLE);
+      break;
+    case POOL_NOT_SENT:
+      call_end (call, HTTP_END_NOT_SENT);
+      break;
+    default:
+      call_end (call, HTTP_END_LOST);
+      break;
+    }
 }
 
-static void
-fail_at_once (evutil_socket_t fd, short what, void *arg)
-{
-  (void)fd;
-  (void)what;
-  struct http_call *call = arg;
-  if (!call->ended)
-    on_error (EVREQ_HTTP_EOF, call);
-}
+static const struct pool_events pool_events = { on_head, on_data, on_end };
 
-static enum evhttp_cmd_type
-command (const char *method)
-{
-  if (strcmp (method, "GET") == 0)
-    return EVHTTP_REQ_GET;
-  if (strcmp (method, "PUT") == 0)
-    return EVHTTP_REQ_PUT;
-  if (strcmp (method, "DELETE") == 0)
-    return EVHTTP_REQ_DELETE;
-  return EVHTTP_REQ_POST;
-}
+/* Sending.  */
 
 static void
-add_headers (struct evhttp_request *req, const struct http_order *o)
+add_field (struct http_head *h, const char *name, const char *value)
 {
-  struct evkeyvalq *h = req->output_headers;
-  evhttp_add_header (h, "Host", o->address);
-  if (o->content_type)
-    evhttp_add_header (h, "Content-Type", o->content_type);
-  if (o->traceparent && o->traceparent[0])
-    evhttp_add_header (h, "traceparent", o->traceparent);
-  if (o->request_id)
-    evhttp_add_header (h, "X-Request-Id", o->request_id);
-  if (o->authorization)
-    evhttp_add_header (h, "Authorization", o->authorization);
-  if (o->idempotency_key)
-    evhttp_add_header (h, "Idempotency-Key", o->idempotency_key);
-  if (o->body_size > 0)
-    evbuffer_add (req->output_buffer, o->body, o->body_size);
+  if (value && value[0])
+    http_head_add (h, name, value);
 }
 
-static void
-fail_soon (struct http_call *call)
+static struct http_head *
+head_of (const struct http_order *o)
 {
-  static const struct timeval at_once = { 0, 0 };
-  event_base_once (call->client->base, -1, EV_TIMEOUT, fail_at_once, call,
-                   &at_once);
+  struct http_head *h = http_head_create ();
+  h->method = g_strdup (o->method);
+  h->target = g_strdup (o->path);
+  add_field (h, "Host", o->address);
+  add_field (h, "Content-Type", o->content_type);
+  add_field (h, "traceparent", o->traceparent);
+  add_field (h, "X-Request-Id", o->request_id);
+  add_field (h, "Authorization", o->authorization);
+  add_field (h, "Idempotency-Key", o->idempotency_key);
+  if (o->body_size > 0 || strcmp (o->method, "GET") != 0)
+    {
+      g_autofree char *length = g_strdup_printf ("%zu", o->body_size);
+      http_head_add (h, "Content-Length", length);
+    }
+  return h;
 }
 
 struct http_call *
@@ -303,35 +153,29 @@
                   const struct http_events *events, void *arg)
 {
   struct http_call *call = g_new0 (struct http_call, 1);
+  struct http_head *head = head_of (o);
+  struct evbuffer *body = evbuffer_new ();
+  evbuffer_add (body, o->body, o->body_size);
+  struct pool_request r = { .upstream = o->address,
+                            .address = o->address,
+                            .connections = CONNECTIONS_MAX,
+                            .head = head,
+                            .body = body,
+                            .reuse_ms = REUSE_MS,
+                            .fresh = o->fresh };
   call->client = c;
-  call->address = g_strdup (o->address);
   call->events = events;
   call->arg = arg;
+  call->timeout_ms = o->timeout_ms;
+  call->body = evbuffer_new ();
+  call->silence = evtimer_new (c->base, on_silence, call);
   g_hash_table_add (c->calls, call);
-  call->conn = o->fresh ? NULL : take_idle (c, o->address);
-  call->reused = call->conn != NULL;
-  if (call->conn == NULL)
-    call->conn = open_connection (c, o->address);
-  if (call->conn == NULL)
-    {
-      fail_soon (call);
-      return call;
-    }
-  limit_silence (call->conn, o->timeout_ms);
-  call->counter = evbuffer_add_cb (
-      bufferevent_get_output (evhttp_connection_get_bufferevent (call->conn)),
-      count_sent, call);
-  call->req = evhttp_request_new (on_done, call);
-  evhttp_request_set_error_cb (call->req, on_error);
-  if (events->on_data)
-    evhttp_request_set_chunked_cb (call->req, on_chunk);
-  add_headers (call->req, o);
-  /* evhttp reports a failure to start from within; the call then ends through
-     on_done as any other.  */
-  if (evhttp_make_request (call->conn, call->req, command (o->method), o->path)
-          != 0
-      && !call->ended)
-    fail_soon (call);
+  call->call = pool_send (c->pool, &r, &pool_events, call);
+  if (call->call == NULL)
+    call->timeout_ms = 0;
+  wait_for_more (call);
+  http_head_destroy (head);
+  evbuffer_free (body);
   return call;
 }
 
@@ -340,12 +184,37 @@
 {
   if (call == NULL || call->ended)
     return;
-  call->ended = true;
-  reap_later (call);
+  pool_cancel (call->call);
+  call_free (call);
 }
 
-size_t
+bool
 http_call_sent (const struct http_call *call)
 {
-  return call->sent;
+  return call->call && pool_call_sent (call->call);
+}
+
+/* The client.  */
+
+struct http_client *
+http_client_create (struct event_base *base)
+{
+  struct http_client *c = g_new0 (struct http_client, 1);
+  c->base = base;
+  c->pool = pool_create (base);
+  c->calls = g_hash_table_new (NULL, NULL);
+  return c;
+}
+
+void
+http_client_destroy (struct http_client *c)
+{
+  if (c == NULL)
+    return;
+  g_autoptr (GList) calls = g_hash_table_get_keys (c->calls);
+  for (GList *l = calls; l; l = l->next)
+    http_call_cancel (l->data);
+  pool_destroy (c->pool);
+  g_hash_table_destroy (c->calls);
+  g_free (c);
 }
--- a/src/links/http_client.h
+++ b/src/links/http_client.h
@@ -1,5 +1,6 @@
 /** @file
-    HTTP calls to upstreams and the platform, over evhttp.  */
+    HTTP calls to engines, services and the platform, one answer or a stream
+    each, over the connections of links/pool.h.  */
 #ifndef LINKS_HTTP_CLIENT_H
 #define LINKS_HTTP_CLIENT_H
 
@@ -73,7 +74,7 @@
 /** Ends CALL without a callback and closes its connection.  */
 void http_call_cancel (struct http_call *call);
 
-/** Bytes of CALL that have left this process.  */
-size_t http_call_sent (const struct http_call *call);
+/** Whether a byte of CALL has left this process.  */
+bool http_call_sent (const struct http_call *call);
 
 #endif
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -475,7 +475,7 @@
 static struct conn *
 find_conn (struct host *h, const struct pool_request *r)
 {
-  struct conn *c = take_idle (h, r->reuse_ms);
+  struct conn *c = r->fresh ? NULL : take_idle (h, r->reuse_ms);
   if (c)
     return c;
   if (h->total >= r->connections && h->idle->len > 0)
--- a/src/links/pool.h
+++ b/src/links/pool.h
@@ -38,6 +38,7 @@
   struct http_head *head; /**< borrowed */
   struct evbuffer *body;  /**< borrowed; not drained */
   unsigned reuse_ms;      /**< longest idle time of a connection to use */
+  bool fresh;             /**< open a connection of its own */
 };
 
 /** What a call reports to.  Callbacks run from the loop, never from within
