--- a/src/daemon/apply.c
+++ b/src/daemon/apply.c
@@ -40,7 +40,8 @@
 
 struct applies
 {
-  struct daemon *d;
+  const struct context *ctx;
+  struct conf *conf;
   struct apply *current;
   struct event *timer;
 };
@@ -122,7 +123,7 @@
                            { history, a->head_bytes },
                            { blob, g_ptr_array_index (a->chunks, 0) } };
   a->pending++;
-  kv_txn (a->all->d->kv, CONF_KEY_HEAD, a->base, puts, G_N_ELEMENTS (puts),
+  kv_txn (a->all->ctx->kv, CONF_KEY_HEAD, a->base, puts, G_N_ELEMENTS (puts),
           on_head_written, a);
 }
 
@@ -159,7 +160,7 @@
   g_autofree char *history = g_strdup_printf (CONF_KEY_HISTORY "%012" PRIu64,
                                               head_revision (a->head));
   a->pending++;
-  kv_get (a->all->d->kv, history, false, on_read_back, a);
+  kv_get (a->all->ctx->kv, history, false, on_read_back, a);
 }
 
 static void
@@ -167,13 +168,13 @@
 {
   struct conf_stage m
       = { .apply_id = a->apply_id, .digest = a->digest, .file = a->text };
-  if (strcmp (vm, a->all->d->settings->vm) != 0)
+  if (strcmp (vm, a->all->ctx->settings->vm) != 0)
     {
-      daemon_send (a->all->d, vm, MESSAGE_CONF_STAGE, &m);
+      context_send (a->all->ctx, vm, MESSAGE_CONF_STAGE, &m);
       return;
     }
   g_autoptr (GArray) problems = file_problems_create ();
-  conf_stage (a->all->d->conf, a->digest, a->text,
+  conf_stage (a->all->conf, a->digest, a->text,
               conf_parse (a->text, problems));
   g_autoptr (GArray) out = rollout_actions_create ();
   rollout_staged (a->rollout, vm, true, "", clock_ms (), out);
@@ -183,16 +184,17 @@
 static void
 tell (struct apply *a, const char *vm)
 {
-  struct daemon *d = a->all->d;
-  if (strcmp (vm, d->settings->vm) != 0)
+  const struct context *ctx = a->all->ctx;
+  if (strcmp (vm, ctx->settings->vm) != 0)
     {
       struct conf_commit m = { .head = a->head_bytes };
-      daemon_send (d, vm, MESSAGE_CONF_COMMIT, &m);
+      context_send (ctx, vm, MESSAGE_CONF_COMMIT, &m);
       return;
     }
-  conf_install (d->conf, a->head_bytes, a->text);
+  conf_install (a->all->conf, a->head_bytes, a->text);
   g_autoptr (GArray) out = rollout_actions_create ();
-  rollout_in_force (a->rollout, vm, conf_revision (d->conf), clock_ms (), out);
+  rollout_in_force (a->rollout, vm, conf_revision (a->all->conf), clock_ms (),
+                    out);
   run_actions (a, out);
 }
 
@@ -231,14 +233,14 @@
 static void
 tell_members (struct apply *a, GArray *out)
 {
-  const GPtrArray *all = members_all (a->all->d->members);
+  const GPtrArray *all = members_all (a->all->ctx->members);
   for (guint i = 0; i < all->len; i++)
     {
       const struct member *m = g_ptr_array_index (all, i);
       rollout_member (a->rollout, m->info.id, m->info.region, member_live (m),
                       out);
     }
-  a->seen_version = members_version (a->all->d->members);
+  a->seen_version = members_version (a->all->ctx->members);
 }
 
 static GPtrArray *
@@ -265,7 +267,7 @@
       return;
     }
   g_autoptr (GPtrArray) regions
-      = regions_to_hold (conf_file (a->all->d->conf), file);
+      = regions_to_hold (conf_file (a->all->conf), file);
   a->rollout = rollout_create (head_revision (a->head), regions, a->behind);
   file_destroy (file);
   g_autoptr (GArray) out = rollout_actions_create ();
@@ -309,7 +311,7 @@
       = g_strdup_printf (CONF_KEY_BLOB "%s/%06u", a->digest, next);
   struct kv_put put = { key, g_ptr_array_index (a->chunks, next) };
   a->pending++;
-  kv_txn (a->all->d->kv, key, 0, &put, 1, on_chunk, a);
+  kv_txn (a->all->ctx->kv, key, 0, &put, 1, on_chunk, a);
 }
 
 static void
@@ -403,7 +405,7 @@
   a->arg = arg;
   all->current = a;
   a->pending++;
-  kv_get (all->d->kv, CONF_KEY_HEAD, false, on_base, a);
+  kv_get (all->ctx->kv, CONF_KEY_HEAD, false, on_base, a);
 }
 
 /* Events.  */
@@ -436,7 +438,7 @@
 applies_peer_gone (struct applies *all, const char *vm)
 {
   struct apply *a = all->current;
-  const struct member *m = members_find (all->d->members, vm);
+  const struct member *m = members_find (all->ctx->members, vm);
   if (a == NULL || a->rollout == NULL || m == NULL)
     return;
   g_autoptr (GArray) out = rollout_actions_create ();
@@ -450,7 +452,7 @@
 apply_tick (struct apply *a)
 {
   g_autoptr (GArray) out = rollout_actions_create ();
-  if (a->seen_version != members_version (a->all->d->members))
+  if (a->seen_version != members_version (a->all->ctx->members))
     tell_members (a, out);
   rollout_tick (a->rollout, clock_ms (), out);
   run_actions (a, out);
@@ -468,11 +470,12 @@
 }
 
 struct applies *
-applies_create (struct daemon *d)
+applies_create (const struct context *ctx, struct conf *conf)
 {
   struct applies *all = g_new0 (struct applies, 1);
-  all->d = d;
-  all->timer = daemon_every (d, TICK_MS, on_timer, all);
+  all->ctx = ctx;
+  all->conf = conf;
+  all->timer = context_every (ctx, TICK_MS, on_timer, all);
   return all;
 }
 
--- a/src/daemon/apply.h
+++ b/src/daemon/apply.h
@@ -4,7 +4,8 @@
 #ifndef DAEMON_APPLY_H
 #define DAEMON_APPLY_H
 
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "daemon/conf.h"
 
 struct applies;
 
@@ -23,7 +24,7 @@
                          uint64_t revision);
 
 /** Makes the part.  */
-struct applies *applies_create (struct daemon *d);
+struct applies *applies_create (const struct context *ctx, struct conf *conf);
 
 /** Releases A; an apply that runs ends without a report.  */
 void applies_destroy (struct applies *a);
--- a/src/daemon/caller_api.c
+++ b/src/daemon/caller_api.c
@@ -2,10 +2,6 @@
 
 #include "base/metrics.h"
 #include "config.h"
-#include "daemon/calls.h"
-#include "daemon/conf.h"
-#include "daemon/entry.h"
-#include "daemon/operator_api.h"
 #include "daemon/reply.h"
 #include "decide/rank.h"
 
@@ -36,18 +32,18 @@
 }
 
 static void
-handle_entry (struct daemon *d, struct http_request *r)
+handle_entry (const struct caller_api *a, struct http_request *r)
 {
   g_autoptr (GArray) found
       = g_array_new (FALSE, FALSE, sizeof (struct candidate));
   g_autofree char *who = request_key_digest (r);
-  const GPtrArray *all = members_all (d->members);
+  const GPtrArray *all = members_all (a->ctx->members);
   for (guint i = 0; i < all->len; i++)
     {
       const struct member *m = g_ptr_array_index (all, i);
       struct candidate c
           = { .member = m,
-              .far = strcmp (m->info.region, d->settings->region) != 0,
+              .far = strcmp (m->info.region, a->ctx->settings->region) != 0,
               .rank = rank_pair (who ? who : "", m->info.id) };
       if (member_usable (m) && m->info.status == MEMBER_ALIVE)
         g_array_append_val (found, c);
@@ -64,20 +60,20 @@
     }
   reply_json (r, 200,
               json_pack ("{s:o,s:I}", "addresses", addresses, "keep_s",
-                         (json_int_t)d->settings->entry_ttl_s));
+                         (json_int_t)a->ctx->settings->entry_ttl_s));
 }
 
 static void
-handle_health (struct daemon *d, struct http_request *r)
+handle_health (const struct caller_api *a, struct http_request *r)
 {
-  if (d->leaving)
+  if (a->ctx->leaving)
     reply_error (r, RESULT_LEAVING, NULL, RETRY_AFTER_MIN_MS);
-  else if (conf_file (d->conf) == NULL)
+  else if (conf_file (a->conf) == NULL)
     reply_error (r, RESULT_NOT_READY, NULL, RETRY_AFTER_MIN_MS);
   else
     reply_json (r, 200,
                 json_pack ("{s:s,s:I}", "status", "ready", "revision",
-                           (json_int_t)conf_revision (d->conf)));
+                           (json_int_t)conf_revision (a->conf)));
 }
 
 static void
@@ -102,32 +98,32 @@
 }
 
 static void
-handle_service (struct daemon *d, struct http_request *r,
+handle_service (const struct caller_api *a, struct http_request *r,
                 const struct file_caller *caller, const char *rest)
 {
   const char *slash = strchr (rest, '/');
   g_autofree char *name
       = g_strndup (rest, slash ? (gsize)(slash - rest) : strlen (rest));
-  if (entry_admit (d->entry, r, caller))
-    calls_handle (d->calls, r, caller, name, slash ? slash : "/");
+  if (entry_admit (a->entry, r, caller))
+    calls_handle (a->calls, r, caller, name, slash ? slash : "/");
 }
 
 static void
-handle_caller (struct daemon *d, struct http_request *r, const char *path,
-               const struct file_caller *caller)
+handle_caller (const struct caller_api *a, struct http_request *r,
+               const char *path, const struct file_caller *caller)
 {
   bool post = strcmp (http_request_method (r), "POST") == 0;
   if (post && strcmp (path, "/v1/chat/completions") == 0)
     {
-      if (entry_admit (d->entry, r, caller))
-        entry_chat (d->entry, r, caller);
+      if (entry_admit (a->entry, r, caller))
+        entry_chat (a->entry, r, caller);
     }
   else if (g_str_has_prefix (path, PATH_STREAMS))
-    entry_resume (d->entry, r, caller, path + strlen (PATH_STREAMS));
+    entry_resume (a->entry, r, caller, path + strlen (PATH_STREAMS));
   else if (g_str_has_prefix (path, PATH_SERVICES))
-    handle_service (d, r, caller, path + strlen (PATH_SERVICES));
+    handle_service (a, r, caller, path + strlen (PATH_SERVICES));
   else if (g_str_has_prefix (path, PATH_CALLS))
-    calls_ask (d->calls, r, caller, path + strlen (PATH_CALLS));
+    calls_ask (a->calls, r, caller, path + strlen (PATH_CALLS));
   else if (strcmp (path, "/v1/models") == 0)
     handle_models (r, caller);
   else
@@ -135,39 +131,39 @@
 }
 
 static void
-add_config_header (struct daemon *d, struct http_request *r)
+add_config_header (const struct caller_api *a, struct http_request *r)
 {
   g_autofree char *text = g_strdup_printf (
-      "revision=%" PRIu64 "%s", conf_revision (d->conf),
-      conf_may_be_behind (d->conf) ? "; may-be-behind" : "");
+      "revision=%" PRIu64 "%s", conf_revision (a->conf),
+      conf_may_be_behind (a->conf) ? "; may-be-behind" : "");
   http_request_set_header (r, "X-Buckthorn-Config", text);
 }
 
 void
 caller_api_handle (void *arg, struct http_request *r)
 {
-  struct daemon *d = arg;
+  const struct caller_api *a = arg;
   const char *path = http_request_path (r);
   if (strcmp (path, "/v1/entry") == 0)
-    handle_entry (d, r);
+    handle_entry (a, r);
   else if (strcmp (path, "/healthz") == 0)
-    handle_health (d, r);
+    handle_health (a, r);
   else if (strcmp (path, "/metrics") == 0)
     handle_metrics (r);
   else if (g_str_has_prefix (path, PATH_OPERATOR))
-    operator_api_handle (d->operators, r, path + strlen (PATH_OPERATOR));
-  else if (conf_catalog (d->conf) == NULL)
+    operator_api_handle (a->operators, r, path + strlen (PATH_OPERATOR));
+  else if (conf_catalog (a->conf) == NULL)
     reply_error (r, RESULT_NOT_READY, NULL, RETRY_AFTER_MIN_MS);
   else
     {
       g_autofree char *digest = request_key_digest (r);
       const struct file_caller *caller
-          = digest ? catalog_caller (conf_catalog (d->conf), digest) : NULL;
+          = digest ? catalog_caller (conf_catalog (a->conf), digest) : NULL;
       metrics_add (METRIC_requests_total, 1);
-      add_config_header (d, r);
+      add_config_header (a, r);
       if (caller == NULL)
         reply_error (r, RESULT_UNAUTHORIZED, NULL, 0);
       else
-        handle_caller (d, r, path, caller);
+        handle_caller (a, r, path, caller);
     }
 }
--- a/src/daemon/calls.c
+++ b/src/daemon/calls.c
@@ -49,7 +49,8 @@
 
 struct calls
 {
-  struct daemon *d;
+  const struct context *ctx;
+  struct conf *conf;
   GHashTable *entry; /* id -> struct entry_call */
   GHashTable *owned; /* ticket -> struct owned_call */
   struct journal *journal;
@@ -79,7 +80,7 @@
 entry_call_free (void *p)
 {
   struct entry_call *c = p;
-  peers_await (c->calls->d->peers, c->peer, -1);
+  peers_await (c->calls->ctx->peers, c->peer, -1);
   record_clear (&call_open_record, &c->open);
   g_free (c);
 }
@@ -163,7 +164,7 @@
   if (o->peer == 0)
     take_end (o->calls, 0, end);
   else
-    peers_send (o->calls->d->peers, o->peer, MESSAGE_CALL_END, end);
+    peers_send (o->calls->ctx->peers, o->peer, MESSAGE_CALL_END, end);
 }
 
 /* Sending to the service.  */
@@ -235,7 +236,7 @@
 static const struct file_service *
 service_of (const struct owned_call *o)
 {
-  const struct file *file = conf_file (o->calls->d->conf);
+  const struct file *file = conf_file (o->calls->conf);
   return file ? file_find_service (file, o->open.service) : NULL;
 }
 
@@ -293,7 +294,7 @@
           .timeout_ms = (unsigned)service->timeout_ms + late,
           .fresh = o->journaled };
   o->give_up_ms = clock_ms () + (int64_t)service->timeout_ms;
-  o->http = http_client_call (o->calls->d->http, &order, &service_events, o);
+  o->http = http_client_call (o->calls->ctx->http, &order, &service_events, o);
 }
 
 /* The journal's actions.  */
@@ -390,12 +391,13 @@
   switch (a->kind)
     {
     case JOURNAL_READ:
-      kv_get (c->d->kv, key, false, on_page_read, page_op_create (c, a->slot));
+      kv_get (c->ctx->kv, key, false, on_page_read,
+              page_op_create (c, a->slot));
       break;
     case JOURNAL_WRITE:
       {
         struct kv_put put = { key, a->page };
-        kv_txn (c->d->kv, key, a->revision, &put, 1, on_page_written,
+        kv_txn (c->ctx->kv, key, a->revision, &put, 1, on_page_written,
                 page_op_create (c, a->slot));
         metrics_add (METRIC_journal_writes_total, 1);
         break;
@@ -499,22 +501,22 @@
 static void
 give_to_writer (struct entry_call *e, bool moved)
 {
-  struct daemon *d = e->calls->d;
+  const struct context *ctx = e->calls->ctx;
   g_autofree char *key = key_digest (e->open.caller, e->open.key);
   const struct member *writer
-      = rank_journal_writer (d->members, rank_slot (key, JOURNAL_SLOTS));
+      = rank_journal_writer (ctx->members, rank_slot (key, JOURNAL_SLOTS));
   bool here = moved || writer == NULL
-              || strcmp (writer->info.id, d->settings->vm) == 0;
-  peers_await (d->peers, e->peer, -1);
+              || strcmp (writer->info.id, ctx->settings->vm) == 0;
+  peers_await (ctx->peers, e->peer, -1);
   e->peer = here ? 0
-                 : peers_connect (d->peers, writer->info.id, writer->info.ip,
+                 : peers_connect (ctx->peers, writer->info.id, writer->info.ip,
                                   (uint16_t)writer->info.peer_port);
-  peers_await (d->peers, e->peer, 1);
+  peers_await (ctx->peers, e->peer, 1);
   e->open.deadline_ms = (uint64_t)MAX (e->deadline_ms - clock_ms (), 1);
   if (here)
     take_open (e->calls, 0, &e->open);
   else
-    peers_send (d->peers, e->peer, MESSAGE_CALL_OPEN, &e->open);
+    peers_send (ctx->peers, e->peer, MESSAGE_CALL_OPEN, &e->open);
 }
 
 static struct entry_call *
@@ -590,7 +592,7 @@
               const struct file_caller *caller, const char *name,
               const char *path)
 {
-  const struct file *file = conf_file (c->d->conf);
+  const struct file *file = conf_file (c->conf);
   const struct file_service *service = file_find_service (file, name);
   if (service == NULL || !texts_hold (caller->services, name))
     {
@@ -710,8 +712,8 @@
 void
 calls_file_changed (struct calls *c)
 {
-  const struct file *file = conf_file (c->d->conf);
-  unsigned domains = MAX (rank_domain_count (c->d->members), 1);
+  const struct file *file = conf_file (c->conf);
+  unsigned domains = MAX (rank_domain_count (c->ctx->members), 1);
   unsigned rate = MIN (JOURNAL_FLEET_WRITES_PER_S / domains,
                        JOURNAL_VM_WRITES_PER_S_MAX);
   journal_configure (c->journal, (int64_t)file->retention_s * 1000, rate);
@@ -726,7 +728,7 @@
   uint64_t incarnation = 0;
   if (!member_process_split (claimer, &vm, &incarnation))
     return false;
-  const struct member *m = members_find (c->d->members, vm);
+  const struct member *m = members_find (c->ctx->members, vm);
   return m && member_live (m)
          && member_same_start (m->info.incarnation, incarnation);
 }
@@ -738,18 +740,19 @@
 }
 
 struct calls *
-calls_create (struct daemon *d)
+calls_create (const struct context *ctx, struct conf *conf)
 {
   struct calls *c = g_new0 (struct calls, 1);
-  c->d = d;
+  c->ctx = ctx;
+  c->conf = conf;
   c->entry = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                     entry_call_free);
   c->owned = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
                                     owned_call_free);
   g_autofree char *claimer
-      = member_process_name (d->settings->vm, d->incarnation);
+      = member_process_name (ctx->settings->vm, ctx->incarnation);
   c->journal = journal_create (claimer, claimer_lives, c);
-  c->timer = daemon_every (d, JOURNAL_TICK_MS, on_timer, c);
+  c->timer = context_every (ctx, JOURNAL_TICK_MS, on_timer, c);
   return c;
 }
 
--- a/src/daemon/calls.h
+++ b/src/daemon/calls.h
@@ -5,10 +5,12 @@
 #define DAEMON_CALLS_H
 
 #include "base/file.h"
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "links/http_server.h"
+#include "daemon/conf.h"
 
 /** Makes the part.  */
-struct calls *calls_create (struct daemon *d);
+struct calls *calls_create (const struct context *ctx, struct conf *conf);
 
 /** Releases C; its calls end without an answer.  */
 void calls_destroy (struct calls *c);
--- a/src/daemon/conf.c
+++ b/src/daemon/conf.c
@@ -5,7 +5,6 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "config.h"
-#include "daemon/gossip_link.h"
 #include "decide/rank.h"
 
 #include <string.h>
@@ -27,7 +26,9 @@
 
 struct conf
 {
-  struct daemon *d;
+  const struct context *ctx;
+  const struct conf_events *events;
+  void *arg;
   uint64_t revision;
   json_t *head;
   GBytes *head_bytes;
@@ -90,7 +91,7 @@
 bool
 conf_may_be_behind (const struct conf *c)
 {
-  int64_t silence = gossip_link_silence_ms (c->d->gossip);
+  int64_t silence = c->events->silence_ms (c->arg);
   bool kv_stale = c->kv_ok_ms == 0 || clock_ms () - c->kv_ok_ms > KV_STALE_MS;
   return kv_stale && (silence < 0 || silence > PEER_STALE_MS);
 }
@@ -191,8 +192,8 @@
              log_num ((long long)c->revision), "digest", digest, "operator",
              head_text (head, "operator"), "apply",
              head_text (head, "apply_id"), NULL);
-  members_set_revision (c->d->members, c->revision, 0);
-  daemon_file_changed (c->d);
+  members_set_revision (c->ctx->members, c->revision, 0);
+  c->events->on_file_changed (c->arg);
   return true;
 }
 
@@ -265,7 +266,7 @@
       f->head_bytes = g_bytes_ref (head_bytes);
       c->fetching = true;
       g_autofree char *key = g_strdup_printf (CONF_KEY_BLOB "%s/", digest);
-      kv_get (c->d->kv, key, true, on_blob, f);
+      kv_get (c->ctx->kv, key, true, on_blob, f);
     }
   json_decref (head);
 }
@@ -292,7 +293,7 @@
   if (c->reading)
     return;
   c->reading = true;
-  kv_get (c->d->kv, CONF_KEY_HEAD, false, on_head_read, c);
+  kv_get (c->ctx->kv, CONF_KEY_HEAD, false, on_head_read, c);
 }
 
 static void
@@ -311,16 +312,16 @@
 static void
 watch_if_chosen (struct conf *c)
 {
-  bool chosen = members_is_bridge (c->d->members, c->d->settings->vm);
+  bool chosen = members_is_bridge (c->ctx->members, c->ctx->settings->vm);
   c->chosen_ticks = chosen == c->watching ? 0 : c->chosen_ticks + 1;
   if (c->chosen_ticks < WATCH_TICKS)
     return;
   c->chosen_ticks = 0;
   c->watching = chosen;
   if (chosen)
-    kv_watch (c->d->kv, CONF_KEY_HEAD, on_watch, c);
+    kv_watch (c->ctx->kv, CONF_KEY_HEAD, on_watch, c);
   else
-    kv_unwatch (c->d->kv, CONF_KEY_HEAD);
+    kv_unwatch (c->ctx->kv, CONF_KEY_HEAD);
 }
 
 /* Learning from peers.  */
@@ -333,14 +334,14 @@
     return;
   c->hint_ms = now;
   struct conf_want want = { .revision = revision };
-  daemon_send (c->d, vm, MESSAGE_CONF_WANT, &want);
+  context_send (c->ctx, vm, MESSAGE_CONF_WANT, &want);
 }
 
 static void
 send_in_force (struct conf *c, peer_handle peer)
 {
   struct conf_in_force m = { .revision = c->revision };
-  peers_send (c->d->peers, peer, MESSAGE_CONF_IN_FORCE, &m);
+  peers_send (c->ctx->peers, peer, MESSAGE_CONF_IN_FORCE, &m);
 }
 
 static void
@@ -369,7 +370,7 @@
           answer.detail = detail;
         }
     }
-  peers_send (c->d->peers, peer, MESSAGE_CONF_STAGED, &answer);
+  peers_send (c->ctx->peers, peer, MESSAGE_CONF_STAGED, &answer);
 }
 
 static void
@@ -398,7 +399,7 @@
 {
   struct conf_have have = { .head = c->head_bytes, .file = c->text };
   if (c->revision > 0)
-    peers_send (c->d->peers, peer, MESSAGE_CONF_HAVE, &have);
+    peers_send (c->ctx->peers, peer, MESSAGE_CONF_HAVE, &have);
 }
 
 /* Frames.  */
@@ -446,12 +447,15 @@
 }
 
 struct conf *
-conf_create (struct daemon *d)
+conf_create (const struct context *ctx, const struct conf_events *events,
+             void *arg)
 {
   struct conf *c = g_new0 (struct conf, 1);
-  c->d = d;
+  c->ctx = ctx;
+  c->events = events;
+  c->arg = arg;
   c->staged = g_ptr_array_new_with_free_func (staged_free);
-  c->timer = daemon_every (d, TICK_MS, on_timer, c);
+  c->timer = context_every (ctx, TICK_MS, on_timer, c);
   read_head (c);
   return c;
 }
--- a/src/daemon/conf.h
+++ b/src/daemon/conf.h
@@ -4,7 +4,7 @@
 #define DAEMON_CONF_H
 
 #include "daemon/catalog.h"
-#include "daemon/daemon.h"
+#include "daemon/context.h"
 
 #include <jansson.h>
 
@@ -13,8 +13,18 @@
 #define CONF_KEY_HISTORY "/buckthorn/history/"
 #define CONF_KEY_BLOB "/buckthorn/blob/"
 
+/** What a configuration asks and reports.  */
+struct conf_events
+{
+  /** A new file is in force.  */
+  void (*on_file_changed) (void *arg);
+  /** Milliseconds since any other VM was heard; -1 for never.  */
+  int64_t (*silence_ms) (void *arg);
+};
+
 /** Makes the part; reads the head and follows it.  */
-struct conf *conf_create (struct daemon *d);
+struct conf *conf_create (const struct context *ctx,
+                          const struct conf_events *events, void *arg);
 
 /** Releases C.  */
 void conf_destroy (struct conf *c);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -25,6 +25,25 @@
 #define LEAVE_QUIET_MS 2000
 #define LEFT_LINGER_MS 300
 
+struct daemon
+{
+  struct context ctx;
+  struct http_server *server;
+  struct caller_api caller_api;
+
+  struct gossip_link *gossip;
+  struct vm_list *vm_list;
+  char **join; /* addresses to join through, ended by NULL */
+  struct conf *conf;
+  struct applies *applies;
+  struct entry *entry;
+  struct engines *engines;
+  struct home *home;
+  struct calls *calls;
+  struct orders_link *orders;
+  struct operator_api *operators;
+};
+
 struct stopping
 {
   struct daemon *d;
@@ -33,36 +52,63 @@
   int64_t left_ms;
 };
 
-/* Helpers of the parts.  */
+/* What parts ask of each other.  */
 
-peer_handle
-daemon_send (struct daemon *d, const char *vm, unsigned type,
-             const void *message)
+static void
+on_file_changed (void *arg)
 {
-  const struct member *m = members_find (d->members, vm);
-  if (m == NULL || !member_live (m))
-    return 0;
-  peer_handle peer = peers_connect (d->peers, m->info.id, m->info.ip,
-                                    (uint16_t)m->info.peer_port);
-  return peers_send (d->peers, peer, type, message) ? peer : 0;
+  struct daemon *d = arg;
+  engines_file_changed (d->engines);
+  calls_file_changed (d->calls);
+  orders_link_file_changed (d->orders);
 }
 
-struct event *
-daemon_every (struct daemon *d, unsigned interval_ms, event_callback_fn back,
-              void *arg)
+static int64_t
+silence_ms (void *arg)
 {
-  struct timeval tv = { interval_ms / 1000, (interval_ms % 1000) * 1000 };
-  struct event *timer = event_new (d->base, -1, EV_PERSIST, back, arg);
-  event_add (timer, &tv);
-  return timer;
+  const struct daemon *d = arg;
+  return gossip_link_silence_ms (d->gossip);
 }
 
-void
-daemon_file_changed (struct daemon *d)
+static const struct conf_events conf_events = { on_file_changed, silence_ms };
+
+static GBytes *
+own_demand (void *arg)
 {
-  engines_file_changed (d->engines);
-  calls_file_changed (d->calls);
-  orders_link_file_changed (d->orders);
+  const struct daemon *d = arg;
+  return entry_demand (d->entry);
+}
+
+static void
+take_demand (void *arg, const char *vm, GBytes *demand)
+{
+  struct daemon *d = arg;
+  orders_link_take_demand (d->orders, vm, demand);
+}
+
+static void
+send_digest (void *arg, const struct member *to,
+             const struct load_digest *digest)
+{
+  struct daemon *d = arg;
+  gossip_link_send (d->gossip, to, MESSAGE_LOAD_DIGEST, digest);
+}
+
+static const struct engines_events engines_events
+    = { own_demand, take_demand, send_digest };
+
+static void
+to_own_home (void *arg, const struct frame *f)
+{
+  struct daemon *d = arg;
+  home_take_frame (d->home, 0, f);
+}
+
+static void
+to_own_entry (void *arg, const struct frame *f)
+{
+  struct daemon *d = arg;
+  entry_take_frame (d->entry, 0, f);
 }
 
 /* Frames of peers, to the part that each is for.  */
@@ -159,13 +205,13 @@
 static struct gossip_link *
 make_gossip (struct daemon *d, GError **error)
 {
-  const struct settings *s = d->settings;
-  struct gossip_parts parts = { .base = d->base,
-                                .members = d->members,
+  const struct settings *s = d->ctx.settings;
+  struct gossip_parts parts = { .base = d->ctx.base,
+                                .members = d->ctx.members,
                                 .ip = s->ip,
                                 .port = (uint16_t)s->peer_port,
                                 .region = s->region,
-                                .fleet_key = d->fleet_key,
+                                .fleet_key = d->ctx.fleet_key,
                                 .join_address = join_address,
                                 .known = what_is_known,
                                 .on_known = on_known,
@@ -196,7 +242,7 @@
   struct daemon *d = s->d;
   int64_t now = clock_ms ();
   int64_t age = now - s->since_ms;
-  bool late = age > (int64_t)d->settings->leave_deadline_s * 1000;
+  bool late = age > (int64_t)d->ctx.settings->leave_deadline_s * 1000;
   if (s->left_ms == 0 && age >= LEAVE_QUIET_MS && (late || !work_remains (d)))
     {
       log_event (late ? LOG_WARN : LOG_INFO, "left", "deadline_passed",
@@ -208,23 +254,23 @@
   if (s->left_ms != 0 && now - s->left_ms >= LEFT_LINGER_MS)
     {
       event_free (s->timer);
-      event_base_loopbreak (d->base);
+      event_base_loopbreak (d->ctx.base);
       g_free (s);
     }
 }
 
-void
-daemon_stop (struct daemon *d)
+static void
+stop (struct daemon *d)
 {
-  if (d->leaving)
+  if (d->ctx.leaving)
     return;
-  d->leaving = true;
+  d->ctx.leaving = true;
   log_event (LOG_INFO, "leaving", NULL);
   gossip_link_leave (d->gossip);
   struct stopping *s = g_new0 (struct stopping, 1);
   s->d = d;
   s->since_ms = clock_ms ();
-  s->timer = daemon_every (d, LEAVE_TICK_MS, on_stopping, s);
+  s->timer = context_every (&d->ctx, LEAVE_TICK_MS, on_stopping, s);
 }
 
 static void
@@ -232,7 +278,7 @@
 {
   (void)signal;
   (void)what;
-  daemon_stop (arg);
+  stop (arg);
 }
 
 /* Making and releasing.  */
@@ -256,14 +302,14 @@
 static struct members *
 make_members (const struct daemon *d)
 {
-  struct settings *s = d->settings;
+  struct settings *s = d->ctx.settings;
   struct member_update self = { .id = s->vm,
                                 .ip = s->ip,
                                 .http_port = s->http_port,
                                 .peer_port = s->peer_port,
                                 .region = s->region,
                                 .failure_domain = s->failure_domain,
-                                .incarnation = d->incarnation };
+                                .incarnation = d->ctx.incarnation };
   guint32 seed = 0;
   if (getrandom (&seed, sizeof seed, 0) != (ssize_t)sizeof seed)
     g_error ("no random bytes");
@@ -273,12 +319,12 @@
 static bool
 make_links (struct daemon *d, GError **error)
 {
-  struct settings *s = d->settings;
+  struct settings *s = d->ctx.settings;
   struct http_limits limits = { .body_bytes = s->max_body_bytes,
                                 .header_bytes = s->max_header_bytes,
                                 .connections = (unsigned)s->max_connections };
-  d->fleet_key = read_key (s->fleet_key_file, error);
-  if (d->fleet_key == NULL)
+  d->ctx.fleet_key = read_key (s->fleet_key_file, error);
+  if (d->ctx.fleet_key == NULL)
     return false;
   if (!trace_open (s->trace_file, s->vm))
     {
@@ -286,14 +332,16 @@
                    "cannot write spans to %s", s->trace_file);
       return false;
     }
-  d->peers = peers_create (d->base, s->vm, s->ip, (uint16_t)s->peer_port,
-                           d->fleet_key, &peer_events, d, error);
-  if (d->peers == NULL)
+  d->ctx.peers
+      = peers_create (d->ctx.base, s->vm, s->ip, (uint16_t)s->peer_port,
+                      d->ctx.fleet_key, &peer_events, d, error);
+  if (d->ctx.peers == NULL)
     return false;
-  d->server = http_server_create (d->base, s->ip, (uint16_t)s->http_port,
-                                  &limits, caller_api_handle, d, error);
-  d->http = http_client_create (d->base);
-  d->kv = kv_etcd_create (d->base, d->http, s->kv);
+  d->server
+      = http_server_create (d->ctx.base, s->ip, (uint16_t)s->http_port,
+                            &limits, caller_api_handle, &d->caller_api, error);
+  d->ctx.http = http_client_create (d->ctx.base);
+  d->ctx.kv = kv_etcd_create (d->ctx.base, d->ctx.http, s->kv);
   return d->server != NULL;
 }
 
@@ -309,32 +357,44 @@
   return base;
 }
 
+/* Each part gets the parts below it; what it needs of others goes through the
+   functions above.  */
+static void
+make_parts (struct daemon *d)
+{
+  const struct context *ctx = &d->ctx;
+  struct vm_list_parts list = { .base = ctx->base,
+                                .http = ctx->http,
+                                .members = ctx->members,
+                                .address = ctx->settings->vm_list };
+  d->vm_list = vm_list_create (&list);
+  d->conf = conf_create (ctx, &conf_events, d);
+  d->applies = applies_create (ctx, d->conf);
+  d->entry = entry_create (ctx, d->conf, to_own_home, d);
+  d->engines = engines_create (ctx, d->conf, &engines_events, d);
+  d->home = home_create (ctx, d->conf, d->engines, to_own_entry, d);
+  d->calls = calls_create (ctx, d->conf);
+  d->orders = orders_link_create (ctx, d->conf, d->engines, d->vm_list);
+  d->operators
+      = operator_api_create (ctx, d->conf, d->applies, d->engines, d->orders);
+  d->caller_api
+      = (struct caller_api){ ctx, d->conf, d->entry, d->calls, d->operators };
+}
+
 struct daemon *
 daemon_create (struct settings *settings, GError **error)
 {
   struct daemon *d = g_new0 (struct daemon, 1);
-  d->base = make_base ();
-  d->settings = settings;
-  d->incarnation = member_first_incarnation (wall_ms ());
-  d->members = make_members (d);
+  d->ctx.base = make_base ();
+  d->ctx.settings = settings;
+  d->ctx.incarnation = member_first_incarnation (wall_ms ());
+  d->ctx.members = make_members (d);
   if (!make_links (d, error))
     {
       daemon_destroy (d);
       return NULL;
     }
-  d->entry = entry_create (d);
-  d->engines = engines_create (d);
-  d->home = home_create (d);
-  d->calls = calls_create (d);
-  d->orders = orders_link_create (d);
-  d->operators = operator_api_create (d);
-  d->conf = conf_create (d);
-  d->applies = applies_create (d);
-  struct vm_list_parts list = { .base = d->base,
-                                .http = d->http,
-                                .members = d->members,
-                                .address = settings->vm_list };
-  d->vm_list = vm_list_create (&list);
+  make_parts (d);
   d->gossip = make_gossip (d, error);
   if (d->gossip == NULL)
     {
@@ -347,16 +407,16 @@
 void
 daemon_run (struct daemon *d)
 {
-  struct event *term = evsignal_new (d->base, SIGTERM, on_signal, d);
-  struct event *intr = evsignal_new (d->base, SIGINT, on_signal, d);
+  struct event *term = evsignal_new (d->ctx.base, SIGTERM, on_signal, d);
+  struct event *intr = evsignal_new (d->ctx.base, SIGINT, on_signal, d);
   event_add (term, NULL);
   event_add (intr, NULL);
-  log_event (LOG_INFO, "started", "ip", d->settings->ip, "http_port",
-             log_num ((long long)d->settings->http_port), "peer_port",
-             log_num ((long long)d->settings->peer_port), "region",
-             d->settings->region, "failure_domain",
-             d->settings->failure_domain, NULL);
-  event_base_dispatch (d->base);
+  log_event (LOG_INFO, "started", "ip", d->ctx.settings->ip, "http_port",
+             log_num ((long long)d->ctx.settings->http_port), "peer_port",
+             log_num ((long long)d->ctx.settings->peer_port), "region",
+             d->ctx.settings->region, "failure_domain",
+             d->ctx.settings->failure_domain, NULL);
+  event_base_dispatch (d->ctx.base);
   event_free (term);
   event_free (intr);
 }
@@ -378,13 +438,13 @@
   engines_destroy (d->engines);
   applies_destroy (d->applies);
   conf_destroy (d->conf);
-  kv_destroy (d->kv);
-  peers_destroy (d->peers);
-  http_client_destroy (d->http);
-  members_destroy (d->members);
+  kv_destroy (d->ctx.kv);
+  peers_destroy (d->ctx.peers);
+  http_client_destroy (d->ctx.http);
+  members_destroy (d->ctx.members);
   trace_close ();
-  settings_destroy (d->settings);
-  g_free (d->fleet_key);
-  event_base_free (d->base);
+  settings_destroy (d->ctx.settings);
+  g_free (d->ctx.fleet_key);
+  event_base_free (d->ctx.base);
   g_free (d);
 }
--- a/src/daemon/drain.c
+++ b/src/daemon/drain.c
@@ -19,7 +19,9 @@
 
 struct drains
 {
-  struct daemon *d;
+  const struct context *ctx;
+  const struct conf *conf;
+  struct engines *engines;
   GHashTable *by_engine;
 };
 
@@ -33,10 +35,13 @@
 }
 
 struct drains *
-drains_create (struct daemon *d)
+drains_create (const struct context *ctx, const struct conf *conf,
+               struct engines *engines)
 {
   struct drains *s = g_new0 (struct drains, 1);
-  s->d = d;
+  s->ctx = ctx;
+  s->conf = conf;
+  s->engines = engines;
   s->by_engine
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, drain_free);
   return s;
@@ -55,7 +60,7 @@
 has_answered (const struct drains *s, const struct drain *x,
               const struct member *m)
 {
-  return strcmp (m->info.id, s->d->settings->vm) == 0
+  return strcmp (m->info.id, s->ctx->settings->vm) == 0
          || g_hash_table_contains (x->answered, m->info.id);
 }
 
@@ -64,19 +69,19 @@
 {
   struct engine_drain m
       = { .engine = x->engine, .on = x->on, .fencing = x->fencing };
-  const GPtrArray *all = members_all (s->d->members);
+  const GPtrArray *all = members_all (s->ctx->members);
   for (guint i = 1; i < all->len; i++)
     {
       const struct member *to = g_ptr_array_index (all, i);
       if (member_live (to) && !has_answered (s, x, to))
-        daemon_send (s->d, to->info.id, MESSAGE_ENGINE_DRAIN, &m);
+        context_send (s->ctx, to->info.id, MESSAGE_ENGINE_DRAIN, &m);
     }
 }
 
 static bool
 all_answered (const struct drains *s, const struct drain *x)
 {
-  const GPtrArray *all = members_all (s->d->members);
+  const GPtrArray *all = members_all (s->ctx->members);
   for (guint i = 0; i < all->len; i++)
     {
       const struct member *m = g_ptr_array_index (all, i);
@@ -97,7 +102,7 @@
   x->answered_ms = clock_ms ();
   x->since_ms = x->answered_ms;
   g_hash_table_replace (s->by_engine, x->engine, x);
-  engines_set_draining (s->d->engines, engine, on, fencing);
+  engines_set_draining (s->engines, engine, on, fencing);
   tell_waiting (s, x);
 }
 
@@ -122,7 +127,7 @@
 static void
 tell_late (const struct drains *s, struct drain *x)
 {
-  const struct file *file = conf_file (s->d->conf);
+  const struct file *file = conf_file (s->conf);
   int64_t age = clock_ms () - x->since_ms;
   if (file == NULL || !x->on || x->late_told
       || age < (int64_t)file->drain_deadline_s * 1000)
--- a/src/daemon/drain.h
+++ b/src/daemon/drain.h
@@ -4,13 +4,17 @@
 #ifndef DAEMON_DRAIN_H
 #define DAEMON_DRAIN_H
 
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "daemon/engines.h"
+#include "daemon/conf.h"
 
 /** All drains that this VM leads.  */
 struct drains;
 
 /** Makes the part.  */
-struct drains *drains_create (struct daemon *d);
+struct drains *drains_create (const struct context *ctx,
+                              const struct conf *conf,
+                              struct engines *engines);
 
 /** Releases S.  */
 void drains_destroy (struct drains *s);
--- a/src/daemon/engines.c
+++ b/src/daemon/engines.c
@@ -3,16 +3,16 @@
 #include "base/log.h"
 #include "config.h"
 #include "daemon/conf.h"
-#include "daemon/entry.h"
-#include "daemon/gossip_link.h"
-#include "daemon/orders_link.h"
 #include "decide/rank.h"
 
 #include <string.h>
 
 struct engines
 {
-  struct daemon *d;
+  const struct context *ctx;
+  struct conf *conf;
+  const struct engines_events *events;
+  void *arg;
   GHashTable *table; /* id -> struct home_engine */
   int64_t digest_ms;
   uint64_t seen_version; /* of the members that homes were assigned by */
@@ -34,7 +34,7 @@
 static void
 engine_update_speed (struct engines *all, struct home_engine *e)
 {
-  const struct catalog *catalog = conf_catalog (all->d->conf);
+  const struct catalog *catalog = conf_catalog (all->conf);
   const struct file_engine *f = catalog_find (catalog, e->id);
   if (f == NULL)
     return;
@@ -54,7 +54,7 @@
 struct home_engine *
 engines_get (struct engines *all, const char *id)
 {
-  const struct catalog *catalog = conf_catalog (all->d->conf);
+  const struct catalog *catalog = conf_catalog (all->conf);
   const struct file_engine *f = catalog ? catalog_find (catalog, id) : NULL;
   if (f == NULL)
     return NULL;
@@ -77,7 +77,7 @@
 void
 engines_told (struct engines *all, struct home_engine *e)
 {
-  const struct catalog *catalog = conf_catalog (all->d->conf);
+  const struct catalog *catalog = conf_catalog (all->conf);
   struct router *router = catalog_router (catalog);
   route_engine handle = router_find (router, e->id);
   if (handle == ROUTE_NONE)
@@ -158,7 +158,7 @@
                           .method = "GET",
                           .path = "/v1/admin/state",
                           .timeout_ms = ENGINE_POLL_INTERVAL_MS };
-  http_client_call (all->d->http, &o, &poll_events, p);
+  http_client_call (all->ctx->http, &o, &poll_events, p);
 }
 
 static void
@@ -182,7 +182,7 @@
 static GBytes *
 digest_encode (struct engines *all)
 {
-  const struct catalog *catalog = conf_catalog (all->d->conf);
+  const struct catalog *catalog = conf_catalog (all->conf);
   struct router *router = catalog_router (catalog);
   GByteArray *out = g_byte_array_new ();
   GHashTableIter it;
@@ -208,19 +208,19 @@
 static void
 send_digests (struct engines *all)
 {
-  struct load_digest m = { .from = all->d->settings->vm,
-                           .revision = conf_revision (all->d->conf) };
+  struct load_digest m = { .from = all->ctx->settings->vm,
+                           .revision = conf_revision (all->conf) };
   m.loads = digest_encode (all);
-  m.demand = entry_demand (all->d->entry);
-  const GPtrArray *members = members_all (all->d->members);
+  m.demand = all->events->own_demand (all->arg);
+  const GPtrArray *members = members_all (all->ctx->members);
   for (guint i = 1; i < members->len; i++)
     {
       const struct member *to = g_ptr_array_index (members, i);
       if (member_live (to)
-          && strcmp (to->info.region, all->d->settings->region) == 0)
-        gossip_link_send (all->d->gossip, to, MESSAGE_LOAD_DIGEST, &m);
+          && strcmp (to->info.region, all->ctx->settings->region) == 0)
+        all->events->send_digest (all->arg, to, &m);
     }
-  orders_link_take_demand (all->d->orders, all->d->settings->vm, m.demand);
+  all->events->take_demand (all->arg, all->ctx->settings->vm, m.demand);
   g_bytes_unref (m.loads);
   g_bytes_unref (m.demand);
 }
@@ -228,10 +228,10 @@
 void
 engines_take_digest (struct engines *all, const struct load_digest *m)
 {
-  const struct catalog *catalog = conf_catalog (all->d->conf);
-  if (catalog == NULL || m->revision != conf_revision (all->d->conf))
+  const struct catalog *catalog = conf_catalog (all->conf);
+  if (catalog == NULL || m->revision != conf_revision (all->conf))
     return;
-  orders_link_take_demand (all->d->orders, m->from, m->demand);
+  all->events->take_demand (all->arg, m->from, m->demand);
   if (m->loads == NULL)
     return;
   struct router *router = catalog_router (catalog);
@@ -260,14 +260,14 @@
 static void
 assign_homes (struct engines *all)
 {
-  const struct file *file = conf_file (all->d->conf);
+  const struct file *file = conf_file (all->conf);
   for (guint i = 0; i < file->engines->len; i++)
     {
       const struct file_engine *f
           = &g_array_index (file->engines, struct file_engine, i);
       const struct member *home
-          = rank_engine_home (all->d->members, f->id, f->region);
-      bool here = home && strcmp (home->info.id, all->d->settings->vm) == 0;
+          = rank_engine_home (all->ctx->members, f->id, f->region);
+      bool here = home && strcmp (home->info.id, all->ctx->settings->vm) == 0;
       struct home_engine *e = here ? engines_get (all, f->id)
                                    : g_hash_table_lookup (all->table, f->id);
       if (e)
@@ -278,7 +278,7 @@
 void
 engines_file_changed (struct engines *all)
 {
-  const struct catalog *catalog = conf_catalog (all->d->conf);
+  const struct catalog *catalog = conf_catalog (all->conf);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, all->table);
@@ -309,8 +309,7 @@
     return;
   e->drain_fencing = fencing;
   e->draining = draining;
-  engine_update_draining (e,
-                          catalog_find (conf_catalog (all->d->conf), engine));
+  engine_update_draining (e, catalog_find (conf_catalog (all->conf), engine));
   engines_told (all, e);
 }
 
@@ -340,9 +339,9 @@
 engines_tick (struct engines *all)
 {
   int64_t now = clock_ms ();
-  if (all->seen_version != members_version (all->d->members))
+  if (all->seen_version != members_version (all->ctx->members))
     {
-      all->seen_version = members_version (all->d->members);
+      all->seen_version = members_version (all->ctx->members);
       assign_homes (all);
     }
   g_autoptr (GList) list = engines_all (all);
@@ -361,10 +360,14 @@
 }
 
 struct engines *
-engines_create (struct daemon *d)
+engines_create (const struct context *ctx, struct conf *conf,
+                const struct engines_events *events, void *arg)
 {
   struct engines *all = g_new0 (struct engines, 1);
-  all->d = d;
+  all->ctx = ctx;
+  all->conf = conf;
+  all->events = events;
+  all->arg = arg;
   all->seen_version = UINT64_MAX;
   all->table
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, engine_free);
--- a/src/daemon/engines.h
+++ b/src/daemon/engines.h
@@ -4,7 +4,8 @@
 #ifndef DAEMON_ENGINES_H
 #define DAEMON_ENGINES_H
 
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "daemon/conf.h"
 #include "decide/queue.h"
 
 struct engines;
@@ -26,8 +27,22 @@
   int64_t first_asked_ms; /**< since the last report */
 };
 
+/** What engines ask and report.  */
+struct engines_events
+{
+  /** Demand that this VM has seen as entry VM; to be released.  */
+  GBytes *(*own_demand) (void *arg);
+  /** Demand that VM has seen.  */
+  void (*take_demand) (void *arg, const char *vm, GBytes *demand);
+  /** Sends a digest of loads to TO.  */
+  void (*send_digest) (void *arg, const struct member *to,
+                       const struct load_digest *digest);
+};
+
 /** Makes the part.  */
-struct engines *engines_create (struct daemon *d);
+struct engines *engines_create (const struct context *ctx, struct conf *conf,
+                                const struct engines_events *events,
+                                void *arg);
 
 /** Releases E.  */
 void engines_destroy (struct engines *e);
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -5,7 +5,6 @@
 #include "config.h"
 #include "daemon/conf.h"
 #include "daemon/demand.h"
-#include "daemon/home.h"
 #include "daemon/reply.h"
 #include "daemon/request_id.h"
 #include "decide/limits.h"
@@ -54,7 +53,10 @@
 
 struct entry
 {
-  struct daemon *d;
+  const struct context *ctx;
+  struct conf *conf;
+  entry_to_home *to_home;
+  void *arg;
   GHashTable *streams; /* id -> struct entry_stream */
   uint64_t next_id;
   struct limits *limits;
@@ -69,7 +71,7 @@
 stream_free (void *p)
 {
   struct entry_stream *s = p;
-  peers_await (s->entry->d->peers, s->peer, -1);
+  peers_await (s->entry->ctx->peers, s->peer, -1);
   json_decref (s->body);
   g_free (s->caller);
   g_free (s->request_id);
@@ -164,12 +166,12 @@
 static void
 to_home (struct entry_stream *s, unsigned type, void *message)
 {
-  struct daemon *d = s->entry->d;
+  const struct context *ctx = s->entry->ctx;
   if (s->peer == 0)
-    home_take_frame (d->home, 0,
-                     &(struct frame){ .type = type, .message = message });
+    s->entry->to_home (s->entry->arg,
+                       &(struct frame){ .type = type, .message = message });
   else
-    peers_send (d->peers, s->peer, type, message);
+    peers_send (ctx->peers, s->peer, type, message);
 }
 
 /* The caller went away.  A stream is left running for a while at the engine,
@@ -214,28 +216,28 @@
 static const struct member *
 other_home (const struct entry_stream *s, bool moved)
 {
-  struct daemon *d = s->entry->d;
+  const struct context *ctx = s->entry->ctx;
   const struct file_engine *f
-      = catalog_find (conf_catalog (d->conf), s->engine);
+      = catalog_find (conf_catalog (s->entry->conf), s->engine);
   if (f == NULL || moved)
     return NULL;
   const struct member *home
-      = rank_engine_home (d->members, s->engine, f->region);
-  return home && strcmp (home->info.id, d->settings->vm) != 0 ? home : NULL;
+      = rank_engine_home (ctx->members, s->engine, f->region);
+  return home && strcmp (home->info.id, ctx->settings->vm) != 0 ? home : NULL;
 }
 
 static void
 open_at_home (struct entry_stream *s, bool resume, bool moved)
 {
-  struct daemon *d = s->entry->d;
+  const struct context *ctx = s->entry->ctx;
   char traceparent[TRACEPARENT_BYTES];
   span_traceparent (&s->span, traceparent);
   const struct member *home = other_home (s, moved);
-  peers_await (d->peers, s->peer, -1);
-  s->peer = home ? peers_connect (d->peers, home->info.id, home->info.ip,
+  peers_await (ctx->peers, s->peer, -1);
+  s->peer = home ? peers_connect (ctx->peers, home->info.id, home->info.ip,
                                   (uint16_t)home->info.peer_port)
                  : 0;
-  peers_await (d->peers, s->peer, 1);
+  peers_await (ctx->peers, s->peer, 1);
   g_autoptr (GBytes) body = body_for_engine (s);
   struct stream_open m
       = { .stream = s->id,
@@ -258,14 +260,14 @@
 static void
 choose (struct entry_stream *s, route_engine engine, bool cached)
 {
-  struct daemon *d = s->entry->d;
-  const struct catalog *catalog = conf_catalog (d->conf);
+  const struct context *ctx = s->entry->ctx;
+  const struct catalog *catalog = conf_catalog (s->entry->conf);
   const char *name = catalog_engine (catalog, engine)->id;
   router_sent (catalog_router (catalog), engine, &s->ask, cached);
   g_free (s->engine);
   g_free (s->request_id);
   s->engine = g_strdup (name);
-  s->request_id = request_id_make (d->fleet_key, s->caller, name);
+  s->request_id = request_id_make (ctx->fleet_key, s->caller, name);
   s->tries++;
   open_at_home (s, false, false);
 }
@@ -275,11 +277,11 @@
 static struct route_choice
 pick (struct entry_stream *s)
 {
-  struct daemon *d = s->entry->d;
-  const struct catalog *catalog = conf_catalog (d->conf);
+  const struct context *ctx = s->entry->ctx;
+  const struct catalog *catalog = conf_catalog (s->entry->conf);
   struct router *router = catalog_router (catalog);
-  const struct file *file = conf_file (d->conf);
-  uint32_t own = catalog_region (catalog, d->settings->region);
+  const struct file *file = conf_file (s->entry->conf);
+  uint32_t own = catalog_region (catalog, ctx->settings->region);
   s->ask.region = own;
   struct route_choice best = router_pick (router, &s->ask);
   for (uint32_t i = 0; best.engine == ROUTE_NONE && i < file->regions->len;
@@ -298,7 +300,7 @@
 static bool
 plan_phase (struct entry_stream *s, route_engine engine)
 {
-  const struct catalog *catalog = conf_catalog (s->entry->d->conf);
+  const struct catalog *catalog = conf_catalog (s->entry->conf);
   struct router *router = catalog_router (catalog);
   bool only_prefill = router_load (router, engine)->role == ROLE_PREFILL;
   s->phase = PHASE_WHOLE;
@@ -350,7 +352,7 @@
 route_again (struct entry_stream *s, enum result result, const char *detail,
              uint64_t retry_after_ms)
 {
-  const struct catalog *catalog = conf_catalog (s->entry->d->conf);
+  const struct catalog *catalog = conf_catalog (s->entry->conf);
   bool can = s->offset == 0 && s->body && s->tries < TRIES_MAX
              && clock_ms () < s->deadline_ms
              && retry_take (&s->entry->retries);
@@ -459,7 +461,7 @@
 static void
 decode_at_planned (struct entry_stream *s)
 {
-  const struct catalog *catalog = conf_catalog (s->entry->d->conf);
+  const struct catalog *catalog = conf_catalog (s->entry->conf);
   route_engine e = s->decode_engine ? router_find (catalog_router (catalog),
                                                    s->decode_engine)
                                     : ROUTE_NONE;
@@ -473,7 +475,7 @@
   g_free (s->request_id);
   s->engine = g_strdup (s->decode_engine);
   s->request_id
-      = request_id_make (s->entry->d->fleet_key, s->caller, s->engine);
+      = request_id_make (s->entry->ctx->fleet_key, s->caller, s->engine);
   open_at_home (s, false, false);
 }
 
@@ -481,7 +483,7 @@
 static void
 learn_load (struct entry_stream *s, const struct stream_end *m)
 {
-  struct router *router = catalog_router (conf_catalog (s->entry->d->conf));
+  struct router *router = catalog_router (conf_catalog (s->entry->conf));
   route_engine e = s->engine ? router_find (router, s->engine) : ROUTE_NONE;
   if (e == ROUTE_NONE || s->peer == 0)
     return;
@@ -620,7 +622,7 @@
 count_demand (struct entry_stream *s)
 {
   struct entry *e = s->entry;
-  const struct file *file = conf_file (e->d->conf);
+  const struct file *file = conf_file (e->conf);
   const struct file_model *m
       = &g_array_index (file->models, struct file_model, s->ask.model);
   json_t *max = json_object_get (s->body, "max_tokens");
@@ -638,7 +640,7 @@
 GBytes *
 entry_demand (const struct entry *e)
 {
-  const struct file *file = conf_file (e->d->conf);
+  const struct file *file = conf_file (e->conf);
   size_t n = file ? MIN (file->models->len, DEMAND_MODELS_MAX) : 0;
   return demand_pack (e->demand, n);
 }
@@ -647,7 +649,7 @@
 entry_admit (struct entry *e, struct http_request *r,
              const struct file_caller *caller)
 {
-  const GPtrArray *all = members_all (e->d->members);
+  const GPtrArray *all = members_all (e->ctx->members);
   unsigned usable = 0;
   for (guint i = 0; i < all->len; i++)
     usable += member_usable (g_ptr_array_index (all, i));
@@ -695,7 +697,7 @@
   if (body == NULL)
     return;
   const char *model = json_string_value (json_object_get (body, "model"));
-  uint32_t number = catalog_model (conf_catalog (e->d->conf), model);
+  uint32_t number = catalog_model (conf_catalog (e->conf), model);
   if (number == UINT32_MAX || !texts_hold (caller->models, model))
     {
       reply_error (r, RESULT_FORBIDDEN, "this caller may not use that model",
@@ -731,12 +733,12 @@
                    "Last-Event-ID is not of this stream", 0);
       return;
     }
-  if (!request_id_check (e->d->fleet_key, caller->name, request_id, &engine))
+  if (!request_id_check (e->ctx->fleet_key, caller->name, request_id, &engine))
     {
       reply_error (r, RESULT_FORBIDDEN, "this stream is not this caller's", 0);
       return;
     }
-  if (catalog_find (conf_catalog (e->d->conf), engine) == NULL)
+  if (catalog_find (conf_catalog (e->conf), engine) == NULL)
     {
       reply_error (r, RESULT_STREAM_LOST, NULL, 0);
       return;
@@ -759,10 +761,14 @@
 }
 
 struct entry *
-entry_create (struct daemon *d)
+entry_create (const struct context *ctx, struct conf *conf,
+              entry_to_home *to_own_home, void *arg)
 {
   struct entry *e = g_new0 (struct entry, 1);
-  e->d = d;
+  e->ctx = ctx;
+  e->conf = conf;
+  e->to_home = to_own_home;
+  e->arg = arg;
   e->streams
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, stream_free);
   e->limits = limits_create ();
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -4,10 +4,16 @@
 #define DAEMON_ENTRY_H
 
 #include "base/file.h"
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "links/http_server.h"
+#include "daemon/conf.h"
+
+/** Takes a frame for the home VM where that is this VM.  */
+typedef void entry_to_home (void *arg, const struct frame *f);
 
 /** Makes the part.  */
-struct entry *entry_create (struct daemon *d);
+struct entry *entry_create (const struct context *ctx, struct conf *conf,
+                            entry_to_home *to_own_home, void *arg);
 
 /** Releases E; its requests end without an answer.  */
 void entry_destroy (struct entry *e);
--- a/src/daemon/home.c
+++ b/src/daemon/home.c
@@ -5,7 +5,6 @@
 #include "config.h"
 #include "daemon/conf.h"
 #include "daemon/engines.h"
-#include "daemon/entry.h"
 #include "daemon/sse.h"
 #include "links/trace.h"
 
@@ -34,7 +33,11 @@
 
 struct home
 {
-  struct daemon *d;
+  const struct context *ctx;
+  struct conf *conf;
+  struct engines *engines;
+  home_to_entry *to_entry;
+  void *arg;
   GHashTable *streams; /* ticket -> struct home_stream */
   uint64_t next_ticket;
   struct event *timer;
@@ -48,10 +51,9 @@
 emit (struct home *h, peer_handle peer, unsigned type, void *message)
 {
   if (peer == 0)
-    entry_take_frame (h->d->entry, 0,
-                      &(struct frame){ .type = type, .message = message });
+    h->to_entry (h->arg, &(struct frame){ .type = type, .message = message });
   else
-    peers_send (h->d->peers, peer, type, message);
+    peers_send (h->ctx->peers, peer, type, message);
 }
 
 static void
@@ -84,7 +86,7 @@
   struct home_engine *e = s->engine;
   queue_done (e->queue, s->ticket);
   g_hash_table_remove (h->streams, &s->ticket);
-  engines_told (h->d->engines, e);
+  engines_told (h->engines, e);
   start_waiting (h, e);
 }
 
@@ -234,7 +236,7 @@
                           .traceparent = traceparent,
                           .request_id = s->open.request_id,
                           .timeout_ms = patience_ms (s) };
-  s->call = http_client_call (s->home->d->http, &o,
+  s->call = http_client_call (s->home->ctx->http, &o,
                               prefill ? &prefill_events : &stream_events, s);
 }
 
@@ -250,7 +252,7 @@
                           .traceparent = traceparent,
                           .timeout_ms = patience_ms (s),
                           .fresh = true };
-  s->call = http_client_call (s->home->d->http, &o, &stream_events, s);
+  s->call = http_client_call (s->home->ctx->http, &o, &stream_events, s);
 }
 
 static void
@@ -296,7 +298,7 @@
 static void
 take_open (struct home *h, peer_handle peer, const struct stream_open *m)
 {
-  struct home_engine *e = engines_get (h->d->engines, m->engine);
+  struct home_engine *e = engines_get (h->engines, m->engine);
   if (e == NULL)
     {
       refuse (h, peer, m->stream, "this vm knows no such engine");
@@ -329,7 +331,7 @@
   sse_init (&s->sse);
   span_start (&s->span, "home", m->traceparent);
   g_hash_table_insert (h->streams, &s->ticket, s);
-  engines_told (h->d->engines, e);
+  engines_told (h->engines, e);
   if (v != QUEUE_WAIT)
     start (s);
 }
@@ -374,7 +376,7 @@
                               .method = "DELETE",
                               .path = path,
                               .timeout_ms = ENGINE_STREAM_SILENT_MS };
-      http_client_call (h->d->http, &o, &cancel_events, NULL);
+      http_client_call (h->ctx->http, &o, &cancel_events, NULL);
     }
   span_end (&s->span, "cancelled", s->engine->id);
   stream_drop (s);
@@ -450,11 +452,11 @@
   (void)what;
   struct home *h = arg;
   int64_t now = clock_ms ();
-  if (conf_file (h->d->conf) == NULL)
+  if (conf_file (h->conf) == NULL)
     return;
-  engines_tick (h->d->engines);
+  engines_tick (h->engines);
   unsigned running = 0, waiting = 0;
-  g_autoptr (GList) engines = engines_all (h->d->engines);
+  g_autoptr (GList) engines = engines_all (h->engines);
   for (GList *l = engines; l; l = l->next)
     {
       struct home_engine *e = l->data;
@@ -468,13 +470,18 @@
 }
 
 struct home *
-home_create (struct daemon *d)
+home_create (const struct context *ctx, struct conf *conf,
+             struct engines *engines, home_to_entry *to_own_entry, void *arg)
 {
   struct home *h = g_new0 (struct home, 1);
-  h->d = d;
+  h->ctx = ctx;
+  h->conf = conf;
+  h->engines = engines;
+  h->to_entry = to_own_entry;
+  h->arg = arg;
   h->streams
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, stream_free);
-  h->timer = daemon_every (d, TICK_MS, on_timer, h);
+  h->timer = context_every (ctx, TICK_MS, on_timer, h);
   return h;
 }
 
--- a/src/daemon/home.h
+++ b/src/daemon/home.h
@@ -3,10 +3,17 @@
 #ifndef DAEMON_HOME_H
 #define DAEMON_HOME_H
 
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "daemon/engines.h"
+#include "daemon/conf.h"
+
+/** Takes a frame for the entry VM where that is this VM.  */
+typedef void home_to_entry (void *arg, const struct frame *f);
 
 /** Makes the part.  */
-struct home *home_create (struct daemon *d);
+struct home *home_create (const struct context *ctx, struct conf *conf,
+                          struct engines *engines, home_to_entry *to_own_entry,
+                          void *arg);
 
 /** Closes what is open to engines and releases H.  */
 void home_destroy (struct home *h);
--- a/src/daemon/operator_api.c
+++ b/src/daemon/operator_api.c
@@ -28,7 +28,11 @@
 
 struct operator_api
 {
-  struct daemon *d;
+  const struct context *ctx;
+  struct conf *conf;
+  struct applies *applies;
+  struct engines *engines;
+  struct orders_link *orders;
   GPtrArray *statuses;
   struct event *timer;
 };
@@ -136,7 +140,7 @@
           .text = text,
           .expect = expect ? g_ascii_strtoull (expect, NULL, 10) : 0,
           .behind = behind };
-  applies_start (o->d->applies, &apply, on_applied, wait_create (o, r));
+  applies_start (o->applies, &apply, on_applied, wait_create (o, r));
 }
 
 /* Reading back.  */
@@ -144,7 +148,7 @@
 static void
 handle_file (struct operator_api *o, struct http_request *r)
 {
-  GBytes *text = conf_text (o->d->conf);
+  GBytes *text = conf_text (o->conf);
   if (text == NULL)
     {
       reply_error (r, RESULT_NOT_FOUND, "no file has been applied", 0);
@@ -153,7 +157,7 @@
   gsize n = 0;
   const void *data = g_bytes_get_data (text, &n);
   char number[24];
-  g_snprintf (number, sizeof number, "%" PRIu64, conf_revision (o->d->conf));
+  g_snprintf (number, sizeof number, "%" PRIu64, conf_revision (o->conf));
   http_request_set_header (r, "X-Buckthorn-Revision", number);
   http_request_reply (r, 200, "application/yaml", data, n);
 }
@@ -187,7 +191,7 @@
 static void
 handle_history (struct operator_api *o, struct http_request *r)
 {
-  kv_get (o->d->kv, CONF_KEY_HISTORY, true, on_history, wait_create (o, r));
+  kv_get (o->ctx->kv, CONF_KEY_HISTORY, true, on_history, wait_create (o, r));
 }
 
 static json_t *
@@ -207,7 +211,7 @@
 handle_members (struct operator_api *o, struct http_request *r)
 {
   json_t *list = json_array ();
-  const GPtrArray *all = members_all (o->d->members);
+  const GPtrArray *all = members_all (o->ctx->members);
   for (guint i = 0; i < all->len; i++)
     json_array_append_new (list, member_json (g_ptr_array_index (all, i)));
   reply_json (r, 200, json_pack ("{s:o}", "members", list));
@@ -216,12 +220,12 @@
 static json_t *
 engine_json (struct operator_api *o, const struct file_engine *f)
 {
-  const struct catalog *catalog = conf_catalog (o->d->conf);
+  const struct catalog *catalog = conf_catalog (o->conf);
   struct router *router = catalog_router (catalog);
   const struct route_load *load
       = router_load (router, router_find (router, f->id));
   const struct member *home
-      = rank_engine_home (o->d->members, f->id, f->region);
+      = rank_engine_home (o->ctx->members, f->id, f->region);
   return json_pack ("{s:s,s:s,s:s,s:s,s:s,s:s,s:b,s:I,s:I,s:I,s:s}", "engine",
                     f->id, "model", f->model, "region", f->region,
                     "failure_domain", f->failure_domain, "home",
@@ -229,14 +233,14 @@
                     "usable", load->usable, "running",
                     (json_int_t)load->running, "queued_tokens",
                     (json_int_t)load->queued_tokens, "report_age_ms",
-                    (json_int_t)engines_report_age_ms (o->d->engines, f->id),
-                    "order", orders_link_state (o->d->orders, f->id));
+                    (json_int_t)engines_report_age_ms (o->engines, f->id),
+                    "order", orders_link_state (o->orders, f->id));
 }
 
 static void
 handle_engines (struct operator_api *o, struct http_request *r)
 {
-  const struct file *file = conf_file (o->d->conf);
+  const struct file *file = conf_file (o->conf);
   json_t *list = json_array ();
   for (guint i = 0; file && i < file->engines->len; i++)
     json_array_append_new (
@@ -266,7 +270,7 @@
 vms_json (const struct status *s)
 {
   json_t *list = json_array ();
-  const GPtrArray *all = members_all (s->api->d->members);
+  const GPtrArray *all = members_all (s->api->ctx->members);
   for (guint i = 0; i < all->len; i++)
     {
       const struct member *m = g_ptr_array_index (all, i);
@@ -284,8 +288,8 @@
 static json_t *
 region_json (const struct status *s, const char *region)
 {
-  uint64_t want = conf_revision (s->api->d->conf);
-  const GPtrArray *all = members_all (s->api->d->members);
+  uint64_t want = conf_revision (s->api->conf);
+  const GPtrArray *all = members_all (s->api->ctx->members);
   json_t *behind = json_array ();
   unsigned live = 0;
   for (guint i = 0; i < all->len; i++)
@@ -307,7 +311,7 @@
 static void
 status_reply (struct status *s)
 {
-  struct conf *conf = s->api->d->conf;
+  struct conf *conf = s->api->conf;
   const struct file *file = conf_file (conf);
   json_t *regions = json_array ();
   for (guint i = 0; file && i < file->regions->len; i++)
@@ -318,7 +322,7 @@
   http_request_on_close (s->request, NULL, NULL);
   reply_json (s->request, 200,
               json_pack ("{s:s,s:I,s:b,s:o,s:o,s:o}", "asked",
-                         s->api->d->settings->vm, "revision",
+                         s->api->ctx->settings->vm, "revision",
                          (json_int_t)conf_revision (conf), "may_be_behind",
                          conf_may_be_behind (conf), "head", head, "regions",
                          regions, "vms", vms_json (s)));
@@ -335,16 +339,15 @@
   s->revisions = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   g_ptr_array_add (o->statuses, s);
   http_request_on_close (r, on_status_gone, s);
-  g_hash_table_replace (
-      s->revisions, g_strdup (o->d->settings->vm),
-      GUINT_TO_POINTER ((guint)conf_revision (o->d->conf) + 1));
-  const GPtrArray *all = members_all (o->d->members);
+  g_hash_table_replace (s->revisions, g_strdup (o->ctx->settings->vm),
+                        GUINT_TO_POINTER ((guint)conf_revision (o->conf) + 1));
+  const GPtrArray *all = members_all (o->ctx->members);
   struct conf_commit ask = { .head = NULL };
   for (guint i = 1; i < all->len; i++)
     {
       const struct member *m = g_ptr_array_index (all, i);
       if (member_live (m)
-          && daemon_send (o->d, m->info.id, MESSAGE_CONF_COMMIT, &ask) != 0)
+          && context_send (o->ctx, m->info.id, MESSAGE_CONF_COMMIT, &ask) != 0)
         s->expected++;
     }
 }
@@ -386,7 +389,7 @@
 operator_of (const struct operator_api *o, const struct http_request *r)
 {
   g_autofree char *digest = request_key_digest (r);
-  const struct file *file = conf_file (o->d->conf);
+  const struct file *file = conf_file (o->conf);
   if (digest == NULL)
     return NULL;
   if (file)
@@ -394,7 +397,7 @@
       const struct file_operator *op = file_find_operator (file, digest);
       return op ? op->name : NULL;
     }
-  return strcmp (digest, o->d->settings->operator_key_digest) == 0
+  return strcmp (digest, o->ctx->settings->operator_key_digest) == 0
              ? BOOTSTRAP_OPERATOR
              : NULL;
 }
@@ -424,12 +427,18 @@
 }
 
 struct operator_api *
-operator_api_create (struct daemon *d)
+operator_api_create (const struct context *ctx, struct conf *conf,
+                     struct applies *applies, struct engines *engines,
+                     struct orders_link *orders)
 {
   struct operator_api *o = g_new0 (struct operator_api, 1);
-  o->d = d;
+  o->ctx = ctx;
+  o->conf = conf;
+  o->applies = applies;
+  o->engines = engines;
+  o->orders = orders;
   o->statuses = g_ptr_array_new_with_free_func (status_free);
-  o->timer = daemon_every (d, STATUS_TICK_MS, on_timer, o);
+  o->timer = context_every (ctx, STATUS_TICK_MS, on_timer, o);
   return o;
 }
 
--- a/src/daemon/operator_api.h
+++ b/src/daemon/operator_api.h
@@ -3,10 +3,19 @@
 #ifndef DAEMON_OPERATOR_API_H
 #define DAEMON_OPERATOR_API_H
 
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "links/http_server.h"
+#include "daemon/orders_link.h"
+#include "daemon/engines.h"
+#include "daemon/conf.h"
+#include "daemon/apply.h"
 
 /** Makes the part.  */
-struct operator_api *operator_api_create (struct daemon *d);
+struct operator_api *operator_api_create (const struct context *ctx,
+                                          struct conf *conf,
+                                          struct applies *applies,
+                                          struct engines *engines,
+                                          struct orders_link *orders);
 
 /** Releases O.  */
 void operator_api_destroy (struct operator_api *o);
--- a/src/daemon/orders_link.c
+++ b/src/daemon/orders_link.c
@@ -5,7 +5,6 @@
 #include "config.h"
 #include "daemon/conf.h"
 #include "daemon/drain.h"
-#include "daemon/gossip_link.h"
 #include "daemon/engines.h"
 #include "daemon/role_link.h"
 #include "daemon/vm_list.h"
@@ -37,7 +36,10 @@
 
 struct orders_link
 {
-  struct daemon *d;
+  const struct context *ctx;
+  struct conf *conf;
+  struct engines *engines;
+  const struct vm_list *vm_list;
   char *self;
   GHashTable *regions;    /* name -> struct region */
   GHashTable *roles;      /* engine -> role + 1, that it shall have */
@@ -77,7 +79,7 @@
 static const struct file_engine *
 file_engine_of (const struct orders_link *o, const char *engine)
 {
-  const struct catalog *catalog = conf_catalog (o->d->conf);
+  const struct catalog *catalog = conf_catalog (o->conf);
   return catalog ? catalog_find (catalog, engine) : NULL;
 }
 
@@ -170,7 +172,7 @@
   log_event (LOG_INFO, "order_sent", "engine", a->engine, "order", a->order_id,
              "fencing", log_num ((long long)a->fencing), "role",
              role_name (a->role), "version", a->version, NULL);
-  http_client_call (x->link->d->http, &order, &order_events, s);
+  http_client_call (x->link->ctx->http, &order, &order_events, s);
 }
 
 /* Earlier senders.  */
@@ -184,7 +186,7 @@
   uint64_t incarnation = 0;
   if (!member_process_split (sender, &vm, &incarnation))
     return false;
-  const struct member *m = members_find (o->d->members, vm);
+  const struct member *m = members_find (o->ctx->members, vm);
   bool restarted = m && !member_same_start (m->info.incarnation, incarnation);
   int64_t now = clock_ms ();
   struct gone *g = g_hash_table_lookup (o->gone, sender);
@@ -196,7 +198,7 @@
     }
   if (restarted)
     return now - g->since_ms > DELIVERY_MAX_MS;
-  return vm_list_missing_ms (o->d->vm_list, vm) > VM_GONE_MS;
+  return vm_list_missing_ms (o->vm_list, vm) > VM_GONE_MS;
 }
 
 static void
@@ -216,7 +218,7 @@
                          .engine = a->engine,
                          .sender = a->sender,
                          .fencing = a->fencing };
-  daemon_send (o->d, vm, MESSAGE_ORDER_ASK, &m);
+  context_send (o->ctx, vm, MESSAGE_ORDER_ASK, &m);
 }
 
 static void
@@ -233,7 +235,7 @@
                                  .clean = true };
   if (x)
     answer.clean = orders_yield (x->orders, m->engine, m->fencing);
-  peers_send (o->d->peers, peer, MESSAGE_ORDER_ANSWER, &answer);
+  peers_send (o->ctx->peers, peer, MESSAGE_ORDER_ANSWER, &answer);
 }
 
 static void
@@ -242,8 +244,8 @@
 {
   struct engine_drained answer
       = { .engine = m->engine, .on = m->on, .fencing = m->fencing };
-  engines_set_draining (o->d->engines, m->engine, m->on, m->fencing);
-  peers_send (o->d->peers, peer, MESSAGE_ENGINE_DRAINED, &answer);
+  engines_set_draining (o->engines, m->engine, m->on, m->fencing);
+  peers_send (o->ctx->peers, peer, MESSAGE_ENGINE_DRAINED, &answer);
 }
 
 void
@@ -277,10 +279,10 @@
   switch (a->kind)
     {
     case ORDERS_READ:
-      kv_get (o->d->kv, key, false, on_read, x);
+      kv_get (o->ctx->kv, key, false, on_read, x);
       break;
     case ORDERS_WRITE:
-      kv_txn (o->d->kv, key, a->revision, &put, 1, on_written, x);
+      kv_txn (o->ctx->kv, key, a->revision, &put, 1, on_written, x);
       break;
     case ORDERS_DRAIN:
       log_event (LOG_INFO, "drain_started", "engine", a->engine, NULL);
@@ -340,7 +342,7 @@
   int64_t drained_ms = drains_all_since (o->drains, p->engine);
   bool idle = json_integer_value (json_object_get (root, "running")) == 0;
   if (idle && drained_ms >= 0 && p->asked_ms > drained_ms
-      && engines_open (o->d->engines, p->engine) == 0)
+      && engines_open (o->engines, p->engine) == 0)
     orders_drained (x->orders, p->engine);
 }
 
@@ -379,7 +381,7 @@
                               .method = "GET",
                               .path = "/v1/admin/state",
                               .timeout_ms = ENGINE_POLL_INTERVAL_MS };
-  http_client_call (o->d->http, &order, &report_events, p);
+  http_client_call (o->ctx->http, &order, &report_events, p);
 }
 
 /* Reports are asked for at a slow pace, and at each tick in the middle of an
@@ -387,7 +389,7 @@
 static void
 ask_reports (struct orders_link *o)
 {
-  const struct file *file = conf_file (o->d->conf);
+  const struct file *file = conf_file (o->conf);
   for (guint i = 0; file && i < file->engines->len; i++)
     {
       const struct file_engine *f
@@ -463,7 +465,7 @@
     return;
   g_hash_table_replace (o->roles, g_strdup (engine),
                         GUINT_TO_POINTER ((guint)role + 1));
-  set_target (o, conf_file (o->d->conf), f);
+  set_target (o, conf_file (o->conf), f);
 }
 
 void
@@ -488,7 +490,7 @@
 void
 orders_link_file_changed (struct orders_link *o)
 {
-  const struct file *file = conf_file (o->d->conf);
+  const struct file *file = conf_file (o->conf);
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, o->regions);
@@ -523,9 +525,9 @@
 static bool
 leads (const struct orders_link *o, const struct region *x)
 {
-  const struct member *holder = rank_order_holder (o->d->members, x->name);
+  const struct member *holder = rank_order_holder (o->ctx->members, x->name);
   return x->named && holder
-         && strcmp (holder->info.id, o->d->settings->vm) == 0;
+         && strcmp (holder->info.id, o->ctx->settings->vm) == 0;
 }
 
 static void
@@ -541,7 +543,7 @@
     {
       struct region *x = l->data;
       g_autoptr (GArray) out = orders_actions_create ();
-      orders_lead (x->orders, leads (o, x) && !o->d->leaving);
+      orders_lead (x->orders, leads (o, x) && !o->ctx->leaving);
       orders_tick (x->orders, clock_ms (), out);
       for (guint i = 0; i < out->len; i++)
         run_action (x, &g_array_index (out, struct orders_action, i));
@@ -549,7 +551,7 @@
     }
   ask_reports (o);
   struct region *own
-      = g_hash_table_lookup (o->regions, o->d->settings->region);
+      = g_hash_table_lookup (o->regions, o->ctx->settings->region);
   if (own && orders_hold (own->orders) && o->ticks % ROLE_TICKS == 0)
     role_link_decide (o->role_link, orders_unfinished (own->orders) > 0);
   if (o->ticks % (ORDER_RESEND_MS / TICK_MS) == 0)
@@ -558,11 +560,15 @@
 }
 
 struct orders_link *
-orders_link_create (struct daemon *d)
+orders_link_create (const struct context *ctx, struct conf *conf,
+                    struct engines *engines, const struct vm_list *vm_list)
 {
   struct orders_link *o = g_new0 (struct orders_link, 1);
-  o->d = d;
-  o->self = member_process_name (d->settings->vm, d->incarnation);
+  o->ctx = ctx;
+  o->conf = conf;
+  o->engines = engines;
+  o->vm_list = vm_list;
+  o->self = member_process_name (ctx->settings->vm, ctx->incarnation);
   o->regions
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, region_free);
   o->roles = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
@@ -570,9 +576,9 @@
   o->polled = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   o->file_roles
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  o->role_link = role_link_create (d, set_role, o);
-  o->drains = drains_create (d);
-  o->timer = daemon_every (d, TICK_MS, on_timer, o);
+  o->role_link = role_link_create (ctx, conf, set_role, o);
+  o->drains = drains_create (ctx, conf, engines);
+  o->timer = context_every (ctx, TICK_MS, on_timer, o);
   return o;
 }
 
--- a/src/daemon/orders_link.h
+++ b/src/daemon/orders_link.h
@@ -4,10 +4,16 @@
 #ifndef DAEMON_ORDERS_LINK_H
 #define DAEMON_ORDERS_LINK_H
 
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "daemon/vm_list.h"
+#include "daemon/engines.h"
+#include "daemon/conf.h"
 
 /** Makes the part.  */
-struct orders_link *orders_link_create (struct daemon *d);
+struct orders_link *orders_link_create (const struct context *ctx,
+                                        struct conf *conf,
+                                        struct engines *engines,
+                                        const struct vm_list *vm_list);
 
 /** Releases O.  */
 void orders_link_destroy (struct orders_link *o);
--- a/src/daemon/role_link.c
+++ b/src/daemon/role_link.c
@@ -27,7 +27,8 @@
 
 struct role_link
 {
-  struct daemon *d;
+  const struct context *ctx;
+  const struct conf *conf;
   role_link_change *change;
   void *arg;
   GHashTable *counts; /* vm -> struct counts */
@@ -35,11 +36,13 @@
 };
 
 struct role_link *
-role_link_create (struct daemon *d, role_link_change *change, void *arg)
+role_link_create (const struct context *ctx, const struct conf *conf,
+                  role_link_change *change, void *arg)
 {
   struct role_link *l = g_new0 (struct role_link, 1);
   struct roles_config none = { .mixed_decode = MIXED_DECODE_SHARE };
-  l->d = d;
+  l->ctx = ctx;
+  l->conf = conf;
   l->change = change;
   l->arg = arg;
   l->counts = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -91,8 +94,8 @@
 split_of (const struct role_link *l, uint32_t model,
           const struct file_engine *least[3])
 {
-  const struct catalog *catalog = conf_catalog (l->d->conf);
-  const struct file *file = conf_file (l->d->conf);
+  const struct catalog *catalog = conf_catalog (l->conf);
+  const struct file *file = conf_file (l->conf);
   struct router *router = catalog_router (catalog);
   uint32_t running[3] = { UINT32_MAX, UINT32_MAX, UINT32_MAX };
   struct roles_split split = { 0 };
@@ -101,7 +104,7 @@
       const struct file_engine *f
           = &g_array_index (file->engines, struct file_engine, i);
       const struct route_load *load = router_load (router, i);
-      if (strcmp (f->region, l->d->settings->region) != 0
+      if (strcmp (f->region, l->ctx->settings->region) != 0
           || catalog_model (catalog, f->model) != model || !load->usable)
         continue;
       split.prefill += load->role == ROLE_PREFILL;
@@ -140,7 +143,7 @@
 static void
 decide_model (struct role_link *l, uint32_t model, bool busy)
 {
-  const struct file *file = conf_file (l->d->conf);
+  const struct file *file = conf_file (l->conf);
   const struct file_model *m
       = &g_array_index (file->models, struct file_model, model);
   struct pool *p = &l->pools[model];
@@ -166,7 +169,7 @@
 void
 role_link_decide (struct role_link *l, bool busy)
 {
-  const struct file *file = conf_file (l->d->conf);
+  const struct file *file = conf_file (l->conf);
   for (uint32_t i = 0; file && i < file->models->len && i < DEMAND_MODELS_MAX;
        i++)
     decide_model (l, i, busy);
--- a/src/daemon/role_link.h
+++ b/src/daemon/role_link.h
@@ -4,7 +4,8 @@
 #ifndef DAEMON_ROLE_LINK_H
 #define DAEMON_ROLE_LINK_H
 
-#include "daemon/daemon.h"
+#include "daemon/context.h"
+#include "daemon/conf.h"
 #include "daemon/demand.h"
 #include "decide/route.h"
 
@@ -15,8 +16,9 @@
                                enum engine_role role);
 
 /** Makes the part; CHANGE is called from role_link_decide.  */
-struct role_link *role_link_create (struct daemon *d, role_link_change *change,
-                                    void *arg);
+struct role_link *role_link_create (const struct context *ctx,
+                                    const struct conf *conf,
+                                    role_link_change *change, void *arg);
 
 /** Releases L.  */
 void role_link_destroy (struct role_link *l);
