--- a/src/daemon/calls.c
+++ b/src/daemon/calls.c
@@ -3,81 +3,16 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "config.h"
-#include "daemon/conf.h"
-#include "daemon/entry.h"
+#include "daemon/calls_table.h"
 #include "daemon/reply.h"
-#include "decide/journal.h"
 #include "decide/rank.h"
-#include "links/trace.h"
 
 #include <string.h>
 
 #define KEY_MAX_BYTES 128
-#define REQUEST_DIGEST_HEX 32
-#define JOURNAL_KEY "/buckthorn/journal/"
-
-/* A call as its entry VM sees it.  */
-struct entry_call
-{
-  struct calls *calls;
-  uint64_t id;
-  struct http_request *request; /* NULL once the caller went away */
-  struct call_open open;
-  peer_handle peer; /* connection to the writer, 0 for this VM */
-  int64_t start_us;
-  int64_t deadline_ms;
-  struct span span;
-};
-
-/* A call as the writer of its journal slot sees it, or an idempotent one.  */
-struct owned_call
-{
-  struct calls *calls;
-  uint64_t ticket;
-  peer_handle peer; /* of the entry VM, 0 for this VM */
-  struct call_open open;
-  unsigned slot;
-  bool journaled;
-  bool told; /* the entry VM has its answer */
-  unsigned addresses_tried;
-  unsigned first_address;
-  struct http_call *http;
-  int64_t start_us;
-  int64_t give_up_ms; /* when a sent call counts as lost */
-  struct span span;
-};
-
-struct calls
-{
-  const struct context *ctx;
-  struct conf *conf;
-  GHashTable *entry; /* id -> struct entry_call */
-  GHashTable *owned; /* ticket -> struct owned_call */
-  struct journal *journal;
-  uint64_t next_id;
-  uint64_t next_ticket;
-  struct event *timer;
-  unsigned next_address;
-};
-
-/* Releasing.  */
 
 static void
-open_copy (struct call_open *to, const struct call_open *from)
-{
-  *to = *from;
-  to->caller = g_strdup (from->caller);
-  to->service = g_strdup (from->service);
-  to->method = g_strdup (from->method);
-  to->path = g_strdup (from->path);
-  to->key = g_strdup (from->key);
-  to->content_type = g_strdup (from->content_type);
-  to->traceparent = g_strdup (from->traceparent);
-  to->body = from->body ? g_bytes_ref (from->body) : NULL;
-}
-
-static void
-entry_call_free (void *p)
+calls_entry_free (void *p)
 {
   struct entry_call *c = p;
   peers_await (c->calls->ctx->peers, c->peer, -1);
@@ -85,21 +20,6 @@
   g_free (c);
 }
 
-static void
-owned_call_free (void *p)
-{
-  struct owned_call *o = p;
-  http_call_cancel (o->http);
-  record_clear (&call_open_record, &o->open);
-  g_free (o);
-}
-
-static void
-owned_remove (struct owned_call *o)
-{
-  g_hash_table_remove (o->calls->owned, &o->ticket);
-}
-
 /* Answers, back on the entry VM.  */
 
 static void
@@ -131,8 +51,9 @@
                       body, n);
 }
 
-static void
-take_end (struct calls *calls, peer_handle peer, const struct call_end *m)
+void
+calls_entry_end (struct calls *calls, peer_handle peer,
+                 const struct call_end *m)
 {
   uint64_t id = m->call;
   struct entry_call *c = g_hash_table_lookup (calls->entry, &id);
@@ -150,345 +71,6 @@
   g_hash_table_remove (calls->entry, &id);
 }
 
-static void
-answer (struct owned_call *o, struct call_end *end)
-{
-  if (o->told)
-    return;
-  o->told = true;
-  end->call = o->open.call;
-  if (end->content_type == NULL)
-    end->content_type = (char *)"";
-  span_end (&o->span, result_info ((unsigned)end->result)->name,
-            o->open.service);
-  if (o->peer == 0)
-    take_end (o->calls, 0, end);
-  else
-    peers_send (o->calls->ctx->peers, o->peer, MESSAGE_CALL_END, end);
-}
-
-/* Sending to the service.  */
-
-static void send_to_service (struct owned_call *o);
-static void run_journal (struct calls *c, GArray *actions);
-
-static void
-finish_journaled (struct owned_call *o, const struct journal_outcome *outcome,
-                  bool keep)
-{
-  struct calls *c = o->calls;
-  g_autoptr (GArray) out = journal_actions_create ();
-  uint64_t ticket = o->ticket;
-  journal_finish (c->journal, o->slot, ticket, outcome, wall_ms (), out);
-  run_journal (c, out);
-  o = g_hash_table_lookup (c->owned, &ticket);
-  if (o && !keep)
-    owned_remove (o);
-}
-
-static GBytes *
-take_body (const struct http_answer *a)
-{
-  size_t n = a->body ? evbuffer_get_length (a->body) : 0;
-  return n ? g_bytes_new (evbuffer_pullup (a->body, -1), n) : NULL;
-}
-
-static void
-end_journaled (struct owned_call *o, const struct http_answer *a)
-{
-  struct journal_outcome outcome = { .kind = JOURNAL_OUTCOME_LOST };
-  g_autoptr (GBytes) body = NULL;
-  if (a->end == HTTP_END_WHOLE)
-    {
-      body = take_body (a);
-      outcome = (struct journal_outcome){ JOURNAL_OUTCOME_ANSWERED,
-                                          (uint64_t)a->status, a->content_type,
-                                          body };
-    }
-  else if (a->end == HTTP_END_NOT_SENT)
-    outcome.kind = JOURNAL_OUTCOME_NOT_SENT;
-  finish_journaled (o, &outcome, false);
-}
-
-static void
-end_idempotent (struct owned_call *o, const struct http_answer *a)
-{
-  struct call_end end = { .result = RESULT_UPSTREAM_ERROR };
-  g_autoptr (GBytes) body = NULL;
-  if (a->end == HTTP_END_WHOLE)
-    {
-      body = take_body (a);
-      end = (struct call_end){ .result = RESULT_OK,
-                               .status = (uint64_t)a->status,
-                               .content_type
-                               = (char *)(uintptr_t)a->content_type,
-                               .body = body };
-    }
-  else if (a->end == HTTP_END_NOT_SENT)
-    {
-      end.result = RESULT_NOT_RUN;
-      end.retry_after_ms = RETRY_AFTER_MIN_MS;
-    }
-  answer (o, &end);
-  owned_remove (o);
-}
-
-static const struct file_service *
-service_of (const struct owned_call *o)
-{
-  const struct file *file = conf_file (o->calls->conf);
-  return file ? file_find_service (file, o->open.service) : NULL;
-}
-
-/* Another address may be tried where the first provably saw nothing, or where
-   the call may be repeated.  */
-static bool
-try_next_address (struct owned_call *o, const struct http_answer *a)
-{
-  const struct file_service *service = service_of (o);
-  if (service == NULL || a->end == HTTP_END_WHOLE
-      || o->addresses_tried >= service->addresses->len)
-    return false;
-  if (o->journaled && a->end != HTTP_END_NOT_SENT)
-    return false;
-  metrics_add (METRIC_retries_total, 1);
-  send_to_service (o);
-  return true;
-}
-
-static void
-on_service_end (void *arg, const struct http_answer *a)
-{
-  struct owned_call *o = arg;
-  o->http = NULL;
-  if (try_next_address (o, a))
-    return;
-  if (o->journaled)
-    end_journaled (o, a);
-  else
-    end_idempotent (o, a);
-}
-
-static const struct http_events service_events = { NULL, on_service_end };
-
-static void
-send_to_service (struct owned_call *o)
-{
-  const struct file_service *service = service_of (o);
-  gsize n = 0;
-  const void *body = o->open.body ? g_bytes_get_data (o->open.body, &n) : NULL;
-  char traceparent[TRACEPARENT_BYTES];
-  span_traceparent (&o->span, traceparent);
-  unsigned at
-      = (o->first_address + o->addresses_tried++) % service->addresses->len;
-  unsigned late = o->journaled ? JOURNAL_LATE_ANSWER_MS : 0;
-  struct http_order order
-      = { .address = g_ptr_array_index (service->addresses, at),
-          .method = o->open.method,
-          .path = o->open.path,
-          .content_type = n ? o->open.content_type : NULL,
-          .body = body,
-          .body_size = n,
-          .traceparent = traceparent,
-          .idempotency_key = o->open.key[0] ? o->open.key : NULL,
-          .timeout_ms = (unsigned)service->timeout_ms + late,
-          .fresh = o->journaled };
-  o->give_up_ms = clock_ms () + (int64_t)service->timeout_ms;
-  o->http = http_client_call (o->calls->ctx->http, &order, &service_events, o);
-}
-
-/* The journal's actions.  */
-
-struct page_op
-{
-  struct calls *calls;
-  unsigned slot;
-  int64_t start_us;
-};
-
-static struct page_op *
-page_op_create (struct calls *c, unsigned slot)
-{
-  struct page_op *op = g_new0 (struct page_op, 1);
-  op->calls = c;
-  op->slot = slot;
-  op->start_us = g_get_monotonic_time ();
-  return op;
-}
-
-static void
-on_page_read (void *arg, enum kv_status status, const struct kv_value *values,
-              size_t n)
-{
-  struct page_op *op = arg;
-  g_autoptr (GArray) out = journal_actions_create ();
-  bool ok = status == KV_OK;
-  metrics_time (METRIC_kv_seconds, g_get_monotonic_time () - op->start_us);
-  metrics_add (METRIC_kv_errors_total, !ok);
-  journal_read_done (op->calls->journal, op->slot, ok,
-                     ok && n > 0 ? values[0].revision : 0,
-                     ok && n > 0 ? values[0].value : NULL, wall_ms (), out);
-  run_journal (op->calls, out);
-  g_free (op);
-}
-
-static void
-on_page_written (void *arg, enum kv_status status, int64_t revision)
-{
-  static const enum journal_write how[]
-      = { [KV_OK] = JOURNAL_WRITE_OK,
-          [KV_CONFLICT] = JOURNAL_WRITE_CONFLICT,
-          [KV_DOWN] = JOURNAL_WRITE_DOWN,
-          [KV_LOST] = JOURNAL_WRITE_LOST };
-  struct page_op *op = arg;
-  g_autoptr (GArray) out = journal_actions_create ();
-  metrics_time (METRIC_kv_seconds, g_get_monotonic_time () - op->start_us);
-  metrics_add (METRIC_kv_errors_total, status == KV_DOWN || status == KV_LOST);
-  journal_write_done (op->calls->journal, op->slot, how[status], revision,
-                      wall_ms (), out);
-  run_journal (op->calls, out);
-  g_free (op);
-}
-
-static void
-answer_from_journal (struct calls *c, const struct journal_action *a)
-{
-  struct owned_call *o = g_hash_table_lookup (c->owned, &a->ticket);
-  if (o == NULL)
-    return;
-  struct call_end end = { .result = a->result,
-                          .status = a->status,
-                          .retry_after_ms = a->retry_after_ms,
-                          .replayed = a->replayed,
-                          .content_type = a->content_type,
-                          .body = a->body };
-  answer (o, &end);
-  if (o->http == NULL)
-    owned_remove (o);
-}
-
-static void
-send_claimed (struct calls *c, const struct journal_action *a)
-{
-  struct owned_call *o = g_hash_table_lookup (c->owned, &a->ticket);
-  if (o == NULL)
-    return;
-  metrics_time (METRIC_journal_claim_seconds,
-                g_get_monotonic_time () - o->start_us);
-  if (service_of (o))
-    {
-      send_to_service (o);
-      return;
-    }
-  struct journal_outcome gone = { .kind = JOURNAL_OUTCOME_NOT_SENT };
-  finish_journaled (o, &gone, false);
-}
-
-static void
-run_journal_action (struct calls *c, const struct journal_action *a)
-{
-  g_autofree char *key = g_strdup_printf (JOURNAL_KEY "%03u", a->slot);
-  switch (a->kind)
-    {
-    case JOURNAL_READ:
-      kv_get (c->ctx->kv, key, false, on_page_read,
-              page_op_create (c, a->slot));
-      break;
-    case JOURNAL_WRITE:
-      {
-        struct kv_put put = { key, a->page };
-        kv_txn (c->ctx->kv, key, a->revision, &put, 1, on_page_written,
-                page_op_create (c, a->slot));
-        metrics_add (METRIC_journal_writes_total, 1);
-        break;
-      }
-    case JOURNAL_SEND:
-      send_claimed (c, a);
-      break;
-    case JOURNAL_ANSWER:
-      answer_from_journal (c, a);
-      break;
-    }
-}
-
-static void
-run_journal (struct calls *c, GArray *actions)
-{
-  for (guint i = 0; i < actions->len; i++)
-    run_journal_action (c, &g_array_index (actions, struct journal_action, i));
-}
-
-/* The writer's side.  */
-
-static char *
-request_digest (const struct call_open *m)
-{
-  GChecksum *sum = g_checksum_new (G_CHECKSUM_SHA256);
-  gsize n = 0;
-  const void *body = m->body ? g_bytes_get_data (m->body, &n) : NULL;
-  g_checksum_update (sum, (const guchar *)m->service, -1);
-  g_checksum_update (sum, (const guchar *)"\n", 1);
-  g_checksum_update (sum, (const guchar *)m->method, -1);
-  g_checksum_update (sum, (const guchar *)"\n", 1);
-  g_checksum_update (sum, (const guchar *)m->path, -1);
-  g_checksum_update (sum, (const guchar *)"\n", 1);
-  if (n > 0)
-    g_checksum_update (sum, body, (gssize)n);
-  char *digest = g_strndup (g_checksum_get_string (sum), REQUEST_DIGEST_HEX);
-  g_checksum_free (sum);
-  return digest;
-}
-
-static char *
-key_digest (const char *caller, const char *key)
-{
-  g_autofree char *text = g_strjoin ("\n", caller, key, NULL);
-  return g_compute_checksum_for_string (G_CHECKSUM_SHA256, text, -1);
-}
-
-static struct owned_call *
-owned_create (struct calls *c, peer_handle peer, const struct call_open *m)
-{
-  struct owned_call *o = g_new0 (struct owned_call, 1);
-  o->calls = c;
-  o->ticket = ++c->next_ticket;
-  o->peer = peer;
-  open_copy (&o->open, m);
-  o->start_us = g_get_monotonic_time ();
-  o->first_address = c->next_address++;
-  span_start (&o->span, "call", m->traceparent);
-  g_hash_table_insert (c->owned, &o->ticket, o);
-  return o;
-}
-
-static void
-take_open (struct calls *c, peer_handle peer, const struct call_open *m)
-{
-  struct owned_call *o = owned_create (c, peer, m);
-  g_autofree char *key = key_digest (m->caller, m->key);
-  g_autofree char *digest = request_digest (m);
-  o->journaled = true;
-  o->slot = rank_slot (key, JOURNAL_SLOTS);
-  struct journal_call call
-      = { .ticket = o->ticket,
-          .key = key,
-          .request_digest = digest,
-          .deadline_ms = wall_ms () + (int64_t)m->deadline_ms,
-          .ask_only = m->ask_only };
-  g_autoptr (GArray) out = journal_actions_create ();
-  journal_claim (c->journal, o->slot, &call, wall_ms (), out);
-  run_journal (c, out);
-}
-
-void
-calls_take_frame (struct calls *c, peer_handle peer, const struct frame *f)
-{
-  if (f->type == MESSAGE_CALL_OPEN)
-    take_open (c, peer, f->message);
-  else if (f->type == MESSAGE_CALL_END)
-    take_end (c, peer, f->message);
-}
-
 /* The entry's side.  */
 
 static void
@@ -502,7 +84,7 @@
 give_to_writer (struct entry_call *e, bool moved)
 {
   const struct context *ctx = e->calls->ctx;
-  g_autofree char *key = key_digest (e->open.caller, e->open.key);
+  g_autofree char *key = call_key_digest (e->open.caller, e->open.key);
   const struct member *writer
       = rank_journal_writer (ctx->members, rank_slot (key, JOURNAL_SLOTS));
   bool here = moved || writer == NULL
@@ -514,7 +96,7 @@
   peers_await (ctx->peers, e->peer, 1);
   e->open.deadline_ms = (uint64_t)MAX (e->deadline_ms - clock_ms (), 1);
   if (here)
-    take_open (e->calls, 0, &e->open);
+    calls_owned_open (e->calls, 0, &e->open);
   else
     peers_send (ctx->peers, e->peer, MESSAGE_CALL_OPEN, &e->open);
 }
@@ -532,7 +114,7 @@
   e->deadline_ms = clock_ms () + (int64_t)m->deadline_ms;
   span_start (&e->span, "entry", http_request_header (r, "traceparent"));
   span_traceparent (&e->span, traceparent);
-  open_copy (&e->open, m);
+  call_open_copy (&e->open, m);
   e->open.call = e->id;
   g_free (e->open.traceparent);
   e->open.traceparent = g_strdup (traceparent);
@@ -584,7 +166,7 @@
                 const struct call_open *m)
 {
   struct entry_call *e = entry_call_create (c, r, m);
-  send_to_service (owned_create (c, 0, &e->open));
+  calls_owned_send (calls_owned_create (c, 0, &e->open));
 }
 
 void
@@ -676,23 +258,17 @@
     }
 }
 
-/* Time.  */
-
-static void
-give_up_late (struct calls *c)
+void
+calls_take_frame (struct calls *c, peer_handle peer, const struct frame *f)
 {
-  static const struct journal_outcome lost = { .kind = JOURNAL_OUTCOME_LOST };
-  int64_t now = clock_ms ();
-  g_autoptr (GList) all = g_hash_table_get_values (c->owned);
-  for (GList *l = all; l; l = l->next)
-    {
-      struct owned_call *o = l->data;
-      if (o->journaled && !o->told && o->http && now > o->give_up_ms
-          && http_call_sent (o->http))
-        finish_journaled (o, &lost, true);
-    }
+  if (f->type == MESSAGE_CALL_OPEN)
+    calls_owned_open (c, peer, f->message);
+  else if (f->type == MESSAGE_CALL_END)
+    calls_entry_end (c, peer, f->message);
 }
 
+/* Time.  */
+
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -703,10 +279,10 @@
     {
       g_autoptr (GArray) out = journal_actions_create ();
       journal_tick (c->journal, wall_ms (), out);
-      run_journal (c, out);
+      calls_owned_run (c, out);
     }
   if (g_hash_table_size (c->owned) > 0)
-    give_up_late (c);
+    calls_owned_tick (c);
 }
 
 void
@@ -746,9 +322,9 @@
   c->ctx = ctx;
   c->conf = conf;
   c->entry = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                    entry_call_free);
+                                    calls_entry_free);
   c->owned = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL,
-                                    owned_call_free);
+                                    calls_owned_free);
   g_autofree char *claimer
       = member_process_name (ctx->settings->vm, ctx->incarnation);
   c->journal = journal_create (claimer, claimer_lives, c);
--- a/src/daemon/entry.h
+++ b/src/daemon/entry.h
@@ -4,16 +4,18 @@
 #define DAEMON_ENTRY_H
 
 #include "base/file.h"
+#include "daemon/conf.h"
 #include "daemon/context.h"
 #include "links/http_server.h"
-#include "daemon/conf.h"
 
-/** Takes a frame for the home VM where that is this VM.  */
-typedef void entry_to_home (void *arg, const struct frame *f);
+struct entry;
 
-/** Makes the part.  */
+/** Makes the part.  TO_OWN_HOME takes a frame for the home VM where that is
+    this VM.  */
 struct entry *entry_create (const struct context *ctx, struct conf *conf,
-                            entry_to_home *to_own_home, void *arg);
+                            void (*to_own_home) (void *arg,
+                                                 const struct frame *f),
+                            void *arg);
 
 /** Releases E; its requests end without an answer.  */
 void entry_destroy (struct entry *e);
