Permits: an engine's home VM says what it can still read in time

Cause: with 88 VMs, what a VM knows of an engine is 0.3 s old, and a request lasts 0.05 to 0.2 s. Ruled out: telling loads more often (45 engines to 88 VMs each 50 ms would be 79,000 datagrams a second); a hop through the home VM (bytes between domains twice); refusing by a longer stretch alone (it was at its bound). Change: each engine has a home VM in its failure domain, by rendezvous, which counts what it permitted and not yet heard the end of (decide/permits, pure). A permit is advice: no promise rests on it.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -43,6 +43,9 @@
   X (kv_writes_total, "Writes to the key-value service")                      \
   X (prompts_read_apart_total, "Prompts read at another engine first")        \
   X (readings_dropped_total, "Prompts read apart and not used")               \
+  X (permits_asked_total, "Permits asked of the home VMs of engines")         \
+  X (permits_refused_total, "Permits refused: the wait would be too long")    \
+  X (permits_unanswered_total, "Permits not answered in time")                \
   X (log_lines_dropped_total, "Log lines dropped over the bound")
 
 /** Gauges: name, help.  */
@@ -55,6 +58,7 @@
   X (order_holder, "Failure domains whose orders this VM gives")              \
   X (behind, "1 where this VM knows that its file may be old")                \
   X (routed_open, "Routed requests under way")                                \
+  X (permits_open, "Permits that this VM gave, not ended")                    \
   X (upstreams_known, "Instances of all services")                            \
   X (routes_version, "Version of the routes in force")
 
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -3,8 +3,6 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
-#include "decide/placing.h"
-
 #include <string.h>
 
 /* Plain answers up to this size are held until they are whole, so that one
@@ -12,16 +10,8 @@
 #define HOLD_BYTES (128U * 1024)
 /* A caller that has as much unread is cut off.  */
 #define BACKLOG_MAX_BYTES (2U * 1024 * 1024)
-/* Connections that no answer may be lost on: idle for no longer.  */
-#define ONCE_REUSE_MS 800
 /* Part of an upstream's connections that the known VMs share.  */
 #define CONNECTIONS_PERCENT 85
-/* A request is refused where its answer is expected later than this many times
-   its latency objective and this part of its caller's patience, or not within
-   the time that is left.  */
-#define LATE_FACTOR 1.2
-#define LATE_PATIENCE_PERCENT 10
-#define PATIENCE_MARGIN_MS 150
 /* How long refused callers wait.  */
 #define RETRY_AFTER_MAX_MS 2000
 
@@ -46,6 +36,7 @@
   if (e->call)
     pool_cancel (e->call);
   upstreams_cancelled (e->proxy->parts.upstreams, &e->work);
+  exchange_end_permit (e);
   reading_drop (e);
   if (e->timer)
     event_free (e->timer);
@@ -118,6 +109,13 @@
   exchange_reply (e, status, why, 0);
 }
 
+void
+exchange_end_permit (struct exchange *e)
+{
+  permit_link_end (e->proxy->parts.permits, e->permit);
+  e->permit = 0;
+}
+
 /* Passing the answer on.  */
 
 static void
@@ -156,6 +154,9 @@
   e->first_byte = true;
   e->first_ms = now;
   upstreams_first_byte (e->proxy->parts.upstreams, &e->work, now);
+  permit_link_read (
+      e->proxy->parts.permits, e->permit,
+      upstreams_read_ms (e->proxy->parts.upstreams, &e->work, now));
   metrics_time (METRIC_first_byte_seconds, (now - e->since_ms) * 1000);
 }
 
@@ -166,8 +167,8 @@
          && e->answer_facts.signed_by_upstream;
 }
 
-static void
-on_data (void *arg, struct evbuffer *data)
+void
+exchange_data (void *arg, struct evbuffer *data)
 {
   struct exchange *e = arg;
   upstreams_heard (e->proxy->parts.upstreams, e->work.handle, clock_ms ());
@@ -192,9 +193,9 @@
     exchange_cut (e, "caller_too_slow");
 }
 
-static void
-on_head (void *arg, struct http_head *head, enum http_framing framing,
-         uint64_t length)
+void
+exchange_head (void *arg, struct http_head *head, enum http_framing framing,
+               uint64_t length)
 {
   struct exchange *e = arg;
   const struct platform_ops *ops = e->proxy->parts.platform;
@@ -301,6 +302,7 @@
 void
 exchange_clear_answer (struct exchange *e)
 {
+  e->asked = 0;
   evbuffer_drain (e->held, evbuffer_get_length (e->held));
   sse_drop_rest (&e->events);
   if (e->started)
@@ -326,6 +328,7 @@
     g_clear_pointer (&e->read_by, g_free);
   e->call = NULL;
   upstreams_ended (e->proxy->parts.upstreams, &e->work, outcome, now);
+  exchange_end_permit (e);
   enum attempt_step step = attempts_ended (&e->attempts, outcome);
   if (step == ATTEMPT_PASS_ON && outcome == ATTEMPT_ANSWERED)
     {
@@ -353,115 +356,3 @@
                                      : attempts_give_up (&e->attempts);
   exchange_give_up (e, step, outcome);
 }
-
-static const struct pool_events pool_events
-    = { on_head, on_data, exchange_attempt_ended };
-
-/* Sending.  */
-
-static struct pool_call *
-send_to (struct exchange *e, const struct upstream_info *info, int64_t now)
-{
-  const struct platform_ops *ops = e->proxy->parts.platform;
-  struct http_head *h = http_head_copy (front_request_head (e->caller));
-  struct evbuffer *body = front_request_body (e->caller);
-  struct request_marks marks
-      = { .upstream = info->id,
-          .patience_ms = e->until_ms - now,
-          .read_only = e->reading,
-          .read_by = e->reading ? NULL : e->read_by,
-          .resume_after = e->started ? e->events.last_id : NULL };
-  http_head_strip_hop (h, ops->kept_fields);
-  http_head_remove (h, "Expect");
-  http_head_remove (h, "Content-Length");
-  size_t size = evbuffer_get_length (body);
-  if (size > 0 || strcmp (h->method, "POST") == 0
-      || strcmp (h->method, "PUT") == 0)
-    {
-      char text[24];
-      g_snprintf (text, sizeof text, "%zu", size);
-      http_head_add (h, "Content-Length", text);
-    }
-  ops->mark_request (h, &marks);
-  struct pool_request r
-      = { .upstream = info->id,
-          .address = info->address,
-          .connections = exchange_connection_share (e),
-          .id_field = ops->id_field,
-          .head = h,
-          .body = body,
-          .reuse_ms
-          = e->attempts.repeatable ? EXCHANGE_REUSE_MS : ONCE_REUSE_MS };
-  struct pool_call *call
-      = pool_send (e->proxy->parts.pool, &r, &pool_events, e);
-  http_head_destroy (h);
-  return call;
-}
-
-/* Whether the expected time is too long to send the request at all.  */
-static bool
-is_hopeless (const struct exchange *e, const struct upstream_choice *c,
-             int64_t now)
-{
-  double left = (double)(e->until_ms - now - PATIENCE_MARGIN_MS);
-  double late = e->route->target_ms * LATE_FACTOR;
-  double patience = (double)(e->until_ms - e->since_ms);
-  late = MAX (late, patience * LATE_PATIENCE_PERCENT / 100);
-  return c->expected_ms > MIN (left, late);
-}
-
-static void
-refuse_full (struct exchange *e, const struct upstream_choice *c)
-{
-  double over = c->expected_ms - e->route->target_ms;
-  exchange_refuse (e, "overload", over > 0 ? (unsigned)MIN (over, 100000) : 0);
-}
-
-void
-exchange_attempt (struct exchange *e)
-{
-  const struct proxy_parts *parts = &e->proxy->parts;
-  const struct prompt *prompt = e->facts.has_prompt ? &e->facts.prompt : NULL;
-  struct upstream_ask ask
-      = { .service = e->service, .prompt = prompt, .tried = e->tried };
-  e->answer_facts = (struct answer_facts){ 0 };
-  for (;;)
-    {
-      int64_t now = clock_ms ();
-      ask.n_tried = e->n_tried;
-      ask.reader = e->read_by ? e->reader : 0;
-      struct upstream_choice c = placing_choose (parts->upstreams, &ask, now);
-      if (c.handle == 0)
-        {
-          exchange_give_up (e, attempts_give_up (&e->attempts),
-                            ATTEMPT_NOT_SENT);
-          return;
-        }
-      e->expected_ms = c.expected_ms;
-      if (e->n_tried == 0 && placing_is_long (prompt))
-        e->plain_ms = c.plain_ms;
-      if (e->tries == 0 && e->read_by == NULL && is_hopeless (e, &c, now))
-        {
-          refuse_full (e, &c);
-          return;
-        }
-      const struct upstream_info *info
-          = upstreams_info (parts->upstreams, c.handle);
-      e->tried[e->n_tried++] = c.handle;
-      e->reading = c.reads_apart;
-      e->call = send_to (e, info, now);
-      if (e->call)
-        {
-          e->tries += e->reading ? 0 : 1;
-          g_strlcpy (e->upstream_id, info->id, sizeof e->upstream_id);
-          upstreams_sent (parts->upstreams, &c, prompt, now, &e->work);
-          return;
-        }
-      if (e->n_tried >= EXCHANGE_TRIED_MAX)
-        {
-          exchange_give_up (e, attempts_give_up (&e->attempts),
-                            ATTEMPT_NOT_SENT);
-          return;
-        }
-    }
-}
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -50,6 +50,9 @@
   unsigned tries;
   struct upstream_work work;
   struct pool_call *call;
+  struct upstream_choice choice; /* that a permit is asked for */
+  permit_ticket permit;          /* asked for or held; 0 for none */
+  unsigned asked;                /* permits, for this attempt */
   double expected_ms;
   double plain_ms; /* at the first attempt, of a long prompt; or 0 */
   char upstream_id[64];
@@ -93,12 +96,19 @@
 
 /** Sends E to the best instance, or ends it where there is none.  */
 void exchange_attempt (struct exchange *e);
+/** The head of an answer came for ARG, struct exchange.  */
+void exchange_head (void *arg, struct http_head *head,
+                    enum http_framing framing, uint64_t length);
+/** Bytes of its body came.  */
+void exchange_data (void *arg, struct evbuffer *data);
 /** The attempt under way, struct exchange, ended; its call is gone.  */
 void exchange_attempt_ended (void *arg, enum pool_end end);
 /** Whether time and budget allow one more attempt after OUTCOME; takes it from
     the budget.  */
 bool exchange_may_try_again (struct exchange *e, enum attempt_outcome outcome,
                              int64_t now);
+/** Gives back the permit of the attempt that ended.  */
+void exchange_end_permit (struct exchange *e);
 /** Forgets the answer of the attempt that ended.  */
 void exchange_clear_answer (struct exchange *e);
 /** This VM's part of the connections to one instance.  */
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -436,6 +436,7 @@
                                .pool = g->pool,
                                .upstreams = g->upstreams,
                                .retries = g->retries,
+                               .permits = roster_permits (g->roster),
                                .count_vms = count_vms,
                                .arg = g };
   g->proxy = proxy_create (&parts);
@@ -495,8 +496,8 @@
   if (g->timer)
     event_free (g->timer);
   discovery_destroy (g->discovery);
-  roster_destroy (g->roster);
   proxy_destroy (g->proxy);
+  roster_destroy (g->roster);
   front_destroy (g->callers);
   front_destroy (g->ready);
   front_destroy (g->entry);
--- a/src/daemon/proxy_parts.h
+++ b/src/daemon/proxy_parts.h
@@ -3,6 +3,7 @@
 #ifndef DAEMON_PROXY_PARTS_H
 #define DAEMON_PROXY_PARTS_H
 
+#include "daemon/permit_link.h"
 #include "decide/retry_window.h"
 #include "decide/upstreams.h"
 #include "links/platform.h"
@@ -18,6 +19,7 @@
   struct pool *pool;
   struct upstreams *upstreams;
   struct retry_windows *retries;
+  struct permit_link *permits;
   /** Number of VMs that share upstreams and budgets, this one included.  */
   unsigned (*count_vms) (void *arg);
   void *arg;
--- a/src/daemon/reading.c
+++ b/src/daemon/reading.c
@@ -78,7 +78,10 @@
                       : end == POOL_NOT_SENT  ? ATTEMPT_NOT_SENT
                                               : ATTEMPT_LOST);
   upstreams_first_byte (parts->upstreams, &e->work, now);
+  permit_link_read (parts->permits, e->permit,
+                    upstreams_read_ms (parts->upstreams, &e->work, now));
   upstreams_ended (parts->upstreams, &e->work, outcome, now);
+  exchange_end_permit (e);
   log_event (e->read_by ? LOG_DEBUG : LOG_INFO, "prompt_read", "request",
              e->facts.id, "upstream", e->upstream_id, "outcome",
              attempt_outcome_name (outcome), "status",
--- a/src/daemon/roster.c
+++ b/src/daemon/roster.c
@@ -49,6 +49,7 @@
   bool own_is_right;
   int64_t next_ms;
   struct load_link *loads;
+  struct permit_link *permits;
   int64_t loads_ms;
   int64_t looked_ms;
 };
@@ -103,6 +104,8 @@
   struct roster *r = arg;
   if (frame->type == MESSAGE_UPSTREAM_SHARES)
     load_link_take (r->loads, frame->message, clock_ms ());
+  else
+    permit_link_take (r->permits, frame);
 }
 
 static void
@@ -113,6 +116,22 @@
   gossip_link_send (r->gossip, to, MESSAGE_UPSTREAM_SHARES, message);
 }
 
+static const char *
+region_of (void *arg, const char *failure_domain)
+{
+  const struct roster *r = arg;
+  return r->parts.region_of (r->parts.arg, failure_domain);
+}
+
+static void
+send_message (void *arg, const struct member *to, unsigned type,
+              const void *message)
+{
+  struct roster *r = arg;
+  if (r->gossip)
+    gossip_link_send (r->gossip, to, type, message);
+}
+
 static void
 open_gossip (struct roster *r)
 {
@@ -317,6 +336,12 @@
 
 /* What others ask.  */
 
+struct permit_link *
+roster_permits (const struct roster *r)
+{
+  return r->permits;
+}
+
 unsigned
 roster_size (const struct roster *r)
 {
@@ -387,6 +412,15 @@
                                    .send = send_shares,
                                    .arg = r };
   r->loads = load_link_create (&loads);
+  struct permit_link_parts permits = { .base = parts->base,
+                                       .upstreams = parts->upstreams,
+                                       .members = r->members,
+                                       .vm = parts->vm,
+                                       .region_of = region_of,
+                                       .failure_domain = parts->failure_domain,
+                                       .send = send_message,
+                                       .arg = r };
+  r->permits = permit_link_create (&permits);
   r->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, r);
   event_add (r->timer, &tick);
   return r;
@@ -400,6 +434,7 @@
   event_free (r->timer);
   gossip_link_destroy (r->gossip);
   load_link_destroy (r->loads);
+  permit_link_destroy (r->permits);
   members_destroy (r->members);
   g_ptr_array_unref (r->addresses);
   g_free (r->fleet_key);
--- a/src/daemon/roster.h
+++ b/src/daemon/roster.h
@@ -7,6 +7,7 @@
 #define DAEMON_ROSTER_H
 
 #include "daemon/gossip_link.h"
+#include "daemon/permit_link.h"
 #include "decide/members.h"
 #include "decide/upstreams.h"
 #include "links/kv.h"
@@ -50,6 +51,9 @@
 /** Announces that this VM has left.  */
 void roster_left (struct roster *r);
 
+/** Permits that the VMs ask of each other.  */
+struct permit_link *roster_permits (const struct roster *r);
+
 /** VMs that share upstreams and budgets, this one included; not below 1.  */
 unsigned roster_size (const struct roster *r);
 
--- a/src/decide/placing.c
+++ b/src/decide/placing.c
@@ -40,6 +40,28 @@
   return prompt && prompt->tokens >= READ_APART_MIN_TOKENS;
 }
 
+double
+placing_wait_ms (enum upstream_work_kind work,
+                 const struct upstream_load *load, uint64_t tokens,
+                 unsigned slots, double tokens_per_ms)
+{
+  double reading = (double)(load->tokens + tokens) / tokens_per_ms;
+  switch (work)
+    {
+    case UPSTREAM_WORK_READ:
+      return reading;
+    case UPSTREAM_WORK_FETCH:
+      return load->running * DECODE_SHARE_MS + reading * DECODE_READING_PART;
+    case UPSTREAM_WORK_GENERATE:
+      slots = MAX (slots, 1);
+      if (load->running >= slots)
+        reading += (load->running - slots + 1) * SLOT_WAIT_MS;
+      return reading;
+    default:
+      return 0;
+    }
+}
+
 static bool
 was_tried (const struct upstream_ask *ask, upstream_handle h)
 {
@@ -176,15 +198,6 @@
   return x && y && strcmp (x, y) == 0 ? TRANSFER_REGION_MS : TRANSFER_FAR_MS;
 }
 
-/* Wait for a slot at X.  */
-static double
-slot_wait_ms (const struct upstream *x, const struct upstream_load *load)
-{
-  unsigned slots = MAX (x->info.slots, 1);
-  return load->running >= slots ? (load->running - slots + 1) * SLOT_WAIT_MS
-                                : 0;
-}
-
 /* Time to the first token at X of a prompt that FROM has read.  */
 static double
 decode_ms (const struct upstreams *u, const struct upstream *from,
@@ -192,8 +205,8 @@
 {
   struct upstream_load load = upstreams_whole_load (x, now_ms);
   return transfer_ms (u, from, x) + upstreams_rtt_ms (u, x) + FIRST_TOKEN_MS
-         + load.running * DECODE_SHARE_MS
-         + (double)load.tokens / x->tokens_per_ms * DECODE_READING_PART;
+         + placing_wait_ms (UPSTREAM_WORK_FETCH, &load, 0, x->info.slots,
+                            x->tokens_per_ms);
 }
 
 /* The shortest such time, of engines that take whole requests.  */
@@ -249,23 +262,28 @@
   double ms = upstreams_rtt_ms (u, x);
   double cost = x->failures * FAILURE_COST_MS;
   if (reader)
-    ms = decode_ms (u, reader, x, now_ms);
+    {
+      out->work = UPSTREAM_WORK_FETCH;
+      out->wait_ms = placing_wait_ms (out->work, &load, 0, x->info.slots,
+                                      x->tokens_per_ms);
+      ms = decode_ms (u, reader, x, now_ms);
+    }
   else if (ask->prompt)
     {
       out->tokens = tokens_to_read (x, ask->prompt, is_home);
       out->reads_apart = x->info.role == UPSTREAM_PREFILL;
-      ms += (double)(load.tokens + out->tokens) / x->tokens_per_ms;
+      out->work = has_long_prompt (ask) ? UPSTREAM_WORK_READ
+                                        : UPSTREAM_WORK_GENERATE;
+      out->wait_ms = placing_wait_ms (out->work, &load, out->tokens,
+                                      x->info.slots, x->tokens_per_ms);
+      ms += out->wait_ms;
       ms += out->reads_apart ? nearest_decode_ms (u, x, now_ms)
                              : FIRST_TOKEN_MS;
       cost += is_home ? 0 : spill_ms (ask->prompt);
       if (has_long_prompt (ask))
         cost += load.generating * DISTURBING_MS;
       if (!has_long_prompt (ask) && x->info.role == UPSTREAM_DECODE)
-        {
-          ms += slot_wait_ms (x, &load);
-          cost
-              += load.running * DECODE_SHARE_MS + (x->kept ? 0 : DISTURBED_MS);
-        }
+        cost += load.running * DECODE_SHARE_MS + (x->kept ? 0 : DISTURBED_MS);
     }
   else
     {
@@ -277,13 +295,24 @@
   return ms + cost;
 }
 
+/* How far an instance that is expected to answer in EXPECTED_MS is to be put
+   off; a lower one goes first, whatever it costs.  */
+static unsigned
+put_off (const struct upstream *x, const struct upstream_ask *ask,
+         double expected_ms, int64_t now_ms)
+{
+  bool late = ask->limit_ms > 0 && expected_ms > ask->limit_ms;
+  return (upstreams_is_resting (x, now_ms) ? 2 : 0) + (late ? 1 : 0);
+}
+
 struct upstream_choice
 placing_choose (const struct upstreams *u, const struct upstream_ask *ask,
                 int64_t now_ms)
 {
   struct upstream_choice best = { 0 };
-  bool best_rests = false;
+  unsigned best_off = 0;
   double best_cost = DBL_MAX;
+  double next_cost = DBL_MAX;
   if (ask->prompt)
     mark_kept (u, ask->service, now_ms);
   guint home = find_home (u, ask);
@@ -295,17 +324,21 @@
         continue;
       struct upstream_choice c
           = { .handle = upstreams_handle_of (u, i), .is_home = i == home };
-      bool rests = upstreams_is_resting (x, now_ms);
       double cost = expect (u, x, c.is_home, ask, now_ms, &c);
+      unsigned off = put_off (x, ask, c.expected_ms, now_ms);
       candidates++;
       if (best.handle
-          && (rests > best_rests
-              || (rests == best_rests && cost >= best_cost)))
-        continue;
+          && (off > best_off || (off == best_off && cost >= best_cost)))
+        {
+          next_cost = MIN (next_cost, cost);
+          continue;
+        }
+      next_cost = best_cost;
       best_cost = cost;
       best = c;
-      best_rests = rests;
+      best_off = off;
     }
   best.candidates = candidates;
+  best.margin_ms = MAX (next_cost - best_cost, 0);
   return best;
 }
--- a/src/decide/placing.h
+++ b/src/decide/placing.h
@@ -22,6 +22,8 @@
   unsigned n_tried;
   bool whole;             /**< only instances that take the whole request */
   upstream_handle reader; /**< engine that has read the prompt, or 0 */
+  double limit_ms;        /**< instances that are expected to answer later come
+                               after all others; 0 for no limit */
 };
 
 /** Chooses the instance that is expected to answer first.  */
@@ -29,6 +31,12 @@
                                        const struct upstream_ask *ask,
                                        int64_t now_ms);
 
+/** Wait at an engine that reads TOKENS_PER_MS and runs SLOTS requests at once,
+    with LOAD before it, until it has read TOKENS.  */
+double placing_wait_ms (enum upstream_work_kind work,
+                        const struct upstream_load *load, uint64_t tokens,
+                        unsigned slots, double tokens_per_ms);
+
 /** Whether PROMPT, which may be NULL, is one that engines are kept free of. */
 bool placing_is_long (const struct prompt *prompt);
 
--- a/src/decide/rank.c
+++ b/src/decide/rank.c
@@ -52,6 +52,14 @@
   return home ? home : first (m, engine, NULL, NULL);
 }
 
+const struct member *
+rank_upstream_home (const struct members *m, const char *upstream,
+                    const char *failure_domain)
+{
+  const struct member *home = first (m, upstream, NULL, failure_domain);
+  return home ? home : first (m, upstream, NULL, NULL);
+}
+
 const struct member *
 rank_domain_first (const struct members *m, const char *failure_domain)
 {
--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -16,6 +16,13 @@
 const struct member *rank_engine_home (const struct members *m,
                                        const char *engine, const char *region);
 
+/** Home VM of UPSTREAM, which is in FAILURE_DOMAIN: the usable member there
+    that ranks highest, or of the whole fleet where the domain has none.  NULL
+    without usable members.  */
+const struct member *rank_upstream_home (const struct members *m,
+                                         const char *upstream,
+                                         const char *failure_domain);
+
 /** VM that writes journal slot SLOT: each failure domain's first VM may write,
     and the highest ranking one of them does.  */
 const struct member *rank_journal_writer (const struct members *m,
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -10,11 +10,14 @@
 #define READ_TOKENS_PER_MS_MAX 800.0
 #define READ_SAMPLE_TOKENS 1000
 #define READ_SAMPLE_WEIGHT 0.1
-/* Time of a plain request: to begin with, and how much one answer changes it.  */
+/* Time of a plain request: to begin with, and how much one answer changes it.
+ */
 #define SERVICE_MS 20.0
 #define SERVICE_SAMPLE_WEIGHT 0.05
 /* Load that another VM told is used for as long.  */
 #define HEARD_MS 1500
+/* What the home VM of an instance told is used for as long.  */
+#define TOLD_MS 200
 /* Outcomes: weight of the latest, and the share of failures from which an
    instance is passed over for a while.  */
 #define FAILURE_WEIGHT 0.25
@@ -244,10 +247,29 @@
 
 /* Load.  */
 
+/* WAS, changed as this VM's own part of it changed since.  */
+static uint64_t
+shifted (uint64_t was, uint64_t own_then, uint64_t own_now)
+{
+  uint64_t sum = was + own_now;
+  return sum > own_then ? sum - own_then : 0;
+}
+
 struct upstream_load
 upstreams_whole_load (const struct upstream *x, int64_t now_ms)
 {
   struct upstream_load sum = x->own;
+  if (x->told_ms != 0 && now_ms - x->told_ms <= TOLD_MS)
+    {
+      const struct upstream_load *t = &x->told;
+      const struct upstream_load *then = &x->own_then;
+      sum.running
+          = (uint32_t)shifted (t->running, then->running, x->own.running);
+      sum.generating = (uint32_t)shifted (t->generating, then->generating,
+                                          x->own.generating);
+      sum.tokens = shifted (t->tokens, then->tokens, x->own.tokens);
+      return sum;
+    }
   GHashTableIter it;
   gpointer value;
   g_hash_table_iter_init (&it, x->heard);
@@ -286,6 +308,28 @@
   return x ? upstreams_whole_load (x, now_ms) : (struct upstream_load){ 0 };
 }
 
+void
+upstreams_told (struct upstreams *u, upstream_handle h,
+                const struct upstream_load *load, double tokens_per_ms,
+                int64_t now_ms)
+{
+  struct upstream *x = upstreams_at (u, h);
+  if (x == NULL)
+    return;
+  x->told = *load;
+  x->own_then = x->own;
+  x->told_ms = now_ms;
+  x->tokens_per_ms
+      = CLAMP (tokens_per_ms, READ_TOKENS_PER_MS_MIN, READ_TOKENS_PER_MS_MAX);
+}
+
+double
+upstreams_speed (const struct upstreams *u, upstream_handle h)
+{
+  const struct upstream *x = upstreams_at (u, h);
+  return x ? x->tokens_per_ms : READ_TOKENS_PER_MS;
+}
+
 void
 upstreams_unhear (struct upstreams *u, const char *vm)
 {
@@ -385,6 +429,18 @@
   work->reading = false;
 }
 
+unsigned
+upstreams_read_ms (const struct upstreams *u, const struct upstream_work *work,
+                   int64_t now_ms)
+{
+  const struct upstream *x = upstreams_at (u, work->handle);
+  if (x == NULL)
+    return 0;
+  double ms = (double)(now_ms - work->sent_ms) - upstreams_rtt_ms (u, x)
+              - FIRST_TOKEN_MS;
+  return (unsigned)MAX (ms, 1);
+}
+
 void
 upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
                       int64_t now_ms)
@@ -398,11 +454,9 @@
       double took = (double)(now_ms - work->sent_ms) - upstreams_rtt_ms (u, x);
       x->service_ms += (MAX (took, 1) - x->service_ms) * SERVICE_SAMPLE_WEIGHT;
     }
-  double ms = (double)(now_ms - work->sent_ms) - upstreams_rtt_ms (u, x)
-              - FIRST_TOKEN_MS;
   if (work->ahead < READ_SAMPLE_TOKENS)
     return;
-  double speed = (double)work->ahead / MAX (ms, 1);
+  double speed = (double)work->ahead / upstreams_read_ms (u, work, now_ms);
   speed = CLAMP (speed, READ_TOKENS_PER_MS_MIN, READ_TOKENS_PER_MS_MAX);
   x->tokens_per_ms += (speed - x->tokens_per_ms) * READ_SAMPLE_WEIGHT;
 }
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -86,16 +86,28 @@
 
 /* Work.  */
 
+/** What a request asks of an engine.  */
+enum upstream_work_kind
+{
+  UPSTREAM_WORK_PLAIN,   /**< no engine */
+  UPSTREAM_WORK_READ,    /**< to read a long prompt */
+  UPSTREAM_WORK_FETCH,   /**< to go on from what another engine has read */
+  UPSTREAM_WORK_GENERATE /**< next to nothing to read */
+};
+
 /** What was chosen, and why.  */
 struct upstream_choice
 {
   upstream_handle handle; /**< 0 where there is none */
-  double expected_ms;     /**< until the first byte of the answer */
-  double plain_ms;        /**< the same before it was stretched */
-  uint64_t tokens;        /**< that it has to read of the prompt */
-  bool is_home;           /**< it is the prompt's first choice */
-  bool reads_apart;       /**< HANDLE only reads the prompt; another engine,
-                               chosen once it has, generates */
+  enum upstream_work_kind work;
+  double expected_ms; /**< until the first byte of the answer */
+  double plain_ms;    /**< the same before it was stretched */
+  double wait_ms;     /**< of these, for what the engine has to read */
+  double margin_ms;   /**< by which the next best one costs more */
+  uint64_t tokens;    /**< that it has to read of the prompt */
+  bool is_home;       /**< it is the prompt's first choice */
+  bool reads_apart;   /**< HANDLE only reads the prompt; another engine,
+                           chosen once it has, generates */
   unsigned candidates;
 };
 
@@ -119,6 +131,10 @@
 /** The first byte of the answer's body came.  */
 void upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
                            int64_t now_ms);
+/** Time that the engine itself took until the first byte of WORK, of which no
+    end is known yet; 0 where it is gone.  */
+unsigned upstreams_read_ms (const struct upstreams *u,
+                            const struct upstream_work *work, int64_t now_ms);
 /** A long prompt that was expected to be answered in EXPECTED_MS was answered
     in TOOK_MS; later expectations are stretched by it.  */
 void upstreams_took (struct upstreams *u, double expected_ms, double took_ms);
@@ -154,6 +170,12 @@
 /** Load that all VMs put on H, as far as it was told.  */
 struct upstream_load upstreams_all_load (const struct upstreams *u,
                                          upstream_handle h, int64_t now_ms);
+/** The home VM of H told LOAD, that of all VMs, and how fast H reads.  */
+void upstreams_told (struct upstreams *u, upstream_handle h,
+                     const struct upstream_load *load, double tokens_per_ms,
+                     int64_t now_ms);
+/** Tokens that H reads in a millisecond, as far as it is known.  */
+double upstreams_speed (const struct upstreams *u, upstream_handle h);
 /** Takes back what VM told.  */
 void upstreams_unhear (struct upstreams *u, const char *vm);
 /** VM told its load on ID.  */
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -32,6 +32,9 @@
   struct upstream_load own;
   bool kept;         /* free of long prompts, as of the latest choice */
   GHashTable *heard; /* vm -> struct heard */
+  struct upstream_load told;     /* by its home VM: of all VMs */
+  struct upstream_load own_then; /* own load at that time */
+  int64_t told_ms;               /* when; 0 for never */
   struct prefixes *prefixes;
   double tokens_per_ms;
   double service_ms;
