Engines as stand-ins; model requests as processes; changes gathered longer

The pause after changes of upstreams doubles from 150 ms up to 600 ms while they follow one another; routes keep 150 ms. A hint of another VM waits 1 s.

--- a/Makefile
+++ b/Makefile
@@ -59,7 +59,7 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
-$(bin)/fake_%: $(BUILD)/tests/fakes/fake_%.o $(BUILD)/tests/fakes/faults.o $(links) $(core)
+$(bin)/fake_%: $(BUILD)/tests/fakes/fake_%.o $(BUILD)/tests/fakes/faults.o $(BUILD)/tests/fakes/reading.o $(links) $(core)
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -7,6 +7,9 @@
 
 #include <string.h>
 
+/* Instances that start or leave one after the other are heard of this late at
+   most; far below the time in which one that leaves must get no more work.  */
+#define UPSTREAMS_GATHER_MS 600
 #define TICK_MS 100
 /* How long a vanished entry may be missing before it counts as gone, and for
    how long after the service's return that holds.  */
@@ -224,9 +227,9 @@
   d->timer = event_new (base, -1, EV_PERSIST, on_timer, d);
   event_add (d->timer, &tick);
   d->routes_feed
-      = feed_create (base, kv, platform->routes_key, &routes_events, d);
+      = feed_create (base, kv, platform->routes_key, 0, &routes_events, d);
   d->upstreams_feed = feed_create (base, kv, platform->upstreams_prefix,
-                                   &upstream_events, d);
+                                   UPSTREAMS_GATHER_MS, &upstream_events, d);
   return d;
 }
 
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -7,11 +7,13 @@
    the adapter's own margin.  */
 #define WAIT_MS 10000
 /* Pause after changes: many upstreams that start or end together are then told
-   in one answer, not in one each.  */
+   in one answer, not in one each.  It grows while changes follow one another
+   within CALM_MS.  */
 #define GATHER_MS 150
+#define CALM_MS 1000
 /* How long a change that another VM knows of may be missing here: the pause in
    which changes are gathered, and their way.  */
-#define HINT_MS 500
+#define HINT_MS 1000
 /* Pause after a failure.  */
 #define RETRY_MS 250
 #define RETRY_MAX_MS 1000
@@ -30,6 +32,9 @@
   struct event *hint_timer;
   int64_t answered_ms;
   unsigned pause_ms;
+  unsigned gather_most_ms;
+  unsigned gather_ms;  /* pause after the latest change */
+  int64_t gathered_ms; /* when that was */
   bool up;
   bool listed;
   bool looking;
@@ -137,6 +142,17 @@
   go_on (f);
 }
 
+/* Pause after a change that came now.  */
+static unsigned
+next_gather_ms (struct feed *f)
+{
+  int64_t now = clock_ms ();
+  bool calm = now - f->gathered_ms > (int64_t)f->gather_ms + CALM_MS;
+  f->gather_ms = calm ? GATHER_MS : MIN (f->gather_ms * 2, f->gather_most_ms);
+  f->gathered_ms = now;
+  return f->gather_ms;
+}
+
 static void
 on_changes (void *arg, enum kv_status status, const struct kv_change *changes,
             size_t n, int64_t as_of)
@@ -168,7 +184,7 @@
       return;
     }
   f->events->on_batch (f->arg, false);
-  go_on_later (f, GATHER_MS);
+  go_on_later (f, next_gather_ms (f));
 }
 
 static void
@@ -244,7 +260,8 @@
 
 struct feed *
 feed_create (struct event_base *base, struct kv *kv, const char *prefix,
-             const struct feed_events *events, void *arg)
+             unsigned gather_most_ms, const struct feed_events *events,
+             void *arg)
 {
   struct feed *f = g_new0 (struct feed, 1);
   f->kv = kv;
@@ -252,6 +269,7 @@
   f->events = events;
   f->arg = arg;
   f->pause_ms = RETRY_MS;
+  f->gather_most_ms = MAX (gather_most_ms, GATHER_MS);
   f->up = true;
   f->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   f->timer = evtimer_new (base, on_timer, f);
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -24,10 +24,11 @@
   void (*on_state) (void *arg, bool up);
 };
 
-/** Starts to follow PREFIX.  */
+/** Starts to follow PREFIX.  Changes in quick succession are gathered for up
+   to GATHER_MOST_MS; 0 for the least.  */
 struct feed *feed_create (struct event_base *base, struct kv *kv,
-                          const char *prefix, const struct feed_events *events,
-                          void *arg);
+                          const char *prefix, unsigned gather_most_ms,
+                          const struct feed_events *events, void *arg);
 
 /** Releases F.  */
 void feed_destroy (struct feed *f);
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -27,7 +27,17 @@
       fast           1,000 events at once
       held           1 event, and then nothing
 
+    With --stage=prefill or --stage=decode it is an engine that reads prompts
+    at --speed tokens in a millisecond, half of it where it also generates, and
+    then tells 2 events.  What it has read is named ID-NUMBER.
+
+    Each run is told on standard error: "run=ID at_us=N"; each prompt:
+    "read=ID tokens=N queue_ms=N"; a request that goes on from what was read
+    for another: "mixed=ID".
+
     GET /seen tells {"runs":{ID:COUNT},"left":N,"heads":{ID:HEAD}}.  */
+#include "fakes/reading.h"
+
 #include "base/http_head.h"
 #include "links/http_codec.h"
 
@@ -48,6 +58,11 @@
 #define SLOW_MS 300
 #define FAST_EVENTS 1000
 #define LINGER_OFF_S 0
+#define SPEED_TOKENS_PER_MS 100.0
+#define FETCH_MS 4
+/* An engine refuses what it could read only after as long.  */
+#define QUEUE_MOST_MS 2000.0
+#define US_PER_MS 1000.0
 
 struct conn
 {
@@ -67,6 +82,9 @@
 static GHashTable *runs;  /* request id -> count */
 static GHashTable *heads; /* request id -> head as it came */
 static unsigned left;     /* callers that left before their answer */
+static const char *stage; /* of an engine; NULL for other instances */
+static struct reading *reading;
+static unsigned handles;
 
 static void
 conn_free (struct conn *c)
@@ -241,6 +259,16 @@
   arm (c, EVENT_MS);
 }
 
+/* The prompt has been read for another engine.  */
+static void
+tell_handle (struct conn *c)
+{
+  g_autofree char *body = g_strdup_printf (
+      "{\"kvHandle\":\"%s-%u\",\"tokens\":1,\"version\":1}", c->id, ++handles);
+  send_sized (c, c->id, "200 OK", true, body, strlen (body));
+  finish (c, false);
+}
+
 static void
 on_timer (evutil_socket_t fd, short what, void *arg)
 {
@@ -254,6 +282,10 @@
     }
   else if (c->directive && strcmp (c->directive, "unframed-reset") == 0)
     conn_reset (c);
+  else if (c->directive && strcmp (c->directive, "read") == 0)
+    tell_handle (c);
+  else if (c->directive && strcmp (c->directive, "generate") == 0)
+    send_burst (c, 2, false);
   else if (c->directive)
     next_event (c);
 }
@@ -343,6 +375,8 @@
   gpointer n = g_hash_table_lookup (runs, id);
   g_hash_table_replace (runs, g_strdup (id),
                         GUINT_TO_POINTER (GPOINTER_TO_UINT (n) + 1));
+  (void)fprintf (stderr, "run=%s at_us=%" G_GINT64_FORMAT "\n", id,
+                 g_get_monotonic_time ());
 }
 
 static void
@@ -396,6 +430,62 @@
   return g_strdup ("ok");
 }
 
+/* Reads the prompt and goes on as DIRECTIVE; refuses where it would take too
+   long.  */
+static void
+read_prompt (struct conn *c, const char *directive)
+{
+  const struct http_head *h = http_codec_head (c->codec);
+  const char *counts = http_head_get (h, "X-Token-Counts");
+  struct reading_time t
+      = reading_take (reading, g_ascii_strtoull (counts, NULL, 10),
+                      http_head_get (h, "X-Prompt-Prefix"),
+                      (double)g_get_monotonic_time () / US_PER_MS);
+  (void)fprintf (stderr,
+                 "read=%s tokens=%" G_GUINT64_FORMAT " queue_ms=%.0f\n", c->id,
+                 t.tokens, t.queue_ms);
+  if (t.queue_ms > QUEUE_MOST_MS)
+    {
+      refuse (c, "503 Full");
+      return;
+    }
+  if (strcmp (directive, "generate") == 0)
+    note_run (c->id);
+  g_free (c->directive);
+  c->directive = g_strdup (directive);
+  arm (c, (unsigned)t.all_ms + 1);
+}
+
+/* Goes on from what another engine has read.  */
+static void
+fetch_prompt (struct conn *c, const char *source)
+{
+  const char *handle = strchr (source, '/');
+  if (handle == NULL || !g_str_has_prefix (handle + 1, c->id))
+    (void)fprintf (stderr, "mixed=%s\n", c->id);
+  note_run (c->id);
+  g_free (c->directive);
+  c->directive = g_strdup ("generate");
+  arm (c, FETCH_MS);
+}
+
+/* A model request at an engine.  */
+static void
+take_model_request (struct conn *c)
+{
+  const struct http_head *h = http_codec_head (c->codec);
+  const char *source = http_head_get (h, "X-Kv-Source");
+  bool only_read = http_head_get (h, "X-Stage") != NULL;
+  if (only_read != (strcmp (stage, "prefill") == 0))
+    refuse (c, "421 Wrong stage");
+  else if (only_read)
+    read_prompt (c, "read");
+  else if (source)
+    fetch_prompt (c, source);
+  else
+    read_prompt (c, "generate");
+}
+
 static void
 take_request (struct conn *c)
 {
@@ -417,6 +507,13 @@
     refuse (c, "421 Misdirected");
   else if (strcmp (c->directive, "not-run") == 0)
     refuse (c, "503 Full");
+  else if (strcmp (h->method, "DELETE") == 0)
+    {
+      send_ok (c);
+      finish (c, false);
+    }
+  else if (stage && http_head_get (h, "X-Token-Counts"))
+    take_model_request (c);
   else
     {
       note_run (c->id);
@@ -489,14 +586,21 @@
   struct sockaddr_in sa
       = { .sin_family = AF_INET, .sin_addr.s_addr = htonl (INADDR_LOOPBACK) };
   socklen_t len = sizeof sa;
+  double speed = SPEED_TOKENS_PER_MS;
   for (int i = 1; i < argc; i++)
-    if (g_str_has_prefix (argv[i], "--id="))
+    if (g_str_has_prefix (argv[i], "--stage="))
+      stage = argv[i] + strlen ("--stage=");
+    else if (g_str_has_prefix (argv[i], "--speed="))
+      speed = g_ascii_strtod (argv[i] + strlen ("--speed="), NULL);
+    else if (g_str_has_prefix (argv[i], "--id="))
       instance = argv[i] + strlen ("--id=");
     else if (g_str_has_prefix (argv[i], "--port="))
       sa.sin_port = htons (
           (uint16_t)g_ascii_strtoull (argv[i] + strlen ("--port="), NULL, 10));
   (void)signal (SIGPIPE, SIG_IGN);
   base = event_base_new ();
+  reading = reading_create (stage && strcmp (stage, "decode") == 0 ? speed / 2
+                                                                   : speed);
   runs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   heads = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   struct evconnlistener *l = evconnlistener_new_bind (
@@ -513,6 +617,7 @@
   event_free (term);
   evconnlistener_free (l);
   event_base_free (base);
+  reading_destroy (reading);
   g_hash_table_destroy (runs);
   g_hash_table_destroy (heads);
   return 0;
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -13,13 +13,19 @@
 
 static struct proc *
 start_fake (const struct site *s, const char *program, const char *name,
-            char **address)
+            char **flags, char **address)
 {
   g_autofree char *path = g_build_filename (s->bin, program, NULL);
   g_autofree char *log = g_strdup_printf ("%s/%s.log", s->dir, name);
   g_autofree char *id = g_strdup_printf ("--id=%s", name);
-  char *argv[] = { path, id, NULL };
-  struct proc *p = proc_start (name, argv, log);
+  g_autoptr (GPtrArray) argv = g_ptr_array_new ();
+  g_ptr_array_add (argv, path);
+  g_ptr_array_add (argv, id);
+  for (char **f = flags; f && *f; f++)
+    g_ptr_array_add (argv, *f);
+  g_ptr_array_add (argv, NULL);
+  struct proc *p = proc_start (name, (char **)argv->pdata, log);
+  g_free (*address);
   *address = g_strdup_printf (VM_IP ":%u", (unsigned)proc_read_port (p));
   return p;
 }
@@ -44,14 +50,17 @@
 static void
 add_route (json_t *routes, const char *name, const char *kind, bool resumable)
 {
+  bool model = strcmp (name, "model") == 0;
   g_autofree char *prefix = g_strdup_printf ("/%s/", name);
   json_array_append_new (
       routes,
-      json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}", "name",
-                 name, "host", SITE_HOST, "pathPrefix", prefix, "kind", kind,
-                 "timeoutMs", strcmp (kind, "streaming") == 0 ? 60000 : 2000,
-                 "targetLatencyMs", 200, "priority", 0, "service", "s",
-                 "maxAttempts", 2, "resumable", resumable));
+      json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b, s:b}",
+                 "name", name, "host", SITE_HOST, "pathPrefix", prefix, "kind",
+                 kind, "timeoutMs",
+                 strcmp (kind, "streaming") == 0 && !model ? 60000 : 2000,
+                 "targetLatencyMs", SITE_TARGET_MS, "priority", 0, "service",
+                 model ? "m" : "s", "maxAttempts", 2, "resumable", resumable,
+                 "sticky", model));
 }
 
 void
@@ -62,13 +71,17 @@
   add_route (routes, "once", "unsafe", false);
   add_route (routes, "stream", "streaming", true);
   add_route (routes, "live", "streaming", false);
+  add_route (routes, "model", "streaming", true);
   if (extra)
     add_route (routes, extra, "safe", false);
   json_t *root = json_pack (
-      "{s:i, s:o, s:[{s:s, s:s, s:i}], s:{s:i, s:i, s:i, s:i}}", "version",
-      (int)version, "routes", routes, "services", "name", "s", "healthPath",
-      "/health", "maxConns", 8000, "limits", "maxHeaderBytes", 8192,
-      "maxBodyBytes", 100000, "headerTimeoutMs", 1000, "idleTimeoutMs", 4000);
+      "{s:i, s:o, s:[{s:s, s:s, s:i}, {s:s, s:s, s:i, s:{s:i, s:i}}], s:{s:i, "
+      "s:i, s:i, s:i}}",
+      "version", (int)version, "routes", routes, "services", "name", "s",
+      "healthPath", "/health", "maxConns", 8000, "name", "m", "healthPath",
+      "/health", "maxConns", 800, "engine", "slots", 16, "kvCapacity", 1000000,
+      "limits", "maxHeaderBytes", 8192, "maxBodyBytes", 100000,
+      "headerTimeoutMs", 1000, "idleTimeoutMs", 4000);
   char *text = json_dumps (root, 0);
   json_decref (root);
   site_put (s, "op/config", text);
@@ -85,10 +98,12 @@
       post (s->store_address, path, "");
       return;
     }
-  json_t *root
-      = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i}", "service", "s",
-                   "address", s->upstream_given[i], "zone", "d", "version",
-                   "v1", "slots", (int)s->slots, "state", state, "seq", 1);
+  json_t *root = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i}", "service",
+                            s->stages[i] ? "m" : "s", "address",
+                            s->upstream_given[i], "zone", "d", "version", "v1",
+                            "slots", (int)s->slots, "state", state, "seq", 1);
+  if (s->stages[i])
+    json_object_set_new (root, "stage", json_string (s->stages[i]));
   char *text = json_dumps (root, 0);
   json_decref (root);
   site_put (s, key, text);
@@ -110,6 +125,54 @@
 
 /* The site.  */
 
+/* Starts instance number I, whose address is new unless FLAGS name its port.
+ */
+static void
+start_upstream (struct site *s, unsigned i, char **flags)
+{
+  g_autofree char *name = g_strdup_printf ("u%u", i);
+  s->upstreams[i] = start_fake (s, "fake_upstream", name, flags,
+                                &s->upstream_addresses[i]);
+}
+
+/* Flags of instance number I, as it was started first.  */
+static GPtrArray *
+upstream_flags (const struct site *s, unsigned i)
+{
+  GPtrArray *flags = g_ptr_array_new_with_free_func (g_free);
+  if (s->stages[i])
+    {
+      g_ptr_array_add (flags, g_strdup_printf ("--stage=%s", s->stages[i]));
+      g_ptr_array_add (flags, g_strdup_printf ("--speed=%u", s->speeds[i]));
+    }
+  return flags;
+}
+
+void
+site_add_engine (struct site *s, const char *stage, unsigned speed)
+{
+  unsigned i = s->n_upstreams++;
+  g_assert_cmpuint (i, <, SITE_UPSTREAMS_MAX);
+  s->stages[i] = stage;
+  s->speeds[i] = speed;
+  g_autoptr (GPtrArray) flags = upstream_flags (s, i);
+  g_ptr_array_add (flags, NULL);
+  start_upstream (s, i, (char **)flags->pdata);
+  s->upstream_given[i] = g_strdup (s->upstream_addresses[i]);
+  site_write_upstream (s, i, "ready");
+}
+
+void
+site_restart_upstream (struct site *s, unsigned i)
+{
+  g_autoptr (GPtrArray) flags = upstream_flags (s, i);
+  const char *colon = strrchr (s->upstream_addresses[i], ':');
+  g_ptr_array_add (flags, g_strdup_printf ("--port=%s", colon + 1));
+  g_ptr_array_add (flags, NULL);
+  proc_destroy (s->upstreams[i]);
+  start_upstream (s, i, (char **)flags->pdata);
+}
+
 struct site *
 site_create (const char *bin, unsigned vms, unsigned upstreams)
 {
@@ -120,12 +183,10 @@
   s->n_upstreams = upstreams;
   s->leave_s = 5;
   s->slots = 6;
-  s->store = start_fake (s, "fake_store", "store", &s->store_address);
+  s->store = start_fake (s, "fake_store", "store", NULL, &s->store_address);
   for (unsigned i = 0; i < upstreams; i++)
     {
-      g_autofree char *name = g_strdup_printf ("u%u", i);
-      s->upstreams[i]
-          = start_fake (s, "fake_upstream", name, &s->upstream_addresses[i]);
+      start_upstream (s, i, NULL);
       s->upstream_given[i] = g_strdup (s->upstream_addresses[i]);
       site_write_upstream (s, i, "ready");
     }
@@ -367,3 +428,13 @@
     text = g_strdup ("");
   return text;
 }
+
+char *
+site_upstream_log (const struct site *s, unsigned i)
+{
+  g_autofree char *path = g_strdup_printf ("%s/u%u.log", s->dir, i);
+  char *text = NULL;
+  if (!g_file_get_contents (path, &text, NULL, NULL))
+    text = g_strdup ("");
+  return text;
+}
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -10,8 +10,10 @@
 #include <jansson.h>
 
 #define SITE_VMS_MAX 8
-#define SITE_UPSTREAMS_MAX 8
+#define SITE_UPSTREAMS_MAX 12
 #define SITE_HOST "site.example"
+/** Latency objective of all routes.  */
+#define SITE_TARGET_MS 200
 
 /** A running site.  */
 struct site
@@ -28,6 +30,8 @@
   struct proc *upstreams[SITE_UPSTREAMS_MAX];
   char *upstream_addresses[SITE_UPSTREAMS_MAX];
   char *upstream_given[SITE_UPSTREAMS_MAX]; /**< in their entries */
+  unsigned speeds[SITE_UPSTREAMS_MAX];      /**< of engines */
+  const char *stages[SITE_UPSTREAMS_MAX];   /**< of engines; NULL for others */
   struct proc *vms[SITE_VMS_MAX];
   char *fronts[SITE_VMS_MAX];
   char *readies[SITE_VMS_MAX];
@@ -43,6 +47,13 @@
    and routes of version 1.  BIN holds the programs.  */
 struct site *site_create (const char *bin, unsigned vms, unsigned upstreams);
 
+/** Starts one more instance, an engine of STAGE "prefill" or "decode" that
+    reads SPEED tokens in a millisecond, and writes its entry.  */
+void site_add_engine (struct site *s, const char *stage, unsigned speed);
+
+/** Starts instance I anew at its address, after its end.  */
+void site_restart_upstream (struct site *s, unsigned i);
+
 /** Ends all processes and releases S.  */
 void site_destroy (struct site *s);
 
@@ -62,8 +73,8 @@
 void site_wait (bool (*check) (void *arg), void *arg, unsigned timeout_ms);
 
 /** Writes routes of VERSION.  Each has a path prefix of its kind: /safe/,
-    /once/, /stream/ (can be resumed), /live/ (cannot); EXTRA, NULL for none,
-   is one more idempotent prefix.  */
+    /once/, /stream/ (can be resumed), /live/ (cannot), /model/ (to engines,
+   can be resumed); EXTRA, NULL for none, is one more idempotent prefix.  */
 void site_write_routes (const struct site *s, unsigned version,
                         const char *extra);
 
@@ -102,4 +113,7 @@
 /** Log of VM number I, to be freed.  */
 char *site_log (const struct site *s, unsigned i);
 
+/** What instance I has told of its runs and readings, to be freed.  */
+char *site_upstream_log (const struct site *s, unsigned i);
+
 #endif
