Refusals of their own; spilling costs what is read again; a soak on the platform

Cause: refused callers were sent away for what their answer would have been too late by, 0.15 s mostly, and came back into the same burst; each has one retry. And a prompt went to another engine than its first choice for 25 ms, though it has to be read anew there, which takes 20 to 60 ms of the engine. Ruled out: limits by whether a caller has come back (it cannot be told). Change: decide/refusal says what is refused and when its caller returns: spread over a sixth to a third of its patience.

--- a/Makefile
+++ b/Makefile
@@ -95,7 +95,7 @@
 	./scripts/capacity $(bin)
 
 soak: deps
-	$(MAKE) -s -j6 all $(fakes) $(bin)/process/soak
+	$(MAKE) -s -j6 all $(fakes) $(bin)/process/soak $(bin)/process/soak_site
 	./scripts/soak $(bin)
 
 generate:
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "decide/refusal.h"
 #include <string.h>
 
 /* Plain answers up to this size are held until they are whole, so that one
@@ -12,8 +13,6 @@
 #define BACKLOG_MAX_BYTES (2U * 1024 * 1024)
 /* Part of an upstream's connections that the known VMs share.  */
 #define CONNECTIONS_PERCENT 85
-/* How long refused callers wait.  */
-#define RETRY_AFTER_MAX_MS 2000
 
 /* Exchanges.  */
 
@@ -60,8 +59,10 @@
       "upstream", e->upstream_id, "outcome", outcome, "status",
       log_num (status), "ms", log_num (now - e->since_ms), "first_ms",
       log_num (e->first_ms ? e->first_ms - e->since_ms : -1), "expected_ms",
-      log_num ((long long)e->expected_ms), "attempts", log_num (e->tries),
-      "routes_version",
+      log_num ((long long)e->expected_ms), "to_read",
+      log_num ((long long)e->choice.tokens), "permits",
+      log_num (e->asked_in_all), "attempts", log_num (e->tries),
+      "retry_after_ms", log_num (e->retry_after_ms), "routes_version",
       log_num (e->table ? (long long)route_table_version (e->table) : -1),
       NULL);
 }
@@ -78,6 +79,7 @@
                  e->facts.id ? e->facts.id : "");
   if (retry_after_ms > 0)
     e->proxy->parts.platform->mark_refusal (h, retry_after_ms);
+  e->retry_after_ms = retry_after_ms;
   exchange_log_end (e, outcome, status);
   front_request_reply (e->caller, h, NULL, 0);
   http_head_destroy (h);
@@ -88,9 +90,8 @@
 exchange_refuse (struct exchange *e, const char *why, unsigned retry_after_ms)
 {
   metrics_add (METRIC_not_run_total, 1);
-  exchange_reply (
-      e, 503, why,
-      CLAMP (retry_after_ms, EXCHANGE_RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS));
+  exchange_reply (e, 503, why,
+                  CLAMP (retry_after_ms, REFUSAL_LEAST_MS, REFUSAL_MOST_MS));
 }
 
 void
@@ -292,8 +293,7 @@
   else if (step == ATTEMPT_PASS_ON)
     pass_whole (e);
   else if (step == ATTEMPT_REFUSE)
-    exchange_refuse (e, attempt_outcome_name (outcome),
-                     EXCHANGE_RETRY_AFTER_MIN_MS);
+    exchange_refuse (e, attempt_outcome_name (outcome), REFUSAL_LEAST_MS);
   else
     exchange_unknown (e, attempt_outcome_name (outcome), 502);
 }
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -17,8 +17,6 @@
 #define EXCHANGE_ATTEMPT_MIN_MS 40
 /** Longest idle time of a connection that is used again.  */
 #define EXCHANGE_REUSE_MS 60000
-/** Least time that a refused caller waits.  */
-#define EXCHANGE_RETRY_AFTER_MIN_MS 150
 
 /** The proxy.  */
 struct proxy
@@ -53,6 +51,8 @@
   struct upstream_choice choice; /* that a permit is asked for */
   permit_ticket permit;          /* asked for or held; 0 for none */
   unsigned asked;                /* permits, for this attempt */
+  unsigned asked_in_all;
+  unsigned retry_after_ms; /* that a refused caller was told */
   double expected_ms;
   double plain_ms; /* at the first attempt, of a long prompt; or 0 */
   char upstream_id[64];
--- a/src/daemon/offer.c
+++ b/src/daemon/offer.c
@@ -4,17 +4,12 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "decide/placing.h"
+#include "decide/refusal.h"
 
 #include <string.h>
 
 /* Connections that no answer may be lost on: idle for no longer.  */
 #define ONCE_REUSE_MS 800
-/* A request is refused where its answer is expected later than this many times
-   its latency objective and this part of its caller's patience, or not within
-   the time that is left.  */
-#define LATE_FACTOR 0.6
-#define LATE_PATIENCE_PERCENT 10
-#define PATIENCE_MARGIN_MS 150
 /* Permits that are asked for one attempt at most.  */
 #define PERMITS_MOST 4
 /* A wait may be longer than expected by this much before the next best engine
@@ -92,18 +87,9 @@
 static double
 late_ms (const struct exchange *e, int64_t now)
 {
-  double left = (double)(e->until_ms - now - PATIENCE_MARGIN_MS);
-  double late = e->route->target_ms * LATE_FACTOR;
-  double patience = (double)(e->until_ms - e->since_ms);
-  late = MAX (late, patience * LATE_PATIENCE_PERCENT / 100);
-  return MIN (left, late);
-}
-
-static void
-refuse_full (struct exchange *e, const struct upstream_choice *c)
-{
-  double over = c->expected_ms - e->route->target_ms;
-  exchange_refuse (e, "overload", over > 0 ? (unsigned)MIN (over, 100000) : 0);
+  return refusal_limit_ms (e->route->target_ms,
+                           (double)(e->until_ms - e->since_ms),
+                           (double)(e->until_ms - now));
 }
 
 /* Permits.  */
@@ -148,6 +134,7 @@
       = permit_link_ask (e->proxy->parts.permits, c, wait_limit_ms (e, c, now),
                          on_permit, e, &e->permit);
   e->asked++;
+  e->asked_in_all++;
   return state;
 }
 
@@ -173,7 +160,9 @@
   if (may_refuse
       && (c.expected_ms > late_ms (e, now) || e->asked >= PERMITS_MOST))
     {
-      refuse_full (e, &c);
+      exchange_refuse (
+          e, "overload",
+          refusal_retry_after_ms (e->facts.id, (double)(e->until_ms - now)));
       return true;
     }
   e->choice = c;
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/exchange.h"
+#include "decide/refusal.h"
 
 #define DEFAULT_TIMEOUT_MS 30000
 #define NOT_READY_RETRY_MS 500
@@ -32,7 +33,7 @@
   else if (sent || e->attempts.may_have_run)
     exchange_unknown (e, "timeout", 504);
   else
-    exchange_refuse (e, "timeout_before_sending", EXCHANGE_RETRY_AFTER_MIN_MS);
+    exchange_refuse (e, "timeout_before_sending", REFUSAL_LEAST_MS);
 }
 
 /* Taking requests.  */
@@ -84,7 +85,7 @@
       set_deadline (e);
       if (outlasts_the_vm (e))
         {
-          exchange_refuse (e, "stopping", EXCHANGE_RETRY_AFTER_MIN_MS);
+          exchange_refuse (e, "stopping", REFUSAL_LEAST_MS);
           return;
         }
       e->attempts
--- a/src/decide/placing.c
+++ b/src/decide/placing.c
@@ -20,7 +20,7 @@
 #define DECODE_READING_PART 0.25
 /* What another engine than a prompt's first choice must be faster by, for each
    1,000 shared tokens: it would cache them a second time.  */
-#define SPILL_MS_PER_1000 4.0
+#define SPILL_MS_PER_1000 24.0
 /* What the failures of an instance, as a share of its latest outcomes, cost in
    the choice.  */
 #define FAILURE_COST_MS 400.0
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -2,7 +2,8 @@
     Stand-in of one instance of a service or engine, down to the bytes.
 
     The last part of a request's path says what becomes of it: DIRECTIVE, or
-    DIRECTIVE@ID, which holds only for the instance ID; others answer as "ok".
+    DIRECTIVE@ID, which holds only for the instance ID; others answer as "ok",
+   or as "stream" in place of another stream.
 
       ok             a whole answer that names what was asked
       chunked        the same in chunks
@@ -426,8 +427,9 @@
   *at = '\0';
   if (strcmp (at + 1, instance) == 0)
     return d;
+  bool streams = g_str_has_prefix (d, "stream");
   g_free (d);
-  return g_strdup ("ok");
+  return g_strdup (streams ? "stream" : "ok");
 }
 
 /* Reads the prompt and goes on as DIRECTIVE; refuses where it would take too
--- a/tests/harness/relay.c
+++ b/tests/harness/relay.c
@@ -17,6 +17,7 @@
 {
   int fd[2];
   GString *pending[2]; /* to be written to fd[i] */
+  gint64 due_us[2];    /* not before */
   gboolean forgotten;
 };
 
@@ -31,6 +32,8 @@
   gboolean forget;
   gboolean cut;
   gboolean refuse;
+  gboolean hold[2]; /* what comes from fd[i] of a pair */
+  guint delay_ms;
   guint connections;
   GPtrArray *pairs;
 };
@@ -88,16 +91,21 @@
 
 /* Moves bytes one way; returns whether the pair is still good.  */
 static gboolean
-move (struct pair *x, int from)
+move (const struct relay *r, struct pair *x, int from)
 {
   char buf[65536];
   GString *out = x->pending[1 - from];
+  gint64 now = g_get_monotonic_time ();
+  if (r->hold[from])
+    return TRUE;
   ssize_t n = recv (x->fd[from], buf, sizeof buf, 0);
   if (n == 0 || (n < 0 && errno != EAGAIN))
     return FALSE;
+  if (n > 0 && out->len == 0)
+    x->due_us[1 - from] = now + (gint64)r->delay_ms * 1000;
   if (n > 0)
     g_string_append_len (out, buf, n);
-  if (out->len == 0)
+  if (out->len == 0 || now < x->due_us[1 - from])
     return TRUE;
   n = send (x->fd[1 - from], out->str, out->len, MSG_NOSIGNAL);
   if (n > 0)
@@ -116,7 +124,7 @@
       struct pair *x = g_ptr_array_index (r->pairs, i);
       for (int k = 0; k < 2 && !x->forgotten; k++)
         {
-          p.fd = x->fd[k];
+          p.fd = r->hold[k] ? -1 : x->fd[k];
           g_array_append_val (polls, p);
         }
     }
@@ -130,7 +138,7 @@
     {
       struct pair *x = g_ptr_array_index (r->pairs, i);
       x->forgotten |= r->forget;
-      if (r->cut || (!x->forgotten && (!move (x, 0) || !move (x, 1))))
+      if (r->cut || (!x->forgotten && (!move (r, x, 0) || !move (r, x, 1))))
         g_ptr_array_remove_index (r->pairs, i--);
     }
   r->forget = FALSE;
@@ -230,6 +238,23 @@
   g_mutex_unlock (&r->lock);
 }
 
+void
+relay_hold (struct relay *r, gboolean to_target, gboolean from_target)
+{
+  g_mutex_lock (&r->lock);
+  r->hold[0] = to_target;
+  r->hold[1] = from_target;
+  g_mutex_unlock (&r->lock);
+}
+
+void
+relay_delay (struct relay *r, guint ms)
+{
+  g_mutex_lock (&r->lock);
+  r->delay_ms = ms;
+  g_mutex_unlock (&r->lock);
+}
+
 guint
 relay_connections (struct relay *r)
 {
--- a/tests/harness/relay.h
+++ b/tests/harness/relay.h
@@ -1,6 +1,7 @@
 /** @file
-    A relay between two processes that can lose track of its connections:
-    those open stay open and pass nothing, new ones work.  */
+    A relay between two processes that delays, holds back, cuts, and can lose
+    track of its connections: those open stay open and pass nothing, new ones
+    work.  */
 #ifndef TESTS_HARNESS_RELAY_H
 #define TESTS_HARNESS_RELAY_H
 
@@ -27,6 +28,13 @@
     ones.  */
 void relay_cut (struct relay *r, gboolean refuse);
 
+/** Holds back what goes to the target, and what comes from it; it goes on,
+   late, once it is no longer held.  */
+void relay_hold (struct relay *r, gboolean to_target, gboolean from_target);
+
+/** Passes everything on MS milliseconds late.  */
+void relay_delay (struct relay *r, guint ms);
+
 /** Connections taken so far.  */
 guint relay_connections (struct relay *r);
 
--- a/tests/harness/web.c
+++ b/tests/harness/web.c
@@ -29,16 +29,11 @@
   return -1;
 }
 
-struct web *
-web_open (const char *address, const char *method, const char *path,
-          const char *key, const char *headers, const char *body)
+static void
+send_request (struct web *w, const char *address, const char *method,
+              const char *path, const char *key, const char *headers,
+              const char *body)
 {
-  struct web *w = g_new0 (struct web, 1);
-  w->raw = g_string_new (NULL);
-  w->head = g_string_new (NULL);
-  w->body = g_string_new (NULL);
-  w->length = -1;
-  w->fd = connect_to (address);
   g_autoptr (GString) text = g_string_new (NULL);
   g_string_append_printf (text, "%s %s HTTP/1.1\r\n", method, path);
   if (headers == NULL || !g_str_has_prefix (headers, "Host:"))
@@ -65,9 +60,44 @@
       sent += (size_t)n;
     }
   w->failed = w->fd < 0 || sent < text->len;
+}
+
+struct web *
+web_open (const char *address, const char *method, const char *path,
+          const char *key, const char *headers, const char *body)
+{
+  struct web *w = g_new0 (struct web, 1);
+  w->raw = g_string_new (NULL);
+  w->head = g_string_new (NULL);
+  w->body = g_string_new (NULL);
+  w->length = -1;
+  w->fd = connect_to (address);
+  send_request (w, address, method, path, key, headers, body);
   return w;
 }
 
+void
+web_again (struct web *w, const char *address, const char *method,
+           const char *path, const char *headers)
+{
+  g_string_truncate (w->raw, 0);
+  g_string_truncate (w->head, 0);
+  g_string_truncate (w->body, 0);
+  w->length = -1;
+  w->status = 0;
+  w->whole = w->chunked = false;
+  w->first_us = 0;
+  send_request (w, address, method, path, NULL, headers, NULL);
+}
+
+bool
+web_is_kept (const struct web *w)
+{
+  g_autofree char *connection = web_header (w, "Connection");
+  return w->whole && !w->failed
+         && (connection == NULL || strcmp (connection, "close") != 0);
+}
+
 char *
 web_header (const struct web *w, const char *name)
 {
--- a/tests/harness/web.h
+++ b/tests/harness/web.h
@@ -28,6 +28,14 @@
                       const char *path, const char *key, const char *headers,
                       const char *body);
 
+/** Sends one more request on W's connection, whose last answer was whole, and
+    forgets that answer.  */
+void web_again (struct web *w, const char *address, const char *method,
+                const char *path, const char *headers);
+
+/** Whether W's connection takes one more request.  */
+bool web_is_kept (const struct web *w);
+
 /** Reads until the answer is whole or failed, or TIMEOUT_MS have passed.  */
 void web_finish (struct web *w, unsigned timeout_ms);
 
--- a/tests/unit/test_permits.c
+++ b/tests/unit/test_permits.c
@@ -1,8 +1,9 @@
 /** @file
-    Permits: what one home VM grants, and what many VMs that see the same
-   engine free get from it, on virtual time.  */
+    Permits and refusals: what one home VM grants, and what many VMs that see
+   the same engine free get from it, on virtual time.  */
 #include "decide/permits.h"
 #include "decide/placing.h"
+#include "decide/refusal.h"
 
 #define ENGINE "e1"
 #define SPEED 100.0
@@ -219,6 +220,39 @@
   g_assert_cmpuint (without.in_time, <, without.sent);
 }
 
+/* Refusing.  */
+
+static void
+test_limit (void)
+{
+  /* Below the objective, and above it only for callers that wait long.  */
+  g_assert_cmpfloat (refusal_limit_ms (250, 2000, 2000), <, 250);
+  g_assert_cmpfloat (refusal_limit_ms (150, 15000, 15000), ==, 1500);
+  /* Nothing is sent that could not end in time.  */
+  g_assert_cmpfloat (refusal_limit_ms (250, 2000, 100), <, 0);
+  g_assert_cmpfloat (refusal_limit_ms (2000, 2000, 800), <=, 800);
+}
+
+static void
+test_retry_after (void)
+{
+  unsigned least = G_MAXUINT;
+  unsigned most = 0;
+  for (unsigned i = 0; i < 1000; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("r%u", i);
+      unsigned ms = refusal_retry_after_ms (id, 2000);
+      least = MIN (least, ms);
+      most = MAX (most, ms);
+    }
+  /* Spread, and never past a third of what is left.  */
+  g_assert_cmpuint (most, <=, 667);
+  g_assert_cmpuint (most, >, 600);
+  g_assert_cmpuint (least, <, 370);
+  g_assert_cmpuint (refusal_retry_after_ms ("x", 90), ==, REFUSAL_LEAST_MS);
+  g_assert_cmpuint (refusal_retry_after_ms ("x", 60000), ==, REFUSAL_MOST_MS);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -230,5 +264,7 @@
   g_test_add_func ("/permits/gone", test_gone);
   g_test_add_func ("/permits/started-again", test_started_again);
   g_test_add_func ("/permits/twice-the-load", test_twice_the_load);
+  g_test_add_func ("/refusal/limit", test_limit);
+  g_test_add_func ("/refusal/retry-after", test_retry_after);
   return g_test_run ();
 }
