Orders of stages: more engines only read where reading is the work

Ruled out: the holder of decide/orders as it is: engines here tell no order's id, and holders may not take turns within a lease. Change: decide/stages wants 55 percent of a service's engines to read only while reading is three times the generating, a quarter changed at once, each not again for 15 s. decide/authority says who may give orders: one key, written again before each batch, sends within 0.4 s of having asked, a successor quiet for 6 s, its fencing number the revision at which it took the key. The home VM of an engine that changes gives no permits for it meanwhile.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -6,6 +6,7 @@
 #include "base/metrics.h"
 #include "daemon/discovery.h"
 #include "daemon/roster.h"
+#include "daemon/stage_link.h"
 #include "daemon/inspect.h"
 #include "daemon/proxy.h"
 
@@ -49,6 +50,8 @@
   struct proxy *proxy;
   struct discovery *discovery;
   struct roster *roster;
+  struct stages *stages;
+  struct stage_link *stage_link;
   struct front *callers;
   struct front *ready;
   struct front *entry;
@@ -311,6 +314,7 @@
              log_num (proxy_open (g->proxy)), "deadline_s",
              log_num ((long long)g->settings->leave_deadline_s), NULL);
   roster_leave (g->roster);
+  stage_link_leave (g->stage_link);
   double all = (double)g->settings->leave_deadline_s * SECOND_MS;
   proxy_set_end (g->proxy,
                  g->leaving_ms + (int64_t)(all * STOP_TAKE_LONG_PART),
@@ -431,15 +435,27 @@
                                  .on_known = on_known,
                                  .arg = g };
   g->roster = roster_create (&roster);
+  g->stages = stages_create ();
   struct proxy_parts parts = { .base = g->base,
                                .platform = g->platform,
                                .pool = g->pool,
                                .upstreams = g->upstreams,
                                .retries = g->retries,
                                .permits = roster_permits (g->roster),
+                               .stages = g->stages,
                                .count_vms = count_vms,
                                .arg = g };
   g->proxy = proxy_create (&parts);
+  struct stage_link_parts orders = { .base = g->base,
+                                     .kv = g->kv,
+                                     .platform = g->platform,
+                                     .pool = g->pool,
+                                     .upstreams = g->upstreams,
+                                     .stages = g->stages,
+                                     .permits = roster_permits (g->roster),
+                                     .members = roster_members (g->roster),
+                                     .vm = s->vm };
+  g->stage_link = stage_link_create (&orders);
   g->discovery = discovery_create (g->base, g->kv, g->platform, g->upstreams,
                                    &discovery_events, g);
 }
@@ -496,7 +512,9 @@
   if (g->timer)
     event_free (g->timer);
   discovery_destroy (g->discovery);
+  stage_link_destroy (g->stage_link);
   proxy_destroy (g->proxy);
+  stages_destroy (g->stages);
   roster_destroy (g->roster);
   front_destroy (g->callers);
   front_destroy (g->ready);
--- a/src/daemon/permit_link.c
+++ b/src/daemon/permit_link.c
@@ -229,6 +229,23 @@
   answered (arg, m->granted ? PERMIT_GRANTED : PERMIT_REFUSED);
 }
 
+void
+permit_link_hold (struct permit_link *l, upstream_handle h, unsigned ms)
+{
+  const struct upstream_info *info = upstreams_info (l->parts.upstreams, h);
+  const struct member *home
+      = info ? rank_upstream_home (l->parts.members, info->id,
+                                   info->failure_domain)
+             : NULL;
+  if (home == NULL)
+    return;
+  struct permit_hold m = { .upstream = info->id, .ms = ms };
+  if (strcmp (home->info.id, l->parts.vm) == 0)
+    permits_hold (l->permits, info->id, clock_ms () + ms);
+  else
+    l->parts.send (l->parts.arg, home, MESSAGE_PERMIT_HOLD, &m);
+}
+
 /* Answering.  */
 
 static void
@@ -277,6 +294,11 @@
     take_answer (l, f->message);
   else if (f->type == MESSAGE_PERMIT_NOTE)
     take_note (l, f->message);
+  else if (f->type == MESSAGE_PERMIT_HOLD)
+    {
+      const struct permit_hold *m = f->message;
+      permits_hold (l->permits, m->upstream, clock_ms () + (int64_t)m->ms);
+    }
 }
 
 /* Making and releasing.  */
--- a/src/daemon/permit_link.h
+++ b/src/daemon/permit_link.h
@@ -70,6 +70,9 @@
     TICKET may be 0 or one whose question was refused.  */
 void permit_link_end (struct permit_link *l, permit_ticket ticket);
 
+/** Tells the home VM of H that it takes nothing for MS.  */
+void permit_link_hold (struct permit_link *l, upstream_handle h, unsigned ms);
+
 /* Answering.  */
 
 /** A frame came that is one of this link's.  */
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -91,6 +91,9 @@
       e->attempts
           = attempts_start (route_repeatable (e->route), e->route->attempts);
       retry_windows_request (e->proxy->parts.retries, e->service, e->since_ms);
+      if (e->facts.has_prompt)
+        stages_arrived (e->proxy->parts.stages, e->service, &e->facts.prompt,
+                        e->since_ms);
       exchange_attempt (e);
     }
 }
--- a/src/daemon/proxy_parts.h
+++ b/src/daemon/proxy_parts.h
@@ -5,6 +5,7 @@
 
 #include "daemon/permit_link.h"
 #include "decide/retry_window.h"
+#include "decide/stages.h"
 #include "decide/upstreams.h"
 #include "links/platform.h"
 #include "links/pool.h"
@@ -20,6 +21,7 @@
   struct upstreams *upstreams;
   struct retry_windows *retries;
   struct permit_link *permits;
+  struct stages *stages;
   /** Number of VMs that share upstreams and budgets, this one included.  */
   unsigned (*count_vms) (void *arg);
   void *arg;
--- a/src/daemon/roster.c
+++ b/src/daemon/roster.c
@@ -336,6 +336,12 @@
 
 /* What others ask.  */
 
+const struct members *
+roster_members (const struct roster *r)
+{
+  return r->members;
+}
+
 struct permit_link *
 roster_permits (const struct roster *r)
 {
--- a/src/daemon/roster.h
+++ b/src/daemon/roster.h
@@ -51,6 +51,9 @@
 /** Announces that this VM has left.  */
 void roster_left (struct roster *r);
 
+/** The view of the VMs.  */
+const struct members *roster_members (const struct roster *r);
+
 /** Permits that the VMs ask of each other.  */
 struct permit_link *roster_permits (const struct roster *r);
 
--- /dev/null
+++ b/src/daemon/stage_link.c
@@ -0,0 +1,287 @@
+#include "daemon/stage_link.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "decide/authority.h"
+#include "decide/rank.h"
+
+#include <string.h>
+
+#define KEY_OF_ORDERS "buckthornstand/orders"
+#define TICK_MS 250
+/* This VM must rank first for as long before it takes the authority: views of
+   the fleet settle within it.  */
+#define SETTLE_MS 3000
+/* An engine that was ordered takes nothing for about as long.  */
+#define CHANGE_MS 3500
+/* An order that is not answered by then is given up.  */
+#define ORDER_WITHIN_MS 1000
+
+struct stage_link
+{
+  struct stage_link_parts parts;
+  struct authority *authority;
+  struct event *timer;
+  int64_t first_ms; /* since when this VM ranks first; 0 while it does not */
+  GArray *changes;  /* struct stage_change, to be sent */
+  struct stage_inputs inputs;
+  GHashTable *orders; /* struct order, under way */
+  bool leaving;
+};
+
+/* One order under way.  */
+struct order
+{
+  struct stage_link *link;
+  char *engine;
+  struct pool_call *call;
+  struct event *timer;
+  unsigned status;
+};
+
+static void step (struct stage_link *l);
+
+static const char *
+role_name (enum upstream_role role)
+{
+  return role == UPSTREAM_PREFILL ? "prefill" : "decode";
+}
+
+/* Orders.  */
+
+static void
+order_free (void *value)
+{
+  struct order *o = value;
+  if (o->call)
+    pool_cancel (o->call);
+  event_free (o->timer);
+  g_free (o->engine);
+  g_free (o);
+}
+
+static void
+order_end (struct order *o, const char *outcome)
+{
+  log_event (LOG_INFO, "order_end", "engine", o->engine, "outcome", outcome,
+             "status", log_num (o->status), NULL);
+  g_hash_table_remove (o->link->orders, o);
+}
+
+static void
+on_order_head (void *arg, struct http_head *head, enum http_framing framing,
+               uint64_t length)
+{
+  struct order *o = arg;
+  (void)framing;
+  (void)length;
+  o->status = head->status;
+}
+
+static void
+on_order_data (void *arg, struct evbuffer *data)
+{
+  (void)arg;
+  evbuffer_drain (data, evbuffer_get_length (data));
+}
+
+static void
+on_order_end (void *arg, enum pool_end end)
+{
+  struct order *o = arg;
+  o->call = NULL;
+  order_end (o, end == POOL_WHOLE && o->status / 100 == 2 ? "accepted"
+                : end == POOL_WHOLE                       ? "refused"
+                : end == POOL_NOT_SENT                    ? "not_sent"
+                                                          : "unknown");
+}
+
+static void
+on_order_timeout (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  order_end (arg, "no_answer");
+}
+
+static const struct pool_events order_events
+    = { on_order_head, on_order_data, on_order_end };
+
+static void
+send_order (struct stage_link *l, const struct stage_change *c)
+{
+  static const struct timeval within = { ORDER_WITHIN_MS / 1000, 0 };
+  const struct upstream_info *info
+      = upstreams_info (l->parts.upstreams, c->upstream);
+  if (info == NULL)
+    return;
+  g_autofree char *text = NULL;
+  struct http_head *head = l->parts.platform->write_order (
+      info, c->to, l->parts.vm, authority_fencing (l->authority), &text);
+  g_autofree char *length = g_strdup_printf ("%zu", strlen (text));
+  http_head_add (head, "Content-Length", length);
+  struct evbuffer *body = evbuffer_new ();
+  evbuffer_add (body, text, strlen (text));
+  struct order *o = g_new0 (struct order, 1);
+  o->link = l;
+  o->engine = g_strdup (info->id);
+  o->timer = evtimer_new (l->parts.base, on_order_timeout, o);
+  evtimer_add (o->timer, &within);
+  g_hash_table_add (l->orders, o);
+  struct pool_request r = { .upstream = info->id,
+                            .address = info->address,
+                            .connections = G_MAXUINT16,
+                            .head = head,
+                            .body = body,
+                            .fresh = true };
+  log_event (LOG_INFO, "order", "engine", info->id, "role", role_name (c->to),
+             "fencing", log_num ((long long)authority_fencing (l->authority)),
+             "engines", log_num (l->inputs.engines), "readers",
+             log_num (l->inputs.readers), "wanted",
+             log_num (l->inputs.wanted_readers), "reading_pct",
+             log_num ((long long)(l->inputs.reading * 100)), "generating_pct",
+             log_num ((long long)(l->inputs.generating * 100)), NULL);
+  metrics_add (METRIC_role_changes_total, 1);
+  metrics_add (METRIC_orders_sent_total, 1);
+  stages_ordered (l->parts.stages, info->id, clock_ms ());
+  permit_link_hold (l->parts.permits, c->upstream, CHANGE_MS);
+  o->call = pool_send (l->parts.pool, &r, &order_events, o);
+  evbuffer_free (body);
+  http_head_destroy (head);
+  if (o->call == NULL)
+    order_end (o, "not_sent");
+}
+
+static void
+send_orders (struct stage_link *l)
+{
+  for (guint i = 0; i < l->changes->len; i++)
+    send_order (l, &g_array_index (l->changes, struct stage_change, i));
+  g_array_set_size (l->changes, 0);
+}
+
+/* Authority.  */
+
+static void
+on_read (void *arg, enum kv_status status, const struct kv_value *values,
+         size_t n)
+{
+  struct stage_link *l = arg;
+  authority_read_done (l->authority, status == KV_OK,
+                       n > 0 ? values[0].revision : 0,
+                       n > 0 ? values[0].value : NULL, clock_boot_ms ());
+  step (l);
+}
+
+static void
+on_written (void *arg, enum kv_status status, int64_t revision)
+{
+  static const enum authority_write how[]
+      = { [KV_OK] = AUTHORITY_WRITE_OK,
+          [KV_CONFLICT] = AUTHORITY_WRITE_CONFLICT,
+          [KV_DOWN] = AUTHORITY_WRITE_REFUSED,
+          [KV_LOST] = AUTHORITY_WRITE_LOST };
+  struct stage_link *l = arg;
+  bool held = authority_holds (l->authority);
+  authority_write_done (l->authority, how[status], revision, clock_boot_ms ());
+  bool holds = authority_holds (l->authority);
+  if (!held || !holds)
+    log_event (
+        LOG_INFO, holds ? "authority_taken" : "authority_lost", "fencing",
+        log_num ((long long)authority_fencing (l->authority)), "revision",
+        log_num (revision), "status", log_num (status), NULL);
+  metrics_set (METRIC_order_holder, holds);
+  step (l);
+}
+
+static void
+write_page (struct stage_link *l)
+{
+  g_autoptr (GBytes) page = authority_page (l->authority);
+  struct kv_put put = { KEY_OF_ORDERS, page };
+  kv_txn (l->parts.kv, KEY_OF_ORDERS, authority_revision (l->authority), &put,
+          1, on_written, l);
+}
+
+/* Whether this VM has ranked first for long enough.  */
+static bool
+leads (struct stage_link *l, int64_t now)
+{
+  const struct member *self
+      = g_ptr_array_index (members_all (l->parts.members), 0);
+  if (l->leaving
+      || rank_order_holder (l->parts.members, self->info.region) != self)
+    l->first_ms = 0;
+  else if (l->first_ms == 0)
+    l->first_ms = now;
+  return l->first_ms != 0 && now - l->first_ms >= SETTLE_MS;
+}
+
+static void
+step (struct stage_link *l)
+{
+  int64_t now = clock_ms ();
+  bool lead = leads (l, now);
+  if (lead && authority_holds (l->authority) && l->changes->len == 0)
+    stages_decide (l->parts.stages, l->parts.upstreams,
+                   members_count_live (l->parts.members), now, l->changes,
+                   &l->inputs);
+  switch (authority_next (l->authority, lead, l->changes->len > 0,
+                          clock_boot_ms ()))
+    {
+    case AUTHORITY_READ:
+      kv_get (l->parts.kv, KEY_OF_ORDERS, false, on_read, l);
+      break;
+    case AUTHORITY_WRITE:
+      write_page (l);
+      break;
+    case AUTHORITY_SEND:
+      send_orders (l);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  step (arg);
+}
+
+/* Making and releasing.  */
+
+struct stage_link *
+stage_link_create (const struct stage_link_parts *parts)
+{
+  static const struct timeval tick = { 0, TICK_MS * 1000 };
+  struct stage_link *l = g_new0 (struct stage_link, 1);
+  l->parts = *parts;
+  l->authority = authority_create (parts->vm);
+  l->changes = g_array_new (FALSE, FALSE, sizeof (struct stage_change));
+  l->orders = g_hash_table_new_full (NULL, NULL, order_free, NULL);
+  l->timer = event_new (parts->base, -1, EV_PERSIST, on_tick, l);
+  event_add (l->timer, &tick);
+  return l;
+}
+
+void
+stage_link_destroy (struct stage_link *l)
+{
+  if (l == NULL)
+    return;
+  event_free (l->timer);
+  g_hash_table_destroy (l->orders);
+  g_array_unref (l->changes);
+  authority_destroy (l->authority);
+  g_free (l);
+}
+
+void
+stage_link_leave (struct stage_link *l)
+{
+  l->leaving = true;
+}
--- a/src/decide/permits.c
+++ b/src/decide/permits.c
@@ -17,7 +17,8 @@
 struct engine
 {
   struct upstream_load load;
-  double tokens_per_ms;
+  double tokens_per_ms; /* 0 where it is not known */
+  int64_t held_ms;      /* it takes nothing until then */
 };
 
 /* A permit.  */
@@ -72,19 +73,27 @@
 }
 
 static struct engine *
-engine_of (struct permits *p, const struct permit_question *q)
+engine_named (struct permits *p, const char *upstream)
 {
-  struct engine *e = g_hash_table_lookup (p->engines, q->upstream);
+  struct engine *e = g_hash_table_lookup (p->engines, upstream);
   if (e == NULL)
     {
       e = g_new0 (struct engine, 1);
-      e->tokens_per_ms
-          = CLAMP (q->tokens_per_ms, TOKENS_PER_MS_MIN, TOKENS_PER_MS_MAX);
-      g_hash_table_insert (p->engines, g_strdup (q->upstream), e);
+      g_hash_table_insert (p->engines, g_strdup (upstream), e);
     }
   return e;
 }
 
+static struct engine *
+engine_of (struct permits *p, const struct permit_question *q)
+{
+  struct engine *e = engine_named (p, q->upstream);
+  if (e->tokens_per_ms == 0)
+    e->tokens_per_ms
+        = CLAMP (q->tokens_per_ms, TOKENS_PER_MS_MIN, TOKENS_PER_MS_MAX);
+  return e;
+}
+
 /* The engine has read what it was given.  */
 static void
 settle_reading (struct permit *permit)
@@ -159,14 +168,26 @@
   struct engine *e = engine_of (p, q);
   struct permit_decision d
       = { .load = e->load, .tokens_per_ms = e->tokens_per_ms };
-  d.wait_ms = placing_wait_ms (q->work, &e->load, q->tokens, q->slots,
+  /* What an engine that takes nothing would have to read before.  */
+  if (now_ms < e->held_ms)
+    d.load.tokens
+        += (uint64_t)((double)(e->held_ms - now_ms) * e->tokens_per_ms);
+  d.wait_ms = placing_wait_ms (q->work, &d.load, q->tokens, q->slots,
                                e->tokens_per_ms);
-  d.granted = d.wait_ms <= q->limit_ms;
+  d.granted = d.wait_ms <= q->limit_ms && now_ms >= e->held_ms;
   if (d.granted)
     give (p, e, q, now_ms);
   return d;
 }
 
+void
+permits_hold (struct permits *p, const char *upstream, int64_t until_ms)
+{
+  struct engine *e = engine_named (p, upstream);
+  e->held_ms = until_ms;
+  e->tokens_per_ms = 0;
+}
+
 void
 permits_tick (struct permits *p, int64_t now_ms)
 {
--- a/src/decide/permits.h
+++ b/src/decide/permits.h
@@ -59,6 +59,10 @@
 /** That request has ended, or was not sent.  */
 void permits_ended (struct permits *p, const char *vm, uint64_t seq);
 
+/** UPSTREAM takes nothing until UNTIL_MS, and may read at another speed then.
+ */
+void permits_hold (struct permits *p, const char *upstream, int64_t until_ms);
+
 /** Forgets permits of whose end nothing was heard for too long.  */
 void permits_tick (struct permits *p, int64_t now_ms);
 
--- a/src/decide/placing.c
+++ b/src/decide/placing.c
@@ -27,7 +27,7 @@
 /* Requests that only generate, as a part of an engine's slots, for which one
    more engine is kept, and what another engine costs them.  Past its slots
    they run at engines that also read.  */
-#define GENERATING_PERCENT 200
+#define GENERATING_PERCENT 100
 #define DISTURBED_MS 150.0
 /* What a long prompt costs each request that only generates at its engine.  */
 #define DISTURBING_MS 10.0
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -162,6 +162,14 @@
   return u->slots->len - 1;
 }
 
+/* Speed that an engine is believed to read at until it was measured.  */
+static double
+first_speed (enum upstream_role role)
+{
+  return role == UPSTREAM_PREFILL ? READ_APART_TOKENS_PER_MS
+                                  : READ_TOKENS_PER_MS;
+}
+
 static void
 add (struct upstreams *u, const struct upstream_info *info)
 {
@@ -172,8 +180,7 @@
   memset (x, 0, sizeof *x);
   x->generation = generation ? generation : 1;
   x->used = true;
-  x->tokens_per_ms = info->role == UPSTREAM_PREFILL ? READ_APART_TOKENS_PER_MS
-                                                    : READ_TOKENS_PER_MS;
+  x->tokens_per_ms = first_speed (info->role);
   x->service_ms = SERVICE_MS;
   x->heard = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   x->prefixes = prefixes_create (tokens ? cache_tokens (*tokens) : 0);
@@ -211,6 +218,8 @@
       add (u, info);
       return true;
     }
+  if (x->info.role != info->role)
+    x->tokens_per_ms = first_speed (info->role);
   upstream_info_clear (&x->info);
   info_copy (&x->info, info);
   return true;
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -72,6 +72,12 @@
   char *(*take_reading) (const char *address, const void *data, size_t size);
   /** Head that frees the reading READ_BY at its upstream.  */
   struct http_head *(*free_reading) (const char *read_by);
+  /** Head of the order that makes the engine INFO take ROLE, given by HOLDER
+      under FENCING; BODY is to be freed.  */
+  struct http_head *(*write_order) (const struct upstream_info *info,
+                                    enum upstream_role role,
+                                    const char *holder, uint64_t fencing,
+                                    char **body);
   /** Sets for how long a refused caller should wait.  */
   void (*mark_refusal) (struct http_head *head, unsigned retry_after_ms);
 
