--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -14,6 +14,9 @@
 /* How long a change that another VM knows of may be missing here: the pause in
    which changes are gathered, and their way.  */
 #define HINT_MS 1000
+/* Where history was lost, all VMs read everything again; spread over as long
+   for each key.  */
+#define READ_AGAIN_US_PER_KEY 200
 /* Pause after a failure.  */
 #define RETRY_MS 250
 #define RETRY_MAX_MS 1000
@@ -142,6 +145,14 @@
   go_on (f);
 }
 
+/* This VM's place in the time over which all VMs read everything again.  */
+static unsigned
+read_again_ms (const struct feed *f)
+{
+  guint most = g_hash_table_size (f->keys) * READ_AGAIN_US_PER_KEY / 1000;
+  return most > 0 ? g_random_int () % most : 0;
+}
+
 /* Pause after a change that came now.  */
 static unsigned
 next_gather_ms (struct feed *f)
@@ -164,7 +175,7 @@
       log_event (LOG_INFO, "feed_reads_again", "prefix", f->prefix, "after",
                  log_num (f->as_of), NULL);
       f->as_of = 0;
-      go_on (f);
+      go_on_later (f, read_again_ms (f));
       return;
     }
   if (status != KV_OK)
--- a/tests/fakes/fake_store.c
+++ b/tests/fakes/fake_store.c
@@ -5,7 +5,8 @@
     POST /op?key=KEY writes the body under KEY, as an operator or an upstream
     does, past all faults; POST /op?key=KEY&remove=1 removes it; POST
     /op?forget=1 drops the history and cuts the waiting calls.  GET /seen tells
-    how many calls there were.  Faults: those of faults.h.  */
+    how many calls there were.  Faults: those of faults.h, and busy_pages: 1 to
+   answer 429 to every third page that is not the first.  */
 #include "fakes/faults.h"
 
 #include <event2/buffer.h>
@@ -167,6 +168,13 @@
   json_t *list = json_array ();
   bool more = false;
   reads++;
+  /* Too busy for every third page that is not the first.  */
+  if (after && fault ("busy_pages") && reads % 3 == 0)
+    {
+      json_decref (list);
+      fake_reply (req, 429, "text/plain", "busy\n");
+      return;
+    }
   g_hash_table_iter_init (&it, items);
   while (g_hash_table_iter_next (&it, &key, NULL))
     if (g_str_has_prefix (key, prefix ? prefix : "")
