A lost wait is replaced; the soak has rounds of planned work

Cause: the soak's mutants: ignoring leaving instances and cutting at a stop went unseen, since faults never left 4 s of calm. Change: once a hint has shown that a wait misses changes, a new one takes its place, and the end of the old one says nothing. Mutants caught: every request taken for repeatable (ran 2 times), every end told as not run.

--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -21,6 +21,17 @@
 #define RETRY_MS 250
 #define RETRY_MAX_MS 1000
 
+/* Calls that may wait at once: the current one, and one that another VM's hint
+   has shown to be lost.  */
+#define WAITS 2
+
+/* A call that waits for changes.  */
+struct wait
+{
+  struct feed *feed;
+  bool open;
+};
+
 struct feed
 {
   struct kv *kv;
@@ -28,6 +39,8 @@
   const struct feed_events *events;
   void *arg;
   struct event *timer;
+  struct wait waits[WAITS];
+  unsigned current; /* wait whose end counts */
   GHashTable *keys; /* key -> revision, int64_t * */
   int64_t as_of;
   int64_t changed; /* revision of the latest change */
@@ -168,7 +181,11 @@
 on_changes (void *arg, enum kv_status status, const struct kv_change *changes,
             size_t n, int64_t as_of)
 {
-  struct feed *f = arg;
+  struct wait *w = arg;
+  struct feed *f = w->feed;
+  w->open = false;
+  if (w != &f->waits[f->current])
+    return;
   note_state (f, status);
   if (status == KV_FORGOT)
     {
@@ -198,6 +215,14 @@
   go_on_later (f, next_gather_ms (f));
 }
 
+static void
+start_wait (struct feed *f)
+{
+  struct wait *w = &f->waits[f->current];
+  w->open = true;
+  kv_changes (f->kv, f->prefix, f->as_of, WAIT_MS, on_changes, w);
+}
+
 static void
 go_on (struct feed *f)
 {
@@ -206,7 +231,7 @@
   if (f->as_of == 0 || !f->up)
     kv_list (f->kv, f->prefix, on_listed, f);
   else
-    kv_changes (f->kv, f->prefix, f->as_of, WAIT_MS, on_changes, f);
+    start_wait (f);
 }
 
 static void
@@ -225,6 +250,18 @@
   return f->hinted > MAX (f->changed, f->as_of);
 }
 
+/* The call that waits has missed a change: another one takes its place, so
+   that its end, much later, says nothing of the service.  */
+static void
+replace_wait (struct feed *f)
+{
+  unsigned next = (f->current + 1) % WAITS;
+  if (!f->waits[f->current].open || f->waits[next].open)
+    return;
+  f->current = next;
+  start_wait (f);
+}
+
 static void
 on_looked (void *arg, enum kv_status status, const struct kv_change *changes,
            size_t n, int64_t as_of)
@@ -233,7 +270,10 @@
   f->looking = false;
   note_state (f, status);
   if (status == KV_OK && as_of >= f->as_of)
-    take_list (f, changes, n, as_of);
+    {
+      take_list (f, changes, n, as_of);
+      replace_wait (f);
+    }
   else
     log_event (LOG_INFO, "look_failed", "prefix", f->prefix, "status",
                log_num (status), NULL);
@@ -282,6 +322,8 @@
   f->pause_ms = RETRY_MS;
   f->gather_most_ms = MAX (gather_most_ms, GATHER_MS);
   f->up = true;
+  for (unsigned i = 0; i < WAITS; i++)
+    f->waits[i].feed = f;
   f->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   f->timer = evtimer_new (base, on_timer, f);
   f->hint_timer = evtimer_new (base, on_hint_due, f);
--- a/tests/process/soak_site.c
+++ b/tests/process/soak_site.c
@@ -31,6 +31,10 @@
    have been calm for CALM_US; a configuration and a leaving hold after
    APPLY_US.  */
 #define MS_US 1000
+/* Rounds of faults, and then of planned work alone, long enough for what is
+   held to promises in calm.  */
+#define ROUND_US (20000 * MS_US)
+#define FAULTS_US (5000 * MS_US)
 #define CALM_US (4000 * MS_US)
 #define APPLY_US (2500 * MS_US)
 
@@ -63,6 +67,7 @@
 {
   struct site *site;
   unsigned seed;
+  gint64 start_us;
   gint stop;     /* no more faults */
   gint finished; /* threads that started processes may end */
   GMutex lock;
@@ -339,6 +344,18 @@
                s->site->vms[vm]->status);
 }
 
+/* Planned: nothing that it has read may be lost.  */
+static void
+stop_vm (struct soak *s, GRand *rand, unsigned vm)
+{
+  struct proc *p = s->site->vms[vm];
+  proc_signal (p, SIGTERM);
+  if (!proc_wait (p, (s->site->leave_s + 5) * 1000))
+    violation (s, "vm%u did not end after SIGTERM", vm);
+  site_start_vm (s->site, vm);
+  sleep_ms (rand, 500, 1500);
+}
+
 static void
 fault_vm (struct soak *s, GRand *rand, unsigned vm)
 {
@@ -361,12 +378,7 @@
       heal (s, &s->vms[vm]);
       break;
     case 2:
-      /* Planned: nothing that it has read may be lost.  */
-      proc_signal (p, SIGTERM);
-      if (!proc_wait (p, (s->site->leave_s + 5) * 1000))
-        violation (s, "vm%u did not end after SIGTERM", vm);
-      site_start_vm (s->site, vm);
-      sleep_ms (rand, 500, 1500);
+      stop_vm (s, rand, vm);
       break;
     default:
       proc_signal (p, SIGHUP);
@@ -536,27 +548,69 @@
 }
 
 static void
-inject (struct soak *s, GRand *rand)
+try_vm (struct soak *s, GRand *rand, bool planned)
+{
+  unsigned vm = pick (rand, VMS);
+  if (!g_mutex_trylock (&s->vm_locks[vm]))
+    return;
+  if (!planned)
+    fault_vm (s, rand, vm);
+  else if (pick (rand, 2))
+    stop_vm (s, rand, vm);
+  else
+    proc_signal (s->site->vms[vm], SIGHUP);
+  g_mutex_unlock (&s->vm_locks[vm]);
+}
+
+static void
+try_upstream (struct soak *s, GRand *rand, bool planned)
+{
+  unsigned i = pick (rand, UPSTREAMS);
+  if (!g_mutex_trylock (&s->upstream_locks[i]))
+    return;
+  if (planned)
+    leave (s, rand, i);
+  else
+    fault_upstream (s, rand, i);
+  g_mutex_unlock (&s->upstream_locks[i]);
+}
+
+static void
+try_routes (struct soak *s)
+{
+  if (!g_mutex_trylock (&s->routes_lock))
+    return;
+  change_routes (s);
+  g_mutex_unlock (&s->routes_lock);
+}
+
+static void
+inject_planned (struct soak *s, GRand *rand)
+{
+  unsigned kind = pick (rand, 4);
+  if (kind == 0)
+    try_vm (s, rand, true);
+  else if (kind < 3)
+    try_upstream (s, rand, true);
+  else
+    try_routes (s);
+}
+
+static void
+inject_fault (struct soak *s, GRand *rand)
 {
   unsigned vm = pick (rand, VMS);
-  unsigned upstream = pick (rand, UPSTREAMS);
   switch (pick (rand, 13))
     {
     case 0:
     case 1:
     case 2:
-      if (!g_mutex_trylock (&s->vm_locks[vm]))
-        return;
-      fault_vm (s, rand, vm);
-      g_mutex_unlock (&s->vm_locks[vm]);
+      try_vm (s, rand, false);
       break;
     case 3:
     case 4:
     case 5:
-      if (!g_mutex_trylock (&s->upstream_locks[upstream]))
-        return;
-      fault_upstream (s, rand, upstream);
-      g_mutex_unlock (&s->upstream_locks[upstream]);
+      try_upstream (s, rand, false);
       break;
     case 6:
       fault_store (s, rand);
@@ -572,10 +626,7 @@
         fault_all_vms (s, rand);
       break;
     default:
-      if (!g_mutex_trylock (&s->routes_lock))
-        return;
-      change_routes (s);
-      g_mutex_unlock (&s->routes_lock);
+      try_routes (s);
     }
 }
 
@@ -585,12 +636,12 @@
   struct worker *w = arg;
   while (!g_atomic_int_get (&w->soak->stop))
     {
-      inject (w->soak, w->rand);
-      /* Series, and pauses in which all is calm.  */
-      if (pick (w->rand, 6) == 0)
-        sleep_ms (w->rand, 3000, 7000);
+      gint64 at = (g_get_monotonic_time () - w->soak->start_us) % ROUND_US;
+      if (at < FAULTS_US)
+        inject_fault (w->soak, w->rand);
       else
-        sleep_ms (w->rand, 10, 600);
+        inject_planned (w->soak, w->rand);
+      sleep_ms (w->rand, 10, 600);
     }
   /* Processes end with the thread that started them.  */
   while (!g_atomic_int_get (&w->soak->finished))
@@ -781,6 +832,7 @@
   s.seed = (unsigned)atoi (argv[2]);
   printf ("seed=%u seconds=%s\n", s.seed, argv[3]);
   start (&s, argv[1]);
+  s.start_us = g_get_monotonic_time ();
   for (unsigned i = 0; i < CALLERS + INJECTORS; i++)
     {
       GRand *rand = g_rand_new_with_seed (s.seed * 1000 + i);
--- a/tests/process/test_routed.c
+++ b/tests/process/test_routed.c
@@ -16,6 +16,7 @@
 #define CALM_MS 4000
 #define LAPSED_RETURN_MS 1500
 #define WHOLE_MS 10000
+#define LOST_WAIT_MS 13000
 #define VMS 2
 #define UPSTREAMS 2
 
@@ -338,7 +339,7 @@
 {
   static unsigned n;
   relay_forget (store_relay);
-  site_write_routes (site, 12, "heard");
+  site_write_routes (site, 13, "heard");
   gint64 end = g_get_monotonic_time () + (gint64)CALM_MS * 1000;
   bool served = false;
   while (!served && g_get_monotonic_time () < end)
@@ -352,6 +353,32 @@
   g_assert_true (served);
 }
 
+static bool
+second_vm_left_u0 (void *arg)
+{
+  g_autofree char *log = site_log (site, 1);
+  const char *at = strstr (log, arg);
+  return at && strstr (at, "event=upstream_gone upstream=u0");
+}
+
+/* The wait that was lost then, and its end 11.5 s after its start, say nothing
+   of the store: what leaves meanwhile leaves in time.  */
+static void
+test_lost_wait_is_replaced (void)
+{
+  g_autofree char *before = site_log (site, 1);
+  gint64 start = g_get_monotonic_time ();
+  relay_forget (store_relay);
+  site_write_routes (site, 12, "replaced");
+  g_usleep (APPLY_MS * 1000);
+  site_write_upstream (site, 0, NULL);
+  site_wait (second_vm_left_u0, (char *)"version=12", APPLY_MS);
+  site_write_upstream (site, 0, "ready");
+  g_usleep ((gulong)(start + LOST_WAIT_MS * 1000 - g_get_monotonic_time ()));
+  g_autofree char *after = site_log (site, 1);
+  g_assert_null (strstr (after + strlen (before), "event=dependency_lost"));
+}
+
 static void
 test_metrics_and_log (void)
 {
@@ -480,6 +507,8 @@
   g_test_add_func ("/routed/upstream-leaves", test_upstream_leaves);
   g_test_add_func ("/routed/store-away", test_store_away);
   g_test_add_func ("/routed/store-swallows", test_store_swallows);
+  g_test_add_func ("/routed/lost-wait-is-replaced",
+                   test_lost_wait_is_replaced);
   g_test_add_func ("/routed/store-link-is-silent", test_store_link_is_silent);
   g_test_add_func ("/routed/metrics-and-log", test_metrics_and_log);
   g_test_add_func ("/routed/status", test_status);
