--- a/src/daemon/stage_link.c
+++ b/src/daemon/stage_link.c
@@ -112,47 +112,70 @@
 static const struct pool_events order_events
     = { on_order_head, on_order_data, on_order_end };
 
-static void
-send_order (struct stage_link *l, const struct stage_change *c)
+static struct order *
+order_create (struct stage_link *l, const char *engine, enum upstream_role to)
 {
   static const struct timeval within = { ORDER_WITHIN_MS / 1000, 0 };
-  const struct upstream_info *info
-      = upstreams_info (l->parts.upstreams, c->upstream);
-  if (info == NULL)
-    return;
+  struct order *o = g_new0 (struct order, 1);
+  o->link = l;
+  o->engine = g_strdup (engine);
+  o->to = to;
+  o->timer = evtimer_new (l->parts.base, on_order_timeout, o);
+  evtimer_add (o->timer, &within);
+  g_hash_table_add (l->orders, o);
+  return o;
+}
+
+static void
+log_order (const struct stage_link *l, const struct order *o)
+{
+  const struct stage_inputs *in = &l->inputs;
+  log_event (LOG_INFO, "order", "engine", o->engine, "role", role_name (o->to),
+             "fencing", log_num ((long long)authority_fencing (l->authority)),
+             "engines", log_num (in->engines), "readers",
+             log_num (in->readers), "wanted", log_num (in->wanted_readers),
+             "reading_pct", log_num ((long long)(in->reading * 100)),
+             "generating_pct", log_num ((long long)(in->generating * 100)),
+             NULL);
+}
+
+/* Hands the order O to its engine INFO; NULL where it cannot be sent.  */
+static struct pool_call *
+write_order (struct stage_link *l, struct order *o,
+             const struct upstream_info *info)
+{
   g_autofree char *text = NULL;
   struct http_head *head = l->parts.platform->write_order (
-      info, c->to, l->parts.vm, authority_fencing (l->authority), &text);
+      info, o->to, l->parts.vm, authority_fencing (l->authority), &text);
   g_autofree char *length = g_strdup_printf ("%zu", strlen (text));
   http_head_add (head, "Content-Length", length);
   struct evbuffer *body = evbuffer_new ();
   evbuffer_add (body, text, strlen (text));
-  struct order *o = g_new0 (struct order, 1);
-  o->link = l;
-  o->engine = g_strdup (info->id);
-  o->to = c->to;
-  o->timer = evtimer_new (l->parts.base, on_order_timeout, o);
-  evtimer_add (o->timer, &within);
-  g_hash_table_add (l->orders, o);
   struct pool_request r = { .upstream = info->id,
                             .address = info->address,
                             .connections = G_MAXUINT16,
                             .head = head,
                             .body = body,
                             .fresh = true };
-  log_event (LOG_INFO, "order", "engine", info->id, "role", role_name (c->to),
-             "fencing", log_num ((long long)authority_fencing (l->authority)),
-             "engines", log_num (l->inputs.engines), "readers",
-             log_num (l->inputs.readers), "wanted",
-             log_num (l->inputs.wanted_readers), "reading_pct",
-             log_num ((long long)(l->inputs.reading * 100)), "generating_pct",
-             log_num ((long long)(l->inputs.generating * 100)), NULL);
+  struct pool_call *call = pool_send (l->parts.pool, &r, &order_events, o);
+  evbuffer_free (body);
+  http_head_destroy (head);
+  return call;
+}
+
+static void
+send_order (struct stage_link *l, const struct stage_change *c)
+{
+  const struct upstream_info *info
+      = upstreams_info (l->parts.upstreams, c->upstream);
+  if (info == NULL)
+    return;
+  struct order *o = order_create (l, info->id, c->to);
+  log_order (l, o);
   metrics_add (METRIC_role_changes_total, 1);
   metrics_add (METRIC_orders_sent_total, 1);
   stages_ordered (l->parts.stages, info->id, clock_ms ());
-  o->call = pool_send (l->parts.pool, &r, &order_events, o);
-  evbuffer_free (body);
-  http_head_destroy (head);
+  o->call = write_order (l, o, info);
   if (o->call == NULL)
     order_end (o, "not_sent");
 }
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -419,22 +419,24 @@
   return text;
 }
 
-char *
-site_log (const struct site *s, unsigned i)
+static char *
+read_log (const struct site *s, const char *kind, unsigned i)
 {
-  g_autofree char *path = g_strdup_printf ("%s/vm%u.log", s->dir, i);
+  g_autofree char *path = g_strdup_printf ("%s/%s%u.log", s->dir, kind, i);
   char *text = NULL;
   if (!g_file_get_contents (path, &text, NULL, NULL))
     text = g_strdup ("");
   return text;
 }
 
+char *
+site_log (const struct site *s, unsigned i)
+{
+  return read_log (s, "vm", i);
+}
+
 char *
 site_upstream_log (const struct site *s, unsigned i)
 {
-  g_autofree char *path = g_strdup_printf ("%s/u%u.log", s->dir, i);
-  char *text = NULL;
-  if (!g_file_get_contents (path, &text, NULL, NULL))
-    text = g_strdup ("");
-  return text;
+  return read_log (s, "u", i);
 }
--- a/tests/process/soak.c
+++ b/tests/process/soak.c
@@ -4,6 +4,7 @@
 #include "process/common.h"
 
 #include "harness/relay.h"
+#include "harness/soak.h"
 
 #include <signal.h>
 #include <stdio.h>
@@ -44,24 +45,6 @@
   unsigned number;
 };
 
-static void G_GNUC_PRINTF (2, 3)
-    violation (struct soak *s, const char *format, ...)
-{
-  va_list ap;
-  va_start (ap, format);
-  g_autofree char *text = g_strdup_vprintf (format, ap);
-  va_end (ap);
-  g_atomic_int_inc (&s->violations);
-  printf ("violation: %s\n", text);
-  (void)fflush (stdout);
-}
-
-static unsigned
-pick (GRand *rand, unsigned n)
-{
-  return (unsigned)g_rand_int_range (rand, 0, (gint32)n);
-}
-
 /* Bookings.  */
 
 static struct key_state *
@@ -80,12 +63,12 @@
 run_booking (struct caller *c)
 {
   struct soak *s = c->soak;
-  g_autofree char *key
-      = g_strdup_printf ("soak-%u-%u", c->number, pick (c->rand, 1000000));
-  unsigned repeats = 1 + pick (c->rand, 3);
+  g_autofree char *key = g_strdup_printf ("soak-%u-%u", c->number,
+                                          soak_pick (c->rand, 1000000));
+  unsigned repeats = 1 + soak_pick (c->rand, 3);
   for (unsigned i = 0; i < repeats; i++)
     {
-      int status = book (s->fleet, pick (c->rand, VMS), key, NULL);
+      int status = book (s->fleet, soak_pick (c->rand, VMS), key, NULL);
       g_mutex_lock (&s->lock);
       struct key_state *k = key_state_of (s, key);
       k->whole += status == 201;
@@ -119,7 +102,7 @@
       g_autofree char *header
           = g_strdup_printf ("Last-Event-ID: %s\r\n", t->last_id);
       struct web *w
-          = web_open (c->soak->fleet->http_addresses[pick (c->rand, VMS)],
+          = web_open (c->soak->fleet->http_addresses[soak_pick (c->rand, VMS)],
                       "GET", path, FLEET_CALLER_KEY, header, NULL);
       size_t at = 0;
       web_finish (w, 4000);
@@ -137,11 +120,11 @@
 run_stream (struct caller *c)
 {
   struct soak *s = c->soak;
-  g_autofree char *prompt
-      = g_strdup_printf ("caller %u asks %u", c->number, pick (c->rand, 9999));
+  g_autofree char *prompt = g_strdup_printf ("caller %u asks %u", c->number,
+                                             soak_pick (c->rand, 9999));
   g_autofree char *body = fleet_chat_body (prompt, TOKENS, true);
   struct web *w
-      = web_open (s->fleet->http_addresses[pick (c->rand, VMS)], "POST",
+      = web_open (s->fleet->http_addresses[soak_pick (c->rand, VMS)], "POST",
                   "/v1/chat/completions", FLEET_CALLER_KEY, NULL, body);
   struct stream_text *t = stream_text_create ();
   size_t at = 0;
@@ -158,13 +141,14 @@
       g_atomic_int_inc (&s->whole);
       if (t->events != TOKENS + 1
           || !engines_gave (s->fleet, t->last_id, t->text->str))
-        violation (s, "a stream told as whole is not what an engine gave");
+        soak_violation (&s->violations,
+                        "a stream told as whole is not what an engine gave");
     }
   else if (t->events > 0)
-    violation (s,
-               "a stream was cut after %u events (last status %d, error "
-               "%d, id %s)",
-               t->events, status, t->error, t->last_id);
+    soak_violation (&s->violations,
+                    "a stream was cut after %u events (last status %d, error "
+                    "%d, id %s)",
+                    t->events, status, t->error, t->last_id);
   else if (status == 503)
     g_atomic_int_inc (&s->not_run);
   else
@@ -178,7 +162,7 @@
   struct caller *c = arg;
   while (!g_atomic_int_get (&c->soak->stop))
     {
-      if (pick (c->rand, 3) == 0)
+      if (soak_pick (c->rand, 3) == 0)
         run_stream (c);
       else
         run_booking (c);
@@ -192,25 +176,26 @@
 fault_vm (struct soak *s, GRand *rand)
 {
   struct fleet *f = s->fleet;
-  unsigned vm = pick (rand, VMS);
-  unsigned kind = pick (rand, 3);
+  unsigned vm = soak_pick (rand, VMS);
+  unsigned kind = soak_pick (rand, 3);
   if (kind == 0)
     {
       proc_kill (f->vms[vm]);
-      g_usleep (500000 + pick (rand, 2500000));
+      g_usleep (500000 + soak_pick (rand, 2500000));
       fleet_start_vm (f, vm);
     }
   else if (kind == 1)
     {
       proc_signal (f->vms[vm], SIGSTOP);
-      g_usleep (500000 + pick (rand, 4000000));
+      g_usleep (500000 + soak_pick (rand, 4000000));
       proc_signal (f->vms[vm], SIGCONT);
     }
   else
     {
       proc_signal (f->vms[vm], SIGTERM);
       if (!proc_wait (f->vms[vm], 20000))
-        violation (s, "vm%u did not end after SIGTERM", vm + 1);
+        soak_violation (&s->violations, "vm%u did not end after SIGTERM",
+                        vm + 1);
       fleet_start_vm (f, vm);
     }
 }
@@ -222,8 +207,8 @@
       = { "refuse=1", "drop_writes=3",      "late_ms=300",
           "silent=1", "reply_delay_ms=400", "watch_silent=1" };
   fleet_fault (s->fleet->kv_address,
-               faults[pick (rand, G_N_ELEMENTS (faults))]);
-  g_usleep (500000 + pick (rand, 2500000));
+               faults[soak_pick (rand, G_N_ELEMENTS (faults))]);
+  g_usleep (500000 + soak_pick (rand, 2500000));
   fleet_fault (s->fleet->kv_address,
                "refuse=0&drop_writes=0&late_ms=0&silent=0&reply_delay_ms=0&"
                "watch_silent=0");
@@ -232,8 +217,8 @@
 static void
 fault_upstream (struct soak *s, GRand *rand)
 {
-  unsigned engine = pick (rand, ENGINES);
-  switch (pick (rand, 4))
+  unsigned engine = soak_pick (rand, ENGINES);
+  switch (soak_pick (rand, 4))
     {
     case 0:
       fleet_fault (s->fleet->service_address, "drop_replies=2");
@@ -256,14 +241,14 @@
 {
   struct fleet *f = s->fleet;
   g_autofree char *extra
-      = g_strdup_printf ("role_change_cost: %u\n", pick (rand, 1000));
+      = g_strdup_printf ("role_change_cost: %u\n", soak_pick (rand, 1000));
   g_autofree char *text = fleet_file (f, extra);
   g_autoptr (GString) file = g_string_new (text);
-  if (pick (rand, 2))
+  if (soak_pick (rand, 2))
     g_string_replace (file, "versions: [\"1\", \"2\"]",
                       "versions: [\"2\", \"1\"]", 0);
   g_autofree char *path = fleet_write (f, "soak.yaml", file->str);
-  int code = fleet_ctl (f, pick (rand, VMS), NULL, "apply", path, NULL);
+  int code = fleet_ctl (f, soak_pick (rand, VMS), NULL, "apply", path, NULL);
   if (code == 0)
     {
       /* Accepted: every VM that runs and is ready has it.  */
@@ -274,8 +259,10 @@
         {
           unsigned revision = revision_of (f, vm);
           if (revision != 0 && revision < first)
-            violation (s, "vm%u has revision %u of %u after an accepted apply",
-                       vm + 1, revision, first);
+            soak_violation (
+                &s->violations,
+                "vm%u has revision %u of %u after an accepted apply", vm + 1,
+                revision, first);
         }
     }
 }
@@ -287,7 +274,7 @@
   gint64 until = g_get_monotonic_time () + (gint64)seconds * G_USEC_PER_SEC;
   while (g_get_monotonic_time () < until)
     {
-      switch (pick (rand, 4))
+      switch (soak_pick (rand, 4))
         {
         case 0:
           fault_vm (s, rand);
@@ -301,7 +288,7 @@
         default:
           change_file (s, rand);
         }
-      g_usleep (pick (rand, 800000));
+      g_usleep (soak_pick (rand, 800000));
     }
   g_rand_free (rand);
 }
@@ -321,11 +308,14 @@
       const struct key_state *k = value;
       json_int_t n = json_integer_value (json_object_get (runs, key));
       if (n > 1)
-        violation (s, "%s ran %d times", (char *)key, (int)n);
+        soak_violation (&s->violations, "%s ran %d times", (char *)key,
+                        (int)n);
       if (k->whole > 0 && n != 1)
-        violation (s, "%s was told as run, and did not", (char *)key);
+        soak_violation (&s->violations, "%s was told as run, and did not",
+                        (char *)key);
       if (k->whole == 0 && k->other == 0 && n != 0)
-        violation (s, "%s was told as not run, and ran", (char *)key);
+        soak_violation (&s->violations, "%s was told as not run, and ran",
+                        (char *)key);
     }
   json_decref (seen);
 }
@@ -340,8 +330,9 @@
       json_int_t conflicts
           = json_integer_value (json_object_get (seen, "conflicts"));
       if (cut > 0 || conflicts > 0)
-        violation (s, "engine%u: %d streams cut by orders, %d conflicts",
-                   i + 1, (int)cut, (int)conflicts);
+        soak_violation (&s->violations,
+                        "engine%u: %d streams cut by orders, %d conflicts",
+                        i + 1, (int)cut, (int)conflicts);
       json_decref (seen);
     }
 }
--- a/tests/process/soak_site.c
+++ b/tests/process/soak_site.c
@@ -8,6 +8,7 @@
     routes change; instances leave and come back.  */
 #include "harness/relay.h"
 #include "harness/site.h"
+#include "harness/soak.h"
 #include "process/common.h"
 
 #include <signal.h>
@@ -94,28 +95,10 @@
   unsigned sent;
 };
 
-static void G_GNUC_PRINTF (2, 3)
-    violation (struct soak *s, const char *format, ...)
-{
-  va_list ap;
-  va_start (ap, format);
-  g_autofree char *text = g_strdup_vprintf (format, ap);
-  va_end (ap);
-  g_atomic_int_inc (&s->violations);
-  printf ("violation: %s\n", text);
-  (void)fflush (stdout);
-}
-
-static unsigned
-pick (GRand *rand, unsigned n)
-{
-  return (unsigned)g_rand_int_range (rand, 0, (gint32)n);
-}
-
 static void
 sleep_ms (GRand *rand, unsigned least, unsigned most)
 {
-  g_usleep ((least + pick (rand, most - least)) * (gulong)MS_US);
+  g_usleep ((least + soak_pick (rand, most - least)) * (gulong)MS_US);
 }
 
 /* What is calm.  */
@@ -180,9 +163,9 @@
 static char *
 pick_path (GRand *rand, struct record *r)
 {
-  unsigned kind = pick (rand, 8);
-  bool odd = pick (rand, 3) == 0;
-  unsigned at = pick (rand, SERVICES);
+  unsigned kind = soak_pick (rand, 8);
+  bool odd = soak_pick (rand, 3) == 0;
+  unsigned at = soak_pick (rand, SERVICES);
   r->plain = !odd;
   if (kind == 0)
     return odd ? g_strdup_printf ("/stream/stream-cut@u%u", at)
@@ -200,10 +183,10 @@
   if (odd)
     return g_strdup_printf (
         "/%s/%s@u%u", prefix,
-        odd_directives[pick (rand, G_N_ELEMENTS (odd_directives))], at);
+        odd_directives[soak_pick (rand, G_N_ELEMENTS (odd_directives))], at);
   return g_strdup_printf (
       "/%s/%s", prefix,
-      plain_directives[pick (rand, G_N_ELEMENTS (plain_directives))]);
+      plain_directives[soak_pick (rand, G_N_ELEMENTS (plain_directives))]);
 }
 
 /* Body of a whole answer to PATH.  */
@@ -240,16 +223,20 @@
   g_autofree char *seal = web_header (w, "X-Response-Seal");
   g_autofree char *answered = web_header (w, "X-Request-Id");
   if (w->status == 200 && w->whole && strcmp (w->body->str, expected) != 0)
-    violation (s, "%s %s: wrong answer: %s", id, path, w->body->str);
+    soak_violation (&s->violations, "%s %s: wrong answer: %s", id, path,
+                    w->body->str);
   if (w->status == 200 && w->whole
       && (seal == NULL || g_strcmp0 (answered, id) != 0))
-    violation (s, "%s %s: success of another request, or of no instance: %s",
-               id, path, w->head->str);
+    soak_violation (&s->violations,
+                    "%s %s: success of another request, or of no instance: %s",
+                    id, path, w->head->str);
   if (w->status == 404 || w->status == 400)
-    violation (s, "%s %s: status %d for a route that all versions have", id,
-               path, w->status);
+    soak_violation (&s->violations,
+                    "%s %s: status %d for a route that all versions have", id,
+                    path, w->status);
   if (is_refusal (w->status) && seal)
-    violation (s, "%s %s: a refusal bears an instance's mark", id, path);
+    soak_violation (&s->violations,
+                    "%s %s: a refusal bears an instance's mark", id, path);
 }
 
 static void
@@ -274,8 +261,8 @@
       = g_str_has_prefix (path, "/model/")
             ? g_strdup_printf ("X-Token-Counts: %u,2\r\n"
                                "X-Prompt-Prefix: a%u:1000,%s:%u\r\n",
-                               2000 + pick (rand, 2000), pick (rand, 5), "ff",
-                               1000)
+                               2000 + soak_pick (rand, 2000),
+                               soak_pick (rand, 5), "ff", 1000)
             : g_strdup ("");
   return g_strdup_printf ("Host: " SITE_HOST "\r\nX-Request-Id: %s\r\n"
                           "X-Deadline-Ms: %u\r\n%s",
@@ -320,13 +307,13 @@
   unsigned vm = 0;
   while (!g_atomic_int_get (&c->soak->stop))
     {
-      if (w && pick (c->rand, 8) == 0)
+      if (w && soak_pick (c->rand, 8) == 0)
         {
           web_close (w);
           w = NULL;
         }
       if (w == NULL)
-        vm = pick (c->rand, VMS);
+        vm = soak_pick (c->rand, VMS);
       w = run_request (c, w, vm);
       sleep_ms (c->rand, 1, 20);
     }
@@ -340,8 +327,8 @@
 note_own_end (struct soak *s, unsigned vm)
 {
   if (s->site->vms[vm]->pid > 0 && proc_wait (s->site->vms[vm], 0))
-    violation (s, "vm%u ended by itself, status %d", vm,
-               s->site->vms[vm]->status);
+    soak_violation (&s->violations, "vm%u ended by itself, status %d", vm,
+                    s->site->vms[vm]->status);
 }
 
 /* Planned: nothing that it has read may be lost.  */
@@ -351,7 +338,7 @@
   struct proc *p = s->site->vms[vm];
   proc_signal (p, SIGTERM);
   if (!proc_wait (p, (s->site->leave_s + 5) * 1000))
-    violation (s, "vm%u did not end after SIGTERM", vm);
+    soak_violation (&s->violations, "vm%u did not end after SIGTERM", vm);
   site_start_vm (s->site, vm);
   sleep_ms (rand, 500, 1500);
 }
@@ -361,7 +348,7 @@
 {
   struct proc *p = s->site->vms[vm];
   note_own_end (s, vm);
-  switch (pick (rand, 4))
+  switch (soak_pick (rand, 4))
     {
     case 0:
       harm (s, &s->vms[vm]);
@@ -417,7 +404,7 @@
 leave (struct soak *s, GRand *rand, unsigned i)
 {
   gint64 before_us = g_get_monotonic_time ();
-  site_write_upstream (s->site, i, pick (rand, 2) ? "draining" : NULL);
+  site_write_upstream (s->site, i, soak_pick (rand, 2) ? "draining" : NULL);
   struct leaving l = { i, g_get_monotonic_time () + APPLY_US, 0 };
   sleep_ms (rand, 3000, 4500);
   l.to_us = g_get_monotonic_time ();
@@ -437,12 +424,12 @@
 fault_relay (struct soak *s, GRand *rand, struct relay *r,
              struct subject *subject)
 {
-  unsigned ways = 1 + pick (rand, 3);
+  unsigned ways = 1 + soak_pick (rand, 3);
   harm (s, subject);
-  switch (pick (rand, 4))
+  switch (soak_pick (rand, 4))
     {
     case 0:
-      relay_cut (r, pick (rand, 2));
+      relay_cut (r, soak_pick (rand, 2));
       sleep_ms (rand, 10, 1500);
       relay_cut (r, FALSE);
       break;
@@ -450,7 +437,7 @@
       relay_forget (r);
       break;
     case 2:
-      relay_delay (r, 20 + pick (rand, 300));
+      relay_delay (r, 20 + soak_pick (rand, 300));
       sleep_ms (rand, 300, 2500);
       relay_delay (r, 0);
       break;
@@ -466,7 +453,7 @@
 fault_upstream (struct soak *s, GRand *rand, unsigned i)
 {
   struct proc *p = s->site->upstreams[i];
-  switch (pick (rand, 4))
+  switch (soak_pick (rand, 4))
     {
     case 0:
       harm (s, &s->upstreams[i]);
@@ -496,10 +483,11 @@
   static const char *const faults[]
       = { "refuse=1", "silent=1", "reply_delay_ms=300", "drop_replies=5" };
   harm (s, &s->store);
-  if (pick (rand, 4) == 0)
+  if (soak_pick (rand, 4) == 0)
     site_store_forget (s->site);
   else
-    site_store_faults (s->site, faults[pick (rand, G_N_ELEMENTS (faults))]);
+    site_store_faults (s->site,
+                       faults[soak_pick (rand, G_N_ELEMENTS (faults))]);
   sleep_ms (rand, 200, 4000);
   site_store_faults (s->site,
                      "refuse=0&silent=0&reply_delay_ms=0&drop_replies=0");
@@ -540,8 +528,9 @@
           int old = ask_version (s, vm, s->version - 1);
           if (store_is_calm (s, vm, before_us)
               && (now == 404 || (s->version > 2 && old != 404 && old != 503)))
-            violation (s, "vm%u: version %u is not in force: %d, and %d", vm,
-                       s->version, now, old);
+            soak_violation (&s->violations,
+                            "vm%u: version %u is not in force: %d, and %d", vm,
+                            s->version, now, old);
         }
       g_mutex_unlock (&s->vm_locks[vm]);
     }
@@ -550,12 +539,12 @@
 static void
 try_vm (struct soak *s, GRand *rand, bool planned)
 {
-  unsigned vm = pick (rand, VMS);
+  unsigned vm = soak_pick (rand, VMS);
   if (!g_mutex_trylock (&s->vm_locks[vm]))
     return;
   if (!planned)
     fault_vm (s, rand, vm);
-  else if (pick (rand, 2))
+  else if (soak_pick (rand, 2))
     stop_vm (s, rand, vm);
   else
     proc_signal (s->site->vms[vm], SIGHUP);
@@ -565,7 +554,7 @@
 static void
 try_upstream (struct soak *s, GRand *rand, bool planned)
 {
-  unsigned i = pick (rand, UPSTREAMS);
+  unsigned i = soak_pick (rand, UPSTREAMS);
   if (!g_mutex_trylock (&s->upstream_locks[i]))
     return;
   if (planned)
@@ -587,7 +576,7 @@
 static void
 inject_planned (struct soak *s, GRand *rand)
 {
-  unsigned kind = pick (rand, 4);
+  unsigned kind = soak_pick (rand, 4);
   if (kind == 0)
     try_vm (s, rand, true);
   else if (kind < 3)
@@ -599,8 +588,8 @@
 static void
 inject_fault (struct soak *s, GRand *rand)
 {
-  unsigned vm = pick (rand, VMS);
-  switch (pick (rand, 13))
+  unsigned vm = soak_pick (rand, VMS);
+  switch (soak_pick (rand, 13))
     {
     case 0:
     case 1:
@@ -622,7 +611,7 @@
       fault_relay (s, rand, s->to_vm[vm], &s->vms[vm]);
       break;
     case 9:
-      if (pick (rand, 4) == 0)
+      if (soak_pick (rand, 4) == 0)
         fault_all_vms (s, rand);
       break;
     default:
@@ -659,7 +648,8 @@
   char id[64];
   gint64 at_us = 0;
   if (sscanf (line, "mixed=%63s", id) == 1)
-    violation (s, "%s went on from what was read for another", id);
+    soak_violation (&s->violations,
+                    "%s went on from what was read for another", id);
   if (sscanf (line, "run=%63s at_us=%" G_GINT64_FORMAT, id, &at_us) != 2)
     return;
   gpointer n = g_hash_table_lookup (runs, id);
@@ -670,8 +660,9 @@
       const struct leaving *l
           = &g_array_index (s->leavings, struct leaving, i);
       if (l->upstream == upstream && at_us > l->from_us && at_us < l->to_us)
-        violation (s, "u%u got %s %d ms after it must get no more", upstream,
-                   id, (int)((at_us - l->from_us) / MS_US));
+        soak_violation (&s->violations,
+                        "u%u got %s %d ms after it must get no more", upstream,
+                        id, (int)((at_us - l->from_us) / MS_US));
     }
 }
 
@@ -680,15 +671,17 @@
               unsigned runs)
 {
   if (r->once && runs > 1)
-    violation (s, "%s ran %u times", id, runs);
+    soak_violation (&s->violations, "%s ran %u times", id, runs);
   if (is_refusal (r->status) && runs > 0)
-    violation (s, "%s was told as not run (%d), and ran", id, r->status);
+    soak_violation (&s->violations, "%s was told as not run (%d), and ran", id,
+                    r->status);
   if (r->status == 200 && r->whole && runs == 0)
-    violation (s, "%s was answered, and did not run", id);
+    soak_violation (&s->violations, "%s was answered, and did not run", id);
   if (r->calm && r->plain && !r->whole && runs > 0)
-    violation (s,
-               "%s was sent on and got no whole answer (status %d), in calm",
-               id, r->status);
+    soak_violation (
+        &s->violations,
+        "%s was sent on and got no whole answer (status %d), in calm", id,
+        r->status);
 }
 
 static void
@@ -709,7 +702,8 @@
   g_hash_table_iter_init (&it, runs);
   while (g_hash_table_iter_next (&it, &id, &value))
     if (!g_hash_table_contains (s->records, id))
-      violation (s, "%s ran, and nobody sent it", (char *)id);
+      soak_violation (&s->violations, "%s ran, and nobody sent it",
+                      (char *)id);
   g_hash_table_iter_init (&it, s->records);
   while (g_hash_table_iter_next (&it, &id, &value))
     check_record (s, id, value,
@@ -728,7 +722,7 @@
         {
           const char *at = strstr (log, bad[i]);
           if (at)
-            violation (s, "vm%u: %.300s", vm, at);
+            soak_violation (&s->violations, "vm%u: %.300s", vm, at);
         }
       note_own_end (s, vm);
     }
@@ -752,8 +746,9 @@
   while (!all_ready (s) && g_get_monotonic_time () < until)
     g_usleep (50 * MS_US);
   if (!all_ready (s))
-    violation (s, "the VMs do not all know each other after %u ms",
-               RECOVER_MS);
+    soak_violation (&s->violations,
+                    "the VMs do not all know each other after %u ms",
+                    RECOVER_MS);
   for (unsigned vm = 0; vm < VMS; vm++)
     for (unsigned i = 0; i < CHECKS_AFTER; i++)
       {
@@ -763,7 +758,9 @@
         struct record r
             = { .once = true, .whole = w->whole, .status = w->status };
         if (w->status != 200)
-          violation (s, "vm%u: status %d after the last fault", vm, w->status);
+          soak_violation (&s->violations,
+                          "vm%u: status %d after the last fault", vm,
+                          w->status);
         keep_record (s, id, &r);
         web_close (w);
       }
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -3,6 +3,7 @@
     questions, with what is malformed in them.  */
 #include "platform/adapter.h"
 
+#include <jansson.h>
 #include <string.h>
 
 static const char config[]
@@ -206,6 +207,31 @@
   g_assert_null (platform_adapter.take_reading ("10.0.0.9:8080", "{}", 2));
 }
 
+/* An order names its engine, so that no other one carries it out.  */
+static void
+test_orders (void)
+{
+  struct upstream_info info
+      = { .id = (char *)"i-1", .address = (char *)"10.0.0.1:80" };
+  g_autofree char *body = NULL;
+  struct http_head *h = platform_adapter.write_order (
+      &info, UPSTREAM_PREFILL, "vm-a", 5000000000, &body);
+  json_t *root = json_loads (body, 0, NULL);
+  g_assert_cmpstr (h->method, ==, "POST");
+  g_assert_cmpstr (h->target, ==, "/api/order");
+  g_assert_cmpstr (http_head_get (h, "X-Expect-Instance"), ==, "i-1");
+  g_assert_cmpstr (json_string_value (json_object_get (root, "op")), ==,
+                   "stage");
+  g_assert_cmpstr (json_string_value (json_object_get (root, "stage")), ==,
+                   "prefill");
+  g_assert_cmpstr (json_string_value (json_object_get (root, "holder")), ==,
+                   "vm-a");
+  g_assert_cmpint (json_integer_value (json_object_get (root, "fence")), ==,
+                   5000000000);
+  json_decref (root);
+  http_head_destroy (h);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -217,5 +243,6 @@
   g_test_add_func ("/platform/answer-fields", test_answer_fields);
   g_test_add_func ("/platform/questions", test_questions);
   g_test_add_func ("/platform/readings", test_readings);
+  g_test_add_func ("/platform/orders", test_orders);
   return g_test_run ();
 }
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -412,6 +412,59 @@
   upstreams_destroy (v);
 }
 
+/* What an engine's home VM tells replaces what other VMs told, changes as this
+   VM's own load does, and is forgotten.  */
+static void
+test_home_tells (void)
+{
+  struct upstreams *u = make_table ();
+  put (u, "e1", "n1", UPSTREAM_DECODE, false);
+  upstream_handle h = upstreams_find (u, "e1");
+  struct upstream_load heard = { .running = 1, .tokens = 1000 };
+  struct upstream_load told = { .running = 3, .tokens = 9000 };
+  struct prompt p = make_prompt (1, 2, 3);
+  struct upstream_ask ask = { .service = "s", .prompt = &p };
+  upstreams_hear (u, "other", "e1", &heard, 0);
+  upstreams_told (u, h, &told, 100, 50);
+  g_assert_cmpuint (upstreams_all_load (u, h, 60).tokens, ==, 9000);
+  g_assert_cmpfloat (upstreams_speed (u, h), ==, 100);
+  struct upstream_choice c = placing_choose (u, &ask, 60);
+  struct upstream_work work;
+  upstreams_sent (u, &c, &p, 60, &work);
+  g_assert_cmpuint (upstreams_all_load (u, h, 70).tokens, ==, 9000 + c.tokens);
+  g_assert_cmpuint (upstreams_all_load (u, h, 70).running, ==, 4);
+  upstreams_cancelled (u, &work);
+  g_assert_cmpuint (upstreams_all_load (u, h, 80).tokens, ==, 9000);
+  g_assert_cmpuint (upstreams_all_load (u, h, 1000).tokens, ==, 1000);
+  upstreams_destroy (u);
+}
+
+/* A prompt stays at its first choice while that is in time, and goes to
+   another engine, which has to read more, rather than be late.  */
+static void
+test_late_come_last (void)
+{
+  struct upstreams *u = make_table ();
+  struct prompt p = make_prompt (1, 2, 3);
+  struct upstream_ask ask
+      = { .service = "s", .prompt = &p, .whole = true, .limit_ms = 200 };
+  put (u, "e1", "n1", UPSTREAM_DECODE, false);
+  put (u, "e2", "n1", UPSTREAM_DECODE, false);
+  put (u, "e3", "n1", UPSTREAM_DECODE, false);
+  struct upstream_choice home = placing_choose (u, &ask, 0);
+  g_assert_true (home.is_home);
+  struct upstream_load busy = { .running = 1, .tokens = 60000 };
+  upstreams_told (u, home.handle, &busy, 150, 50);
+  struct upstream_choice other = placing_choose (u, &ask, 60);
+  g_assert_cmpuint (other.handle, !=, home.handle);
+  g_assert_cmpfloat (other.expected_ms, <=, 200);
+  /* Where all are late, the first choice is as good as any.  */
+  ask.limit_ms = 1;
+  struct upstream_choice late = placing_choose (u, &ask, 60);
+  g_assert_cmpuint (late.handle, !=, 0);
+  upstreams_destroy (u);
+}
+
 /* Load: questions whose answers take seconds, beside dossiers.  The questions
    fill kept engines, more of them as they get more, and no dossier goes there;
    one engine is always left to dossiers.  */
@@ -528,6 +581,8 @@
   g_test_add_func ("/attempts/truth", test_attempts_tell_the_truth);
   g_test_add_func ("/retry-window/bound", test_retry_budget);
   g_test_add_func ("/prefixes/match", test_prefixes);
+  g_test_add_func ("/upstreams/home-tells", test_home_tells);
+  g_test_add_func ("/upstreams/late-come-last", test_late_come_last);
   g_test_add_func ("/upstreams/near-until-full",
                    test_plain_prefers_near_until_full);
   g_test_add_func ("/upstreams/told-load", test_told_load_counts_and_ages);
