--- a/tests/process/test_routed.c
+++ b/tests/process/test_routed.c
@@ -409,7 +409,7 @@
   g_assert_true (g_spawn_sync (NULL, argv, NULL, G_SPAWN_DEFAULT, NULL, NULL,
                                &out, NULL, &status, NULL));
   g_assert_cmpint (status, ==, 0);
-  g_assert_true (g_str_has_prefix (out, "vm1: ready, routes version 12, "));
+  g_assert_true (g_str_has_prefix (out, "vm1: ready, routes version 13, "));
   g_assert_nonnull (strstr (out, "u0\ts\t127.0.0.1:"));
   g_assert_nonnull (strstr (out, ", 2 VMs, "));
 }
