--- a/src/decide/permits.h
+++ b/src/decide/permits.h
@@ -27,7 +27,8 @@
   enum upstream_work_kind work;
   uint64_t tokens;      /**< that the engine would have to read */
   unsigned slots;       /**< of the engine */
-  double tokens_per_ms; /**< that it is believed to read, until measured */
+  double tokens_per_ms; /**< that it is believed to read, before the first
+                           sample */
   double limit_ms;      /**< longest wait that is worth while */
 };
 
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -165,7 +165,7 @@
   return u->slots->len - 1;
 }
 
-/* Speed that an engine is believed to read at until it was measured.  */
+/* Speed that an engine is believed to read at before its first sample.  */
 static double
 first_speed (enum upstream_role role)
 {
