Entries that vanish together are kept for less

Ruled out: a lost wait (the VM had none), a VM that had just started (others were as late). Change: 1.4 s where only the number of them points to the service; within 2 s of an outage that was seen, as before.

--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -18,6 +18,10 @@
    least, point to the service and not to the upstreams.  */
 #define MANY_MS 1000
 #define MANY_PART 3
+/* Where nothing else points to the service, what they are kept for is less:
+   with the pause in which changes are gathered it must stay below the time in
+   which an instance that leaves must get no more.  */
+#define MANY_KEPT_MS 1400
 
 /* An entry that vanished, and when it counts as gone.  */
 struct missing
@@ -131,7 +135,7 @@
       return;
     }
   struct missing *m = g_new (struct missing, 1);
-  m->due_ms = (many ? now : d->regained_ms) + RETURN_MS;
+  m->due_ms = MAX (many ? now + MANY_KEPT_MS : 0, d->regained_ms + RETURN_MS);
   g_hash_table_replace (d->missing, g_strdup (id), m);
   log_event (LOG_INFO, "upstream_missing", "upstream", id, "why",
              many ? "many_at_once" : "service_was_away", "kept_ms",
