--- a/src/decide/authority.c
+++ b/src/decide/authority.c
@@ -120,7 +120,6 @@
   if (g_strv_length (words) < 2)
     return;
   a->holder = g_strndup (words[0], VM_MAX_BYTES);
-  a->fencing = MAX (a->fencing, g_ascii_strtoull (words[1], NULL, 10));
 }
 
 GBytes *
