Slowness and failures of an instance are forgotten in time; own pauses teach nothing

Cause: what was learned of a plain instance never aged. One that had been slow or had failed was not tried again while another was cheaper, however long ago that was; and where all had been slow, expectations past the objective refused every request, so that nothing more was learned. A VM that was stopped for 3 s took the pause for slowness of the instances.

Ruled out: a lost change (the log shows upstream_known at once); the pool's connections to the address (no attempt was made).

Change: half of a failure share is forgotten in 2 s, for requests that may run once in 8 s, so that repeatable ones try first; a service time tends to that of the quickest of its service in as long, and to the usual one where nothing is answered; a sample after long counts more. upstreams_tick notices a gap of over 400 ms; what was sent before it is no sample, here and for permits.

--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -150,14 +150,12 @@
     return;
   int64_t now = clock_ms ();
   if (e->plain_ms > 0 && e->first_ms == 0)
-    upstreams_took (e->proxy->parts.upstreams, e->plain_ms,
-                    (double)(now - e->since_ms));
+    upstreams_took (e->proxy->parts.upstreams, e->plain_ms, e->since_ms, now);
   e->first_byte = true;
   e->first_ms = now;
-  upstreams_first_byte (e->proxy->parts.upstreams, &e->work, now);
-  permit_link_read (
-      e->proxy->parts.permits, e->permit,
-      upstreams_read_ms (e->proxy->parts.upstreams, &e->work, now));
+  unsigned took_ms
+      = upstreams_first_byte (e->proxy->parts.upstreams, &e->work, now);
+  permit_link_read (e->proxy->parts.permits, e->permit, took_ms);
   metrics_time (METRIC_first_byte_seconds, (now - e->since_ms) * 1000);
 }
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -292,6 +292,7 @@
   (void)what;
   struct gateway *g = arg;
   int64_t now = clock_ms ();
+  upstreams_tick (g->upstreams, now);
   log_readiness (g);
   if (g->leaving_ms != 0 && stop_is_over (g, now))
     event_base_loopbreak (g->base);
--- a/src/daemon/offer.c
+++ b/src/daemon/offer.c
@@ -187,7 +187,8 @@
   struct upstream_ask ask
       = { .service = e->service,
           .prompt = e->facts.has_prompt ? &e->facts.prompt : NULL,
-          .tried = e->tried };
+          .tried = e->tried,
+          .repeatable = e->attempts.repeatable };
   e->answer_facts = (struct answer_facts){ 0 };
   do
     {
--- a/src/daemon/reading.c
+++ b/src/daemon/reading.c
@@ -77,9 +77,8 @@
                    : (e->answer_facts.not_run ? ATTEMPT_NOT_RUN
                       : end == POOL_NOT_SENT  ? ATTEMPT_NOT_SENT
                                               : ATTEMPT_LOST);
-  upstreams_first_byte (parts->upstreams, &e->work, now);
-  permit_link_read (parts->permits, e->permit,
-                    upstreams_read_ms (parts->upstreams, &e->work, now));
+  unsigned took_ms = upstreams_first_byte (parts->upstreams, &e->work, now);
+  permit_link_read (parts->permits, e->permit, took_ms);
   upstreams_ended (parts->upstreams, &e->work, outcome, now);
   exchange_end_permit (e);
   log_event (e->read_by ? LOG_DEBUG : LOG_INFO, "prompt_read", "request",
--- a/src/decide/placing.c
+++ b/src/decide/placing.c
@@ -248,23 +248,53 @@
   return p->tokens > cached ? p->tokens - cached : 0;
 }
 
+/* What a plain request takes at the quickest instance of SERVICE; without
+   answers for long, what it takes anywhere.  */
+static double
+usual_service_ms (const struct upstreams *u, const char *service,
+                  int64_t now_ms)
+{
+  double least = DBL_MAX;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = upstreams_slot (u, i);
+      if (x->used && x->sampled_ms != 0
+          && strcmp (x->info.service, service) == 0)
+        least = MIN (least, upstreams_service_ms (x, SERVICE_MS, now_ms));
+    }
+  return least < DBL_MAX ? least : SERVICE_MS;
+}
+
+/* One search for an instance.  */
+struct search
+{
+  const struct upstreams *u;
+  const struct upstream_ask *ask;
+  double *nearest; /* of each failure domain, find_nearest_decode */
+  double usual_ms; /* of plain requests */
+  int64_t now_ms;
+};
+
 /* Fills what is expected of X, and returns what it is ranked by: the same
    time, and what choosing it costs others or risks.  */
 static double
-expect (const struct upstreams *u, const struct upstream *x, bool is_home,
-        const struct upstream_ask *ask, const double *nearest, int64_t now_ms,
+expect (const struct search *s, const struct upstream *x, bool is_home,
         struct upstream_choice *out)
 {
+  const struct upstreams *u = s->u;
+  const struct upstream_ask *ask = s->ask;
   const struct upstream *reader = upstreams_at (u, ask->reader);
-  struct upstream_load load = upstreams_whole_load (x, now_ms);
+  struct upstream_load load = upstreams_whole_load (x, s->now_ms);
   double ms = x->rtt_ms;
-  double cost = x->failures * FAILURE_COST_MS;
+  double cost
+      = upstreams_failures (x, ask->repeatable, s->now_ms) * FAILURE_COST_MS;
   if (reader)
     {
       out->work = UPSTREAM_WORK_FETCH;
       out->wait_ms = placing_wait_ms (out->work, &load, 0, x->info.slots,
                                       x->tokens_per_ms);
-      ms = transfer_ms (u, reader->domain, x->domain) + decode_ms (x, now_ms);
+      ms = transfer_ms (u, reader->domain, x->domain)
+           + decode_ms (x, s->now_ms);
     }
   else if (ask->prompt)
     {
@@ -275,7 +305,7 @@
       out->wait_ms = placing_wait_ms (out->work, &load, out->tokens,
                                       x->info.slots, x->tokens_per_ms);
       ms += out->wait_ms;
-      ms += out->reads_apart ? nearest[x->domain] : FIRST_TOKEN_MS;
+      ms += out->reads_apart ? s->nearest[x->domain] : FIRST_TOKEN_MS;
       cost += is_home ? 0 : spill_ms (ask->prompt);
       if (has_long_prompt (ask))
         cost += load.generating * DISTURBING_MS;
@@ -285,7 +315,8 @@
   else
     {
       double turns = (double)load.running / (double)MAX (x->info.slots, 1);
-      ms += x->service_ms * (1 + (turns < 1 ? turns / 8 : turns));
+      ms += upstreams_service_ms (x, s->usual_ms, s->now_ms)
+            * (1 + (turns < 1 ? turns / 8 : turns));
     }
   out->plain_ms = ms;
   out->expected_ms = ms * (has_long_prompt (ask) ? u->stretch : 1);
@@ -310,10 +341,14 @@
   unsigned best_off = 0;
   double best_cost = DBL_MAX;
   double next_cost = DBL_MAX;
+  g_autofree double *nearest = g_new0 (double, u->domains->len + 1);
+  struct search s
+      = { .u = u, .ask = ask, .nearest = nearest, .now_ms = now_ms };
   if (ask->prompt)
     mark_kept (u, ask->service, now_ms);
+  else
+    s.usual_ms = usual_service_ms (u, ask->service, now_ms);
   guint home = find_home (u, ask);
-  g_autofree double *nearest = g_new0 (double, u->domains->len + 1);
   if (may_read_apart (ask))
     find_nearest_decode (u, ask->service, now_ms, nearest);
   unsigned candidates = 0;
@@ -324,7 +359,7 @@
         continue;
       struct upstream_choice c
           = { .handle = upstreams_handle_of (u, i), .is_home = i == home };
-      double cost = expect (u, x, c.is_home, ask, nearest, now_ms, &c);
+      double cost = expect (&s, x, c.is_home, &c);
       unsigned off = put_off (x, ask, c.expected_ms, now_ms);
       candidates++;
       if (best.handle
--- a/src/decide/placing.h
+++ b/src/decide/placing.h
@@ -20,6 +20,7 @@
   const struct prompt *prompt;  /**< NULL for plain requests */
   const upstream_handle *tried; /**< instances that are passed over */
   unsigned n_tried;
+  bool repeatable;        /**< it may run more than once */
   bool whole;             /**< only instances that take the whole request */
   upstream_handle reader; /**< engine that has read the prompt, or 0 */
   double limit_ms;        /**< instances that are expected to answer later come
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -1,5 +1,6 @@
 #include "decide/upstreams_table.h"
 
+#include <math.h>
 #include <string.h>
 #include <xxhash.h>
 
@@ -11,10 +12,14 @@
 #define READ_TOKENS_PER_MS_MAX 800.0
 #define READ_SAMPLE_TOKENS 1000
 #define READ_SAMPLE_WEIGHT 0.1
-/* Time of a plain request: to begin with, and how much one answer changes it.
- */
-#define SERVICE_MS 20.0
+/* How much one answer changes the time of a plain request: least, and after
+   long without any.  */
 #define SERVICE_SAMPLE_WEIGHT 0.05
+#define SERVICE_SAMPLE_WEIGHT_MAX 0.8
+/* Half of what an instance's slowness and failures tell is forgotten in as
+   long, so that it is tried again; requests that may run once come later.  */
+#define FORGET_HALF_MS 2000.0
+#define FORGET_ONCE_HALF_MS 8000.0
 /* Load that another VM told is used for as long.  */
 #define HEARD_MS 1500
 /* What the home VM of an instance told is used for as long.  */
@@ -39,6 +44,9 @@
 #define STRETCH_WEIGHT 0.08
 #define STRETCH_BASE_MS 50.0
 #define STRETCH_MAX 4.0
+/* Time is seen to pass far more often; after a longer gap this process has
+   stood still.  */
+#define STOOD_STILL_MS 400
 /* Of a handle; the rest counts the uses of its place.  */
 #define INDEX_BITS 16
 
@@ -81,6 +89,7 @@
   struct upstreams *u = g_new0 (struct upstreams, 1);
   u->place = *place;
   u->stretch = 1;
+  u->woke_ms = INT64_MIN;
   u->slots = g_array_new (FALSE, TRUE, sizeof (struct upstream));
   g_array_set_size (u->slots, 1);
   u->domains = g_ptr_array_new_with_free_func (g_free);
@@ -437,6 +446,47 @@
     x->heard_ms = MAX (x->heard_ms, now_ms - load->quiet_ms);
 }
 
+/* What is forgotten.  */
+
+/* What is left after AGE_MS.  */
+static double
+left_after (int64_t age_ms, double half_ms)
+{
+  return exp2 (-(double)MAX (age_ms, 0) / half_ms);
+}
+
+double
+upstreams_failures (const struct upstream *x, bool repeatable, int64_t now_ms)
+{
+  double half = repeatable ? FORGET_HALF_MS : FORGET_ONCE_HALF_MS;
+  return x->failures > 0
+             ? x->failures * left_after (now_ms - x->judged_ms, half)
+             : 0;
+}
+
+double
+upstreams_service_ms (const struct upstream *x, double usual_ms,
+                      int64_t now_ms)
+{
+  if (x->sampled_ms == 0)
+    return usual_ms;
+  double left = left_after (now_ms - x->sampled_ms, FORGET_HALF_MS);
+  return usual_ms + (x->service_ms - usual_ms) * left;
+}
+
+/* A plain request was answered in MS.  */
+static void
+learn_service_ms (struct upstream *x, double ms, int64_t now_ms)
+{
+  double left = x->sampled_ms == 0
+                    ? 0
+                    : left_after (now_ms - x->sampled_ms, FORGET_HALF_MS);
+  double weight = 1 - left * (1 - SERVICE_SAMPLE_WEIGHT);
+  weight = MIN (weight, SERVICE_SAMPLE_WEIGHT_MAX);
+  x->service_ms += (MAX (ms, 1) - x->service_ms) * weight;
+  x->sampled_ms = now_ms;
+}
+
 /* Rest.  */
 
 static int64_t
@@ -496,41 +546,54 @@
   work->reading = false;
 }
 
-unsigned
-upstreams_read_ms (const struct upstreams *u, const struct upstream_work *work,
-                   int64_t now_ms)
+void
+upstreams_tick (struct upstreams *u, int64_t now_ms)
 {
-  const struct upstream *x = upstreams_at (u, work->handle);
-  if (x == NULL)
-    return 0;
-  double ms = (double)(now_ms - work->sent_ms) - x->rtt_ms - FIRST_TOKEN_MS;
-  return (unsigned)MAX (ms, 1);
+  if (now_ms - u->ticked_ms > STOOD_STILL_MS)
+    u->woke_ms = now_ms;
+  u->ticked_ms = now_ms;
 }
 
-void
+static void
+learn_speed (struct upstream *x, const struct upstream_work *work,
+             unsigned took_ms)
+{
+  if (work->ahead < READ_SAMPLE_TOKENS)
+    return;
+  double speed = CLAMP ((double)work->ahead / took_ms, READ_TOKENS_PER_MS_MIN,
+                        READ_TOKENS_PER_MS_MAX);
+  x->tokens_per_ms += (speed - x->tokens_per_ms) * READ_SAMPLE_WEIGHT;
+}
+
+unsigned
 upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
                       int64_t now_ms)
 {
   struct upstream *x = upstreams_at (u, work->handle);
+  upstreams_tick (u, now_ms);
   if (x == NULL || !work->reading)
-    return;
+    return 0;
   stop_reading (x, work);
+  if (work->sent_ms < u->woke_ms)
+    return 0;
+  double whole = (double)(now_ms - work->sent_ms) - x->rtt_ms;
+  unsigned took_ms = (unsigned)MAX (whole - FIRST_TOKEN_MS, 1);
   if (x->info.role == UPSTREAM_SERVICE)
-    {
-      double took = (double)(now_ms - work->sent_ms) - x->rtt_ms;
-      x->service_ms += (MAX (took, 1) - x->service_ms) * SERVICE_SAMPLE_WEIGHT;
-    }
-  if (work->ahead < READ_SAMPLE_TOKENS)
-    return;
-  double speed = (double)work->ahead / upstreams_read_ms (u, work, now_ms);
-  speed = CLAMP (speed, READ_TOKENS_PER_MS_MIN, READ_TOKENS_PER_MS_MAX);
-  x->tokens_per_ms += (speed - x->tokens_per_ms) * READ_SAMPLE_WEIGHT;
+    learn_service_ms (x, whole, now_ms);
+  else
+    learn_speed (x, work, took_ms);
+  return took_ms;
 }
 
 void
-upstreams_took (struct upstreams *u, double expected_ms, double took_ms)
+upstreams_took (struct upstreams *u, double expected_ms, int64_t since_ms,
+                int64_t now_ms)
 {
-  double ratio = (took_ms + STRETCH_BASE_MS) / (expected_ms + STRETCH_BASE_MS);
+  upstreams_tick (u, now_ms);
+  if (since_ms < u->woke_ms)
+    return;
+  double took = (double)(now_ms - since_ms);
+  double ratio = (took + STRETCH_BASE_MS) / (expected_ms + STRETCH_BASE_MS);
   u->stretch += (ratio - u->stretch) * STRETCH_WEIGHT;
   u->stretch = CLAMP (u->stretch, 1, STRETCH_MAX);
 }
@@ -588,7 +651,9 @@
       return;
     }
   bool failed = outcome != ATTEMPT_ANSWERED;
-  x->failures += ((failed ? 1.0 : 0.0) - x->failures) * FAILURE_WEIGHT;
+  double before = upstreams_failures (x, true, now_ms);
+  x->failures = before + ((failed ? 1.0 : 0.0) - before) * FAILURE_WEIGHT;
+  x->judged_ms = now_ms;
   if (failed)
     x->failed_ms = now_ms;
 }
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -131,16 +131,18 @@
 void upstreams_sent (struct upstreams *u, const struct upstream_choice *choice,
                      const struct prompt *prompt, int64_t now_ms,
                      struct upstream_work *work);
-/** The first byte of the answer's body came.  */
-void upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
-                           int64_t now_ms);
-/** Time that the engine itself took until the first byte of WORK, of which no
-    end is known yet; 0 where it is gone.  */
-unsigned upstreams_read_ms (const struct upstreams *u,
-                            const struct upstream_work *work, int64_t now_ms);
-/** A long prompt that was expected to be answered in EXPECTED_MS was answered
-    in TOOK_MS; later expectations are stretched by it.  */
-void upstreams_took (struct upstreams *u, double expected_ms, double took_ms);
+/** Time passes: to be called often, so that a gap shows that this process
+   stood still.  What was under way then tells nothing of how long answers
+   take.  */
+void upstreams_tick (struct upstreams *u, int64_t now_ms);
+/** The first byte of the answer's body came.  Returns the time that the
+    instance itself took until then; 0 where that is not known.  */
+unsigned upstreams_first_byte (struct upstreams *u, struct upstream_work *work,
+                               int64_t now_ms);
+/** A long prompt that came at SINCE_MS and was expected to be answered in
+    EXPECTED_MS was answered; later expectations are stretched by it.  */
+void upstreams_took (struct upstreams *u, double expected_ms, int64_t since_ms,
+                     int64_t now_ms);
 /** Bytes of an answer came from H.  */
 void upstreams_heard (struct upstreams *u, upstream_handle h, int64_t now_ms);
 /** Whether H has sent nothing for so long, to none of the requests that it was
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -15,6 +15,8 @@
 #define READ_APART_MIN_TOKENS 1500
 /* An engine's own time for a token of the answer's start.  */
 #define FIRST_TOKEN_MS 8.0
+/* Time of a plain request where nothing is known of its service.  */
+#define SERVICE_MS 20.0
 
 /** Load that another VM told.  */
 struct heard
@@ -41,7 +43,9 @@
   struct prefixes *prefixes;
   double tokens_per_ms;
   double service_ms;
-  double failures; /* share of the latest outcomes, 0 to 1 */
+  int64_t sampled_ms; /* when service_ms was last learned; 0 for never */
+  double failures;    /* share of the latest outcomes, 0 to 1 */
+  int64_t judged_ms;  /* when the latest of them came */
   int64_t failed_ms;
   int64_t
       heard_ms; /* when it last sent a byte, or got work after having none */
@@ -57,6 +61,8 @@
   GHashTable *memory; /* service -> tokens */
   GPtrArray *domains; /* failure domains of instances, char * */
   double stretch;     /* times of long prompts, taken to expected, of late */
+  int64_t ticked_ms;  /* when time was last seen to pass */
+  int64_t woke_ms;    /* when this process last went on after a pause */
 };
 
 /** Place number I, used or not; 0 is never used.  */
@@ -75,6 +81,14 @@
 /** Load that all VMs put on X, as far as it is known.  */
 struct upstream_load upstreams_whole_load (const struct upstream *x,
                                            int64_t now_ms);
+/** Share of failures that a request is to expect of X; old ones are forgotten,
+    later for a request that is not REPEATABLE.  */
+double upstreams_failures (const struct upstream *x, bool repeatable,
+                           int64_t now_ms);
+/** Time of a plain request at X; what was learned long ago tends to USUAL_MS.
+ */
+double upstreams_service_ms (const struct upstream *x, double usual_ms,
+                             int64_t now_ms);
 /** Whether X has answered none of its requests for long.  */
 bool upstreams_is_quiet (const struct upstream *x, int64_t now_ms);
 /** Whether X is passed over for now.  */
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -173,6 +173,21 @@
   start_upstream (s, i, (char **)flags->pdata);
 }
 
+unsigned
+site_give_address (struct site *s, unsigned from)
+{
+  unsigned i = s->n_upstreams++;
+  g_assert_cmpuint (i, <, SITE_UPSTREAMS_MAX);
+  g_autofree char *address = g_steal_pointer (&s->upstream_addresses[from]);
+  g_autofree char *port
+      = g_strdup_printf ("--port=%s", strrchr (address, ':') + 1);
+  char *flags[] = { port, NULL };
+  proc_kill (s->upstreams[from]);
+  start_upstream (s, i, flags);
+  s->upstream_given[i] = g_strdup (s->upstream_addresses[i]);
+  return i;
+}
+
 struct site *
 site_create (const char *bin, unsigned vms, unsigned upstreams)
 {
@@ -376,6 +391,8 @@
 static json_t *
 seen (const struct site *s, unsigned i)
 {
+  if (s->upstream_addresses[i] == NULL)
+    return NULL;
   struct web *w
       = web_open (s->upstream_addresses[i], "GET", "/seen", NULL, NULL, NULL);
   web_finish (w, ANSWER_MS);
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -28,10 +28,10 @@
                                     the store itself, else the caller's */
   struct proc *store;
   struct proc *upstreams[SITE_UPSTREAMS_MAX];
-  char *upstream_addresses[SITE_UPSTREAMS_MAX];
-  char *upstream_given[SITE_UPSTREAMS_MAX]; /**< in their entries */
-  unsigned speeds[SITE_UPSTREAMS_MAX];      /**< of engines */
-  const char *stages[SITE_UPSTREAMS_MAX];   /**< of engines; NULL for others */
+  char *upstream_addresses[SITE_UPSTREAMS_MAX]; /**< NULL once given away */
+  char *upstream_given[SITE_UPSTREAMS_MAX];     /**< in their entries */
+  unsigned speeds[SITE_UPSTREAMS_MAX];          /**< of engines */
+  const char *stages[SITE_UPSTREAMS_MAX]; /**< of engines; NULL for others */
   struct proc *vms[SITE_VMS_MAX];
   char *fronts[SITE_VMS_MAX];
   char *readies[SITE_VMS_MAX];
@@ -54,6 +54,10 @@
 /** Starts instance I anew at its address, after its end.  */
 void site_restart_upstream (struct site *s, unsigned i);
 
+/** Kills instance FROM and starts one more instance at its address, for which
+    it writes no entry.  Returns its number.  */
+unsigned site_give_address (struct site *s, unsigned from);
+
 /** Ends all processes and releases S.  */
 void site_destroy (struct site *s);
 
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -300,6 +300,143 @@
   upstreams_destroy (u);
 }
 
+/* Time passes up to NOW.  */
+static void
+pass (struct upstreams *u, int64_t from, int64_t now)
+{
+  for (int64_t t = from; t < now; t += 50)
+    upstreams_tick (u, t);
+  upstreams_tick (u, now);
+}
+
+/* Sends COUNT requests to ID, each answered, or lost, after TOOK_MS; returns
+   the time after them.  */
+static int64_t
+play (struct upstreams *u, const char *id, unsigned count,
+      enum attempt_outcome outcome, int64_t took_ms, int64_t now)
+{
+  for (unsigned i = 0; i < count; i++)
+    {
+      struct upstream_work work;
+      struct upstream_choice c = { .handle = upstreams_find (u, id) };
+      pass (u, now, now + took_ms);
+      upstreams_sent (u, &c, NULL, now, &work);
+      now += took_ms;
+      if (outcome == ATTEMPT_ANSWERED)
+        upstreams_first_byte (u, &work, now);
+      upstreams_ended (u, &work, outcome, now);
+    }
+  return now;
+}
+
+/* Load: one of two instances was slow for a while, the other is busy.  It is
+   passed over at once; tried again within some seconds, by few; and once it is
+   quick it takes the larger part, as one that is new.  */
+static void
+test_slow_is_tried_again (void)
+{
+  struct upstreams *u = make_table ();
+  struct upstream_load busy = { .running = 8 };
+  unsigned while_slow = 0;
+  unsigned when_quick = 0;
+  put (u, "a", "n1", UPSTREAM_SERVICE, false);
+  put (u, "b", "n1", UPSTREAM_SERVICE, false);
+  int64_t now = play (u, "a", 20, ATTEMPT_ANSWERED, 400, 0);
+  now = play (u, "b", 20, ATTEMPT_ANSWERED, 10, now);
+  int64_t quick = now + 20000;
+  for (; now < quick + 20000; now += 100)
+    {
+      upstreams_hear (u, "vm-2", "b", &busy, now);
+      const char *id = chosen (u, NULL, now);
+      bool is_a = strcmp (id, "a") == 0;
+      (now < quick ? &while_slow : &when_quick)[0] += is_a;
+      play (u, id, 1, ATTEMPT_ANSWERED, is_a && now < quick ? 400 : 10, now);
+    }
+  g_test_message ("a of 200: %u while slow, %u when quick", while_slow,
+                  when_quick);
+  g_assert_cmpuint (while_slow, >=, 1);
+  g_assert_cmpuint (while_slow, <=, 4);
+  g_assert_cmpuint (when_quick, >=, 50);
+  put (u, "new", "n1", UPSTREAM_SERVICE, false);
+  upstreams_hear (u, "vm-2", "a", &busy, now);
+  g_assert_cmpstr (chosen (u, NULL, now), ==, "new");
+  upstreams_destroy (u);
+}
+
+/* Load: all instances were too slow for any request's objective, so that
+   requests are refused and nothing more is learned.  What is expected goes
+   back by itself, so that some are sent again.  */
+static void
+test_slow_for_all_is_forgotten (void)
+{
+  struct upstreams *u = make_table ();
+  struct upstream_ask ask = { .service = "s" };
+  put (u, "a", "n1", UPSTREAM_SERVICE, false);
+  put (u, "b", "n1", UPSTREAM_SERVICE, false);
+  int64_t now = 0;
+  for (unsigned i = 0; i < 30; i++)
+    {
+      now = play (u, "a", 1, ATTEMPT_ANSWERED, 1000, now);
+      now = play (u, "b", 1, ATTEMPT_ANSWERED, 1000, now);
+    }
+  g_assert_cmpfloat (placing_choose (u, &ask, now).expected_ms, >, 300);
+  g_assert_cmpfloat (placing_choose (u, &ask, now + 10000).expected_ms, <,
+                     100);
+  upstreams_destroy (u);
+}
+
+/* A VM that stood still with requests under way learns nothing from them.  */
+static void
+test_own_pause_is_no_slowness (void)
+{
+  struct upstreams *u = make_table ();
+  struct upstream_ask ask = { .service = "s" };
+  struct upstream_work work[20];
+  put (u, "a", "n1", UPSTREAM_SERVICE, false);
+  int64_t now = play (u, "a", 20, ATTEMPT_ANSWERED, 10, 0);
+  struct upstream_choice c = placing_choose (u, &ask, now);
+  for (unsigned i = 0; i < 20; i++)
+    upstreams_sent (u, &c, NULL, now, &work[i]);
+  now += 3000;
+  for (unsigned i = 0; i < 20; i++)
+    {
+      g_assert_cmpuint (upstreams_first_byte (u, &work[i], now), ==, 0);
+      upstreams_ended (u, &work[i], ATTEMPT_ANSWERED, now);
+    }
+  g_assert_cmpfloat (placing_choose (u, &ask, now).expected_ms, <, 40);
+  upstreams_destroy (u);
+}
+
+/* Load: an instance that failed all for a while, beside one that is busy.  A
+   request that may be repeated tries it first; those that may run once follow
+   after answers, or much later.  */
+static void
+test_failing_comes_back (void)
+{
+  struct upstreams *u = make_table ();
+  struct upstream_load busy = { .running = 12 };
+  struct upstream_ask once = { .service = "s" };
+  struct upstream_ask again = { .service = "s", .repeatable = true };
+  put (u, "a", "n1", UPSTREAM_SERVICE, false);
+  put (u, "b", "n1", UPSTREAM_SERVICE, false);
+  upstream_handle a = upstreams_find (u, "a");
+  int64_t now = play (u, "a", 12, ATTEMPT_LOST, 10, 0);
+  now += 4000;
+  upstreams_hear (u, "vm-2", "b", &busy, now);
+  g_assert_cmpuint (placing_choose (u, &again, now).handle, !=, a);
+  now += 8000;
+  upstreams_hear (u, "vm-2", "b", &busy, now);
+  g_assert_cmpuint (placing_choose (u, &again, now).handle, ==, a);
+  g_assert_cmpuint (placing_choose (u, &once, now).handle, !=, a);
+  int64_t failed = play (u, "a", 1, ATTEMPT_LOST, 10, now);
+  upstreams_hear (u, "vm-2", "b", &busy, failed);
+  g_assert_cmpuint (placing_choose (u, &again, failed).handle, !=, a);
+  now = play (u, "a", 8, ATTEMPT_ANSWERED, 10, failed + 8000);
+  upstreams_hear (u, "vm-2", "b", &busy, now);
+  g_assert_cmpuint (placing_choose (u, &once, now).handle, ==, a);
+  upstreams_destroy (u);
+}
+
 /* An engine that went dark with requests under way: those that may be repeated
    leave it within their patience, and new ones go elsewhere; one that still
    answers others is only slow.  */
@@ -343,17 +480,18 @@
   struct upstream_ask ask = { .service = "s", .prompt = &p };
   put (u, "e1", "n1", UPSTREAM_DECODE, false);
   double before = placing_choose (u, &ask, 0).expected_ms;
+  pass (u, 0, 100000);
   for (unsigned i = 0; i < 20; i++)
-    upstreams_took (u, 100, 600);
+    upstreams_took (u, 100, 99400, 100000);
   struct upstream_choice c = placing_choose (u, &ask, 0);
   g_assert_cmpfloat (c.expected_ms, >, 3 * before);
   g_assert_cmpfloat (c.plain_ms, <, 1.01 * before);
   for (unsigned i = 0; i < 2000; i++)
-    upstreams_took (u, 100, 100000);
+    upstreams_took (u, 100, 0, 100000);
   /* However late, what is quick without load is still sent.  */
   g_assert_cmpfloat (placing_choose (u, &ask, 0).expected_ms, <=, 4 * before);
   for (unsigned i = 0; i < 60; i++)
-    upstreams_took (u, 100, 60);
+    upstreams_took (u, 100, 99940, 100000);
   g_assert_cmpfloat (placing_choose (u, &ask, 0).expected_ms, <, 1.1 * before);
   upstreams_destroy (u);
 }
@@ -587,6 +725,10 @@
                    test_plain_prefers_near_until_full);
   g_test_add_func ("/upstreams/told-load", test_told_load_counts_and_ages);
   g_test_add_func ("/upstreams/failing", test_failing_is_passed_over);
+  g_test_add_func ("/upstreams/slow-is-tried-again", test_slow_is_tried_again);
+  g_test_add_func ("/upstreams/slow-for-all", test_slow_for_all_is_forgotten);
+  g_test_add_func ("/upstreams/own-pause", test_own_pause_is_no_slowness);
+  g_test_add_func ("/upstreams/failing-comes-back", test_failing_comes_back);
   g_test_add_func ("/upstreams/silent", test_silent_is_left);
   g_test_add_func ("/upstreams/expectations", test_expectations_follow);
   g_test_add_func ("/upstreams/cached", test_sent_prompts_count_as_cached);
