Routes in the product's own file, served at each VM's front address

Change: the file has routes (host, prefix, kind, resume, attempts, priority, deadline, timeout) and, for services, connections and slots; prefixes are checked whole and once a host, with line and key. daemon/route_server serves them by the same proxy; daemon/file_routes puts the file into the proxy's types; links/own_requests holds the product's own fields, and struct request_ops is split from struct platform_ops, so that a proxy needs no platform. The stand-in of an upstream speaks both sets of fields.

Before: no such route; a service had to name its calls.

Replicas of the file are plain services only; engines keep the product's model interface.

--- a/src/base/file.c
+++ b/src/base/file.c
@@ -390,6 +390,30 @@
     }
 }
 
+/* A route's prefix is made of whole parts of a path, and stands once for each
+   host.  */
+static void
+check_routes (struct reader *r, const yaml_node_t *root)
+{
+  const GArray *routes = r->root->routes;
+  const yaml_node_t *list = child (r, root, "routes");
+  g_autoptr (GHashTable) seen
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  for (guint i = 0; list && i < routes->len; i++)
+    {
+      const struct file_route *x
+          = &g_array_index (routes, struct file_route, i);
+      const yaml_node_t *node = yaml_document_get_node (
+          &r->doc, list->data.sequence.items.start[i]);
+      g_autofree char *key = g_strdup_printf ("routes[%u].prefix", i);
+      g_autofree char *host = g_ascii_strdown (x->host, -1);
+      if (x->prefix[0] != '/' || !g_str_has_suffix (x->prefix, "/"))
+        report (r, node, key, "'%s' does not start and end with /", x->prefix);
+      if (!g_hash_table_add (seen, g_strconcat (host, x->prefix, NULL)))
+        report (r, node, key, "'%s' stands twice for %s", x->prefix, x->host);
+    }
+}
+
 struct file *
 file_parse (const char *text, size_t size, GArray *problems)
 {
@@ -413,7 +437,10 @@
       read_record (&r, root, &file_record, "", out);
       r.root = out;
       if (problems->len == 0)
-        check_references (&r, root);
+        {
+          check_references (&r, root);
+          check_routes (&r, root);
+        }
       yaml_document_delete (&r.doc);
     }
   yaml_parser_delete (&parser);
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -13,6 +13,7 @@
 #include "daemon/home.h"
 #include "daemon/operator_api.h"
 #include "daemon/orders_link.h"
+#include "daemon/route_server.h"
 #include "daemon/vm_list.h"
 #include "links/trace.h"
 
@@ -42,6 +43,7 @@
   struct calls *calls;
   struct orders_link *orders;
   struct operator_api *operators;
+  struct route_server *routes; /* NULL without a front address */
 };
 
 struct stopping
@@ -61,6 +63,7 @@
   engines_file_changed (d->engines);
   calls_file_changed (d->calls);
   orders_link_file_changed (d->orders);
+  route_server_file_changed (d->routes);
 }
 
 static int64_t
@@ -202,7 +205,7 @@
     engines_take_digest (d->engines, f->message);
 }
 
-static struct gossip_link *
+static bool
 make_gossip (struct daemon *d, GError **error)
 {
   const struct settings *s = d->ctx.settings;
@@ -218,7 +221,8 @@
                                 .on_frame = on_datagram,
                                 .arg = d };
   d->join = g_strsplit (s->join, ",", -1);
-  return gossip_link_create (&parts, error);
+  d->gossip = gossip_link_create (&parts, error);
+  return d->gossip != NULL;
 }
 
 /* Graceful shutdown: leaving is announced, running requests end, then the VM
@@ -229,7 +233,7 @@
 work_remains (const struct daemon *d)
 {
   return entry_open_streams (d->entry) > 0 || home_open_streams (d->home) > 0
-         || calls_open (d->calls) > 0
+         || calls_open (d->calls) > 0 || route_server_open (d->routes) > 0
          || http_server_open_requests (d->server) > 0;
 }
 
@@ -248,6 +252,7 @@
       log_event (late ? LOG_WARN : LOG_INFO, "left", "deadline_passed",
                  late ? "true" : "false", NULL);
       http_server_close_listener (d->server);
+      route_server_close_listener (d->routes);
       gossip_link_left (d->gossip);
       s->left_ms = now;
     }
@@ -267,6 +272,7 @@
   d->ctx.leaving = true;
   log_event (LOG_INFO, "leaving", NULL);
   gossip_link_leave (d->gossip);
+  route_server_leave (d->routes);
   struct stopping *s = g_new0 (struct stopping, 1);
   s->d = d;
   s->since_ms = clock_ms ();
@@ -381,6 +387,18 @@
       = (struct caller_api){ ctx, d->conf, d->entry, d->calls, d->operators };
 }
 
+/* False where there is a front address and it cannot listen there.  */
+static bool
+make_routes (struct daemon *d, GError **error)
+{
+  g_autoptr (GError) failed = NULL;
+  d->routes = route_server_create (&d->ctx, d->conf, &failed);
+  if (failed == NULL)
+    return true;
+  g_propagate_error (error, g_steal_pointer (&failed));
+  return false;
+}
+
 struct daemon *
 daemon_create (struct settings *settings, GError **error)
 {
@@ -395,8 +413,7 @@
       return NULL;
     }
   make_parts (d);
-  d->gossip = make_gossip (d, error);
-  if (d->gossip == NULL)
+  if (!make_routes (d, error) || !make_gossip (d, error))
     {
       daemon_destroy (d);
       return NULL;
@@ -427,6 +444,7 @@
   if (d == NULL)
     return;
   http_server_destroy (d->server);
+  route_server_destroy (d->routes);
   gossip_link_destroy (d->gossip);
   vm_list_destroy (d->vm_list);
   g_strfreev (d->join);
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -75,10 +75,10 @@
 {
   struct http_head *h = http_head_create ();
   h->status = status;
-  http_head_add (h, e->proxy->parts.platform->id_field,
+  http_head_add (h, e->proxy->parts.requests->id_field,
                  e->facts.id ? e->facts.id : "");
   if (retry_after_ms > 0)
-    e->proxy->parts.platform->mark_refusal (h, retry_after_ms);
+    e->proxy->parts.requests->mark_refusal (h, retry_after_ms);
   e->retry_after_ms = retry_after_ms;
   exchange_log_end (e, outcome, status);
   front_request_reply (e->caller, h, NULL, 0);
@@ -197,7 +197,7 @@
                uint64_t length)
 {
   struct exchange *e = arg;
-  const struct platform_ops *ops = e->proxy->parts.platform;
+  const struct request_ops *ops = e->proxy->parts.requests;
   ops->read_answer (head, &e->answer_facts);
   /* A stream that goes on elsewhere keeps the head of its first answer.  */
   if (e->started)
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -438,7 +438,7 @@
   g->roster = roster_create (&roster);
   g->stages = stages_create ();
   struct proxy_parts parts = { .base = g->base,
-                               .platform = g->platform,
+                               .requests = g->platform->requests,
                                .pool = g->pool,
                                .upstreams = g->upstreams,
                                .retries = g->retries,
--- a/src/daemon/offer.c
+++ b/src/daemon/offer.c
@@ -24,7 +24,7 @@
 static struct pool_call *
 send_to (struct exchange *e, const struct upstream_info *info, int64_t now)
 {
-  const struct platform_ops *ops = e->proxy->parts.platform;
+  const struct request_ops *ops = e->proxy->parts.requests;
   struct http_head *h = http_head_copy (front_request_head (e->caller));
   struct evbuffer *body = front_request_body (e->caller);
   struct request_marks marks
--- a/src/daemon/permit_link.c
+++ b/src/daemon/permit_link.c
@@ -186,11 +186,18 @@
     l->parts.send (l->parts.arg, home, MESSAGE_PERMIT_NOTE, &m);
 }
 
+/* The question of TICKET, or NULL; without engines there is no link.  */
+static const struct question *
+find_question (const struct permit_link *l, permit_ticket ticket)
+{
+  return ticket != 0 ? g_hash_table_lookup (l->questions, &ticket) : NULL;
+}
+
 void
 permit_link_read (struct permit_link *l, permit_ticket ticket,
                   unsigned took_ms)
 {
-  const struct question *q = g_hash_table_lookup (l->questions, &ticket);
+  const struct question *q = find_question (l, ticket);
   if (q)
     send_note (l, q, false, took_ms);
 }
@@ -198,7 +205,7 @@
 void
 permit_link_end (struct permit_link *l, permit_ticket ticket)
 {
-  const struct question *q = g_hash_table_lookup (l->questions, &ticket);
+  const struct question *q = find_question (l, ticket);
   if (q == NULL)
     return;
   send_note (l, q, true, 0);
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -109,7 +109,7 @@
   e->held = evbuffer_new ();
   sse_init (&e->events);
   e->table = p->table ? route_table_ref (p->table) : NULL;
-  p->parts.platform->read_request (head, &e->facts);
+  p->parts.requests->read_request (head, &e->facts);
   g_hash_table_add (p->open, e);
   metrics_add (METRIC_requests_total, 1);
   metrics_set (METRIC_routed_open, g_hash_table_size (p->open));
--- a/src/daemon/proxy_parts.h
+++ b/src/daemon/proxy_parts.h
@@ -16,7 +16,7 @@
 struct proxy_parts
 {
   struct event_base *base;
-  const struct platform_ops *platform;
+  const struct request_ops *requests;
   struct pool *pool;
   struct upstreams *upstreams;
   struct retry_windows *retries;
--- a/src/daemon/reading.c
+++ b/src/daemon/reading.c
@@ -39,7 +39,7 @@
       = upstreams_info (parts->upstreams, e->reader);
   if (e->read_by && info)
     {
-      struct http_head *h = parts->platform->free_reading (e->read_by);
+      struct http_head *h = parts->requests->free_reading (e->read_by);
       struct pool_request r = { .upstream = info->id,
                                 .address = info->address,
                                 .connections = exchange_connection_share (e),
@@ -69,7 +69,7 @@
   if (whole && info)
     {
       e->reader = e->work.handle;
-      e->read_by = parts->platform->take_reading (
+      e->read_by = parts->requests->take_reading (
           info->address, evbuffer_pullup (e->held, -1), n);
     }
   enum attempt_outcome outcome
--- /dev/null
+++ b/src/daemon/route_server.c
@@ -0,0 +1,192 @@
+#include "daemon/route_server.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "daemon/file_routes.h"
+#include "daemon/proxy.h"
+#include "links/own_requests.h"
+
+#define SECOND_MS 1000
+#define TICK_MS 50
+/* How long a caller may take to send its request, and rest between two.  */
+#define READ_MS 3000
+#define IDLE_MS 15000
+/* Part of the time that a stop may take until what is open is cut.  */
+#define STOP_END_PART 0.92
+#define STOP_IDLE_MS 1500
+
+struct route_server
+{
+  const struct context *ctx;
+  const struct conf *conf;
+  struct pool *pool;
+  struct upstreams *upstreams;
+  struct retry_windows *retries;
+  struct proxy *proxy;
+  struct front *front;
+  struct event *timer;
+};
+
+/* What the proxy and the table of upstreams ask.  */
+
+/* Replicas stand in regions; a region is its only failure domain here.  */
+static const char *
+region_of (void *arg, const char *region)
+{
+  (void)arg;
+  return region;
+}
+
+static unsigned
+count_vms (void *arg)
+{
+  const struct route_server *r = arg;
+  return members_count_live (r->ctx->members);
+}
+
+/* Callers.  */
+
+static void
+on_caller (void *arg, struct front_request *request)
+{
+  struct route_server *r = arg;
+  proxy_take (r->proxy, request);
+}
+
+static char *
+on_refused (void *arg, unsigned status, const char *reason)
+{
+  (void)arg;
+  metrics_add (METRIC_bad_requests_total, 1);
+  log_event (LOG_WARN, "request_refused", "status", log_num (status), "reason",
+             reason, NULL);
+  return NULL;
+}
+
+static const struct front_events front_events = { on_caller, on_refused };
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct route_server *r = arg;
+  upstreams_tick (r->upstreams, clock_ms ());
+}
+
+/* The file.  */
+
+static void
+on_gone (void *arg, const char *id)
+{
+  struct route_server *r = arg;
+  log_event (LOG_INFO, "upstream_gone", "upstream", id, "why",
+             "not_in_the_file", NULL);
+  pool_forget (r->pool, id);
+}
+
+void
+route_server_file_changed (struct route_server *r)
+{
+  const struct file *file = r ? conf_file (r->conf) : NULL;
+  if (file == NULL)
+    return;
+  uint64_t revision = conf_revision (r->conf);
+  file_routes_upstreams (file, r->upstreams, on_gone, r);
+  proxy_set_routes (r->proxy, file_routes_table (file, revision));
+  log_event (LOG_INFO, "routes_in_force", "revision",
+             log_num ((long long)revision), "routes",
+             log_num (file->routes->len), "upstreams",
+             log_num (upstreams_count (r->upstreams)), NULL);
+}
+
+/* Making and releasing.  */
+
+static void
+make_parts (struct route_server *r)
+{
+  const struct settings *s = r->ctx->settings;
+  struct upstream_place place = { .failure_domain = s->region,
+                                  .region = s->region,
+                                  .region_of = region_of };
+  struct retry_bounds bounds
+      = { .ratio = s->retry_ratio,
+          .window_ms = (unsigned)s->retry_window_s * SECOND_MS,
+          .slack = (unsigned)s->retry_slack };
+  r->pool = pool_create (r->ctx->base);
+  r->upstreams = upstreams_create (&place);
+  r->retries = retry_windows_create (&bounds);
+  struct proxy_parts parts = { .base = r->ctx->base,
+                               .requests = &own_requests,
+                               .pool = r->pool,
+                               .upstreams = r->upstreams,
+                               .retries = r->retries,
+                               .count_vms = count_vms,
+                               .arg = r };
+  r->proxy = proxy_create (&parts);
+  r->timer = context_every (r->ctx, TICK_MS, on_tick, r);
+}
+
+struct route_server *
+route_server_create (const struct context *ctx, const struct conf *conf,
+                     GError **error)
+{
+  const struct settings *s = ctx->settings;
+  if (s->front_address[0] == '\0')
+    return NULL;
+  struct front_limits limits = { .head_bytes = (unsigned)s->max_header_bytes,
+                                 .body_bytes = s->max_body_bytes,
+                                 .read_ms = READ_MS,
+                                 .idle_ms = IDLE_MS,
+                                 .connections = (unsigned)s->max_connections };
+  struct route_server *r = g_new0 (struct route_server, 1);
+  r->ctx = ctx;
+  r->conf = conf;
+  make_parts (r);
+  r->front = front_create (ctx->base, s->front_address, &limits, &front_events,
+                           r, error);
+  if (r->front)
+    return r;
+  route_server_destroy (r);
+  return NULL;
+}
+
+void
+route_server_destroy (struct route_server *r)
+{
+  if (r == NULL)
+    return;
+  event_free (r->timer);
+  proxy_destroy (r->proxy);
+  front_destroy (r->front);
+  pool_destroy (r->pool);
+  retry_windows_destroy (r->retries);
+  upstreams_destroy (r->upstreams);
+  g_free (r);
+}
+
+/* Stopping.  */
+
+void
+route_server_leave (struct route_server *r)
+{
+  if (r == NULL)
+    return;
+  int64_t now = clock_ms ();
+  double all = (double)r->ctx->settings->leave_deadline_s * SECOND_MS;
+  proxy_set_end (r->proxy, now, now + (int64_t)(all * STOP_END_PART));
+  front_drain (r->front, STOP_IDLE_MS);
+}
+
+void
+route_server_close_listener (struct route_server *r)
+{
+  if (r)
+    front_close_listener (r->front);
+}
+
+unsigned
+route_server_open (const struct route_server *r)
+{
+  return r ? proxy_open (r->proxy) : 0;
+}
--- /dev/null
+++ b/src/links/own_requests.c
@@ -0,0 +1,84 @@
+#include "links/own_requests.h"
+
+#include <string.h>
+#include <sys/random.h>
+
+#define FIELD_ID "X-Request-Id"
+#define FIELD_DEADLINE "X-Deadline-Ms"
+#define FIELD_UPSTREAM "X-Upstream"
+#define FIELD_REFUSED "X-Refused"
+#define FIELD_LAST_EVENT "Last-Event-ID"
+#define ID_BYTES 8
+#define STATUS_OTHER_REPLICA 421
+#define SECOND_MS 1000
+
+static const char *const kept_fields[]
+    = { FIELD_ID, FIELD_DEADLINE,   FIELD_LAST_EVENT,
+        "Host",   "Content-Length", FIELD_REFUSED,
+        NULL };
+
+static char *
+make_id (void)
+{
+  guint8 bytes[ID_BYTES];
+  char text[2 * ID_BYTES + 1];
+  if (getrandom (bytes, sizeof bytes, 0) != (ssize_t)sizeof bytes)
+    g_error ("no random bytes");
+  for (unsigned i = 0; i < ID_BYTES; i++)
+    g_snprintf (text + 2 * i, 3, "%02x", bytes[i]);
+  return g_strdup (text);
+}
+
+static void
+read_request (struct http_head *h, struct request_facts *out)
+{
+  memset (out, 0, sizeof *out);
+  const char *id = http_head_get (h, FIELD_ID);
+  const char *deadline = http_head_get (h, FIELD_DEADLINE);
+  gint64 ms = -1;
+  if (deadline
+      && !g_ascii_string_to_signed (deadline, 10, 0, G_MAXINT32, &ms, NULL))
+    ms = -1;
+  out->patience_ms = ms;
+  out->id = id && id[0] ? g_strdup (id) : make_id ();
+  http_head_set (h, FIELD_ID, out->id);
+  http_head_remove (h, FIELD_UPSTREAM);
+}
+
+static void
+mark_request (struct http_head *h, const struct request_marks *m)
+{
+  char text[24];
+  g_snprintf (text, sizeof text, "%" G_GINT64_FORMAT, m->patience_ms);
+  http_head_set (h, FIELD_DEADLINE, text);
+  http_head_set (h, FIELD_UPSTREAM, m->upstream);
+  if (m->resume_after)
+    http_head_set (h, FIELD_LAST_EVENT, m->resume_after);
+}
+
+static void
+read_answer (const struct http_head *h, struct answer_facts *out)
+{
+  out->not_run
+      = http_head_get (h, FIELD_REFUSED) || h->status == STATUS_OTHER_REPLICA;
+  /* Upstreams of the file are known by their addresses alone.  */
+  out->signed_by_upstream = true;
+}
+
+static void
+mark_refusal (struct http_head *h, unsigned retry_after_ms)
+{
+  char text[24];
+  g_snprintf (text, sizeof text, "%u",
+              (retry_after_ms + SECOND_MS - 1) / SECOND_MS);
+  http_head_set (h, "Retry-After", text);
+}
+
+const struct request_ops own_requests = {
+  .id_field = FIELD_ID,
+  .kept_fields = kept_fields,
+  .read_request = read_request,
+  .mark_request = mark_request,
+  .read_answer = read_answer,
+  .mark_refusal = mark_refusal,
+};
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -1,6 +1,6 @@
 /** @file
-    What a platform provides beside the product's own file and membership: a
-    table of functions that translate its messages into the product's types.
+    What a platform provides beside the product's own file and membership:
+    tables of functions that translate its messages into the product's types.
     They decide nothing and keep nothing.  */
 #ifndef LINKS_PLATFORM_H
 #define LINKS_PLATFORM_H
@@ -50,14 +50,13 @@
   char *failure_domain;
 };
 
-/** The table.  */
-struct platform_ops
+/** How callers' requests and upstreams' answers say what the product needs to
+    know of them.  */
+struct request_ops
 {
   const char *id_field;           /**< field that names a request */
   const char *const *kept_fields; /**< fields that no Connection field may
                                        remove, ended by NULL */
-  const char *routes_key;         /**< key of the routes in the service */
-  const char *upstreams_prefix;   /**< prefix of the upstreams' keys */
 
   /** Reads HEAD and removes from it what only the product may set.  The id is
       to be freed.  */
@@ -67,19 +66,31 @@
                         const struct request_marks *marks);
   /** Reads the head of an upstream's answer.  */
   void (*read_answer) (const struct http_head *head, struct answer_facts *out);
+  /** Sets for how long a refused caller should wait.  */
+  void (*mark_refusal) (struct http_head *head, unsigned retry_after_ms);
+
+  /* Of engines; NULL where requests have no prompts.  */
+
   /** Where the prompt that the upstream at ADDRESS has read can be fetched,
      from the body of its answer; to be freed, NULL where it names none.  */
   char *(*take_reading) (const char *address, const void *data, size_t size);
   /** Head that frees the reading READ_BY at its upstream.  */
   struct http_head *(*free_reading) (const char *read_by);
+};
+
+/** The platform.  */
+struct platform_ops
+{
+  const struct request_ops *requests;
+  const char *routes_key;       /**< key of the routes in the service */
+  const char *upstreams_prefix; /**< prefix of the upstreams' keys */
+
   /** Head of the order that makes the engine INFO take ROLE, given by HOLDER
       under FENCING; BODY is to be freed.  */
   struct http_head *(*write_order) (const struct upstream_info *info,
                                     enum upstream_role role,
                                     const char *holder, uint64_t fencing,
                                     char **body);
-  /** Sets for how long a refused caller should wait.  */
-  void (*mark_refusal) (struct http_head *head, unsigned retry_after_ms);
 
   /** Decodes the routes.  Returns NULL and sets ERROR, with the place of the
       mistake.  */
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -37,6 +37,10 @@
     "order=STAGE holder=VM fence=N at_us=N"; a request that goes on from what
    was read for another: "mixed=ID".
 
+    With --own-fields it speaks the fields of routes from the product's own
+    file, which have no mark: "unsigned" is then a whole answer.  Its name is
+    then ID@IP:PORT.
+
     GET /seen tells {"runs":{ID:COUNT},"left":N,"heads":{ID:HEAD}}.  */
 #include "fakes/reading.h"
 
@@ -79,7 +83,20 @@
   bool close_after;
 };
 
+/* Names of header fields.  */
+struct fields
+{
+  const char *instance; /* that is meant */
+  const char *refused;
+  const char *mark; /* of the instance; NULL for none */
+};
+
+static const struct fields platform_fields
+    = { "X-Expect-Instance", "X-Not-Run", "X-Response-Seal" };
+static const struct fields own_fields = { "X-Upstream", "X-Refused", NULL };
+
 static struct event_base *base;
+static const struct fields *fields = &platform_fields;
 static const char *instance = "u1";
 static GHashTable *runs;  /* request id -> count */
 static GHashTable *heads; /* request id -> head as it came */
@@ -119,9 +136,12 @@
 static char *
 answer_head (const char *id, const char *status, bool mark)
 {
-  return g_strdup_printf ("HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s%s%s", status,
-                          id, mark ? "X-Response-Seal: " : "",
-                          mark ? instance : "", mark ? "\r\n" : "");
+  g_autofree char *line
+      = mark && fields->mark
+            ? g_strdup_printf ("%s: %s\r\n", fields->mark, instance)
+            : g_strdup ("");
+  return g_strdup_printf ("HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s", status, id,
+                          line);
 }
 
 /* What a whole answer says: what was asked.  */
@@ -385,9 +405,9 @@
 refuse (struct conn *c, const char *status)
 {
   g_autofree char *text
-      = g_strdup_printf ("HTTP/1.1 %s\r\nX-Request-Id: %s\r\nX-Not-Run: 1\r\n"
+      = g_strdup_printf ("HTTP/1.1 %s\r\nX-Request-Id: %s\r\n%s: 1\r\n"
                          "Content-Length: 0\r\n\r\n",
-                         status, c->id);
+                         status, c->id, fields->refused);
   send_text (c, text);
   finish (c, false);
 }
@@ -519,7 +539,7 @@
 {
   const struct http_head *h = http_codec_head (c->codec);
   const char *id = http_head_get (h, "X-Request-Id");
-  const char *expected = http_head_get (h, "X-Expect-Instance");
+  const char *expected = http_head_get (h, fields->instance);
   c->working = true;
   c->id = g_strdup (id ? id : "-");
   if (strcmp (h->target, "/seen") == 0)
@@ -627,6 +647,8 @@
       speed = g_ascii_strtod (argv[i] + strlen ("--speed="), NULL);
     else if (g_str_has_prefix (argv[i], "--id="))
       instance = argv[i] + strlen ("--id=");
+    else if (strcmp (argv[i], "--own-fields") == 0)
+      fields = &own_fields;
     else if (g_str_has_prefix (argv[i], "--port="))
       sa.sin_port = htons (
           (uint16_t)g_ascii_strtoull (argv[i] + strlen ("--port="), NULL, 10));
@@ -642,7 +664,11 @@
   if (l == NULL)
     g_error ("cannot listen");
   getsockname (evconnlistener_get_fd (l), (struct sockaddr *)&sa, &len);
-  printf ("port=%u\n", (unsigned)ntohs (sa.sin_port));
+  unsigned port = ntohs (sa.sin_port);
+  g_autofree char *named = g_strdup_printf ("%s@127.0.0.1:%u", instance, port);
+  if (fields == &own_fields)
+    instance = named;
+  printf ("port=%u\n", port);
   (void)fflush (stdout);
   struct event *term = evsignal_new (base, SIGTERM, on_term, NULL);
   event_add (term, NULL);
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -43,12 +43,13 @@
   struct request_facts facts;
   for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
     http_head_add (h, names[i], text);
-  platform_adapter.read_request (h, &facts);
+  platform_adapter.requests->read_request (h, &facts);
   if (facts.prompt.n_parts > PROMPT_PARTS_MAX)
     __builtin_trap ();
   g_free (facts.id);
   http_head_destroy (h);
-  char *reading = platform_adapter.take_reading ("127.0.0.1:1", data, size);
+  char *reading
+      = platform_adapter.requests->take_reading ("127.0.0.1:1", data, size);
   g_free (reading);
 }
 
--- a/tests/harness/fleet.c
+++ b/tests/harness/fleet.c
@@ -119,6 +119,8 @@
     {
       f->http_addresses[i] = g_strdup_printf (VM_IP ":%u", free_port (VM_IP));
       f->peer_addresses[i] = g_strdup_printf (VM_IP ":%u", free_port (VM_IP));
+      if (shape->fronts)
+        f->fronts[i] = g_strdup_printf (VM_IP ":%u", free_port (VM_IP));
     }
   return f;
 }
@@ -131,6 +133,7 @@
       proc_destroy (f->vms[i]);
       g_free (f->http_addresses[i]);
       g_free (f->peer_addresses[i]);
+      g_free (f->fronts[i]);
     }
   for (unsigned i = 0; i < f->shape.engines; i++)
     {
@@ -146,6 +149,7 @@
   g_free (f->service_address);
   g_free (f->kv_given);
   g_free (f->service_given);
+  g_free (f->more_services);
   g_free (f->bin);
   if (g_getenv ("BUCKTHORN_TEST_KEEP"))
     g_printerr ("logs are kept in %s\n", f->dir);
@@ -214,6 +218,8 @@
                    f->shape.quiet ? (char *)"" : spans,
                    "--log-level",
                    f->shape.quiet ? (char *)"warn" : (char *)"info",
+                   "--front-address",
+                   f->fronts[i] ? f->fronts[i] : (char *)"",
                    NULL };
   proc_destroy (f->vms[i]);
   f->vms[i] = proc_start_logged (name, argv, log);
@@ -287,6 +293,7 @@
       "    calls:\n"
       "      - {method: POST, path: /book, idempotent: false}\n"
       "      - {method: GET, path: /status, idempotent: true}\n"
+      "%s"
       "callers:\n"
       "  - name: panel\n"
       "    key_digest: %s\n"
@@ -298,9 +305,9 @@
       "operators:\n"
       "  - name: ana\n"
       "    key_digest: %s\n%s",
-      f->service_given, f->shape.service_timeout_ms, caller,
-      f->shape.deadline_ms, f->shape.requests_per_s, operator_key,
-      extra ? extra : "");
+      f->service_given, f->shape.service_timeout_ms,
+      f->more_services ? f->more_services : "", caller, f->shape.deadline_ms,
+      f->shape.requests_per_s, operator_key, extra ? extra : "");
   return g_string_free (out, FALSE);
 }
 
--- a/tests/harness/fleet.h
+++ b/tests/harness/fleet.h
@@ -29,6 +29,7 @@
   unsigned deadline_ms;    /**< of the caller, for the first token */
   unsigned requests_per_s; /**< of the caller, 0 for none */
   bool quiet;              /**< VMs log warnings only */
+  bool fronts;             /**< VMs serve routes, each at its front */
 };
 
 /** A running fleet.  */
@@ -48,6 +49,8 @@
   char *engine_addresses[FLEET_ENGINES_MAX];
   char *http_addresses[FLEET_VMS_MAX];
   char *peer_addresses[FLEET_VMS_MAX];
+  char *fronts[FLEET_VMS_MAX]; /**< for callers of routes, or NULL */
+  char *more_services;         /**< lines in the file's services, or NULL */
   /* Where the VMs and the file look for these; relays may stand before them.
    */
   char *kv_given;
--- /dev/null
+++ b/tests/process/test_file_routes.c
@@ -0,0 +1,233 @@
+/** @file
+    Routes of the product's own file, as processes: applied by the command
+   line, served by two VMs before two replicas.  */
+#include "process/common.h"
+
+#include <signal.h>
+#include <string.h>
+
+/* A file is in force everywhere within 5 s.  */
+#define IN_FORCE_MS 5000
+#define WHOLE_MS 10000
+#define SLOW_UNDER_WAY_US 50000
+#define VMS 2
+#define REPLICAS 2
+#define HOST "shop.example"
+#define MADE_ID_CHARS 16
+
+static struct fleet *fleet;
+static struct proc *replicas[REPLICAS];
+static char *addresses[REPLICAS];
+
+static void
+start_replica (unsigned i)
+{
+  g_autofree char *path
+      = g_build_filename (programs (), "fake_upstream", NULL);
+  g_autofree char *log = g_strdup_printf ("%s/replica%u.log", fleet->dir, i);
+  char *argv[] = { path, "--id=shop", "--own-fields", NULL };
+  replicas[i] = proc_start ("replica", argv, log);
+  addresses[i] = g_strdup_printf ("127.0.0.1:%u",
+                                  (unsigned)proc_read_port (replicas[i]));
+}
+
+/* Applies the example file with the first COUNT replicas, and with the path
+   prefix EXTRA, NULL for none.  */
+static void
+apply_routes (unsigned count, const char *extra)
+{
+  g_autoptr (GString) routes = g_string_new ("routes:\n");
+  static const char *const kinds[][2] = { { "safe", "idempotent" },
+                                          { "once", "once" },
+                                          { "stream", "stream" } };
+  for (size_t i = 0; i < G_N_ELEMENTS (kinds); i++)
+    g_string_append_printf (
+        routes,
+        "  - {name: %s, host: " HOST
+        ", prefix: /%s/, service: shop, kind: %s, "
+        "resume: true, timeout_ms: 2000, deadline_ms: 500}\n",
+        kinds[i][0], kinds[i][0], kinds[i][1]);
+  if (extra)
+    g_string_append_printf (routes,
+                            "  - {name: %s, host: " HOST ", prefix: /%s/, "
+                            "service: shop, kind: idempotent}\n",
+                            extra, extra);
+  g_free (fleet->more_services);
+  fleet->more_services = g_strdup_printf (
+      "  - name: shop\n    addresses: [%s%s%s]\n    region: region1\n",
+      addresses[0], count > 1 ? ", " : "", count > 1 ? addresses[1] : "");
+  g_autofree char *text = fleet_file (fleet, routes->str);
+  g_autofree char *path = fleet_write (fleet, "routes.yaml", text);
+  g_autofree char *out = NULL;
+  int code = fleet_ctl (fleet, 0, &out, "apply", path, NULL);
+  if (code != 0)
+    g_error ("apply ended with %d: %s", code, out);
+}
+
+static struct web *
+open_at (unsigned vm, const char *path, const char *id)
+{
+  g_autofree char *lines
+      = id ? g_strdup_printf ("Host: " HOST "\r\nX-Request-Id: %s\r\n", id)
+           : g_strdup ("Host: " HOST "\r\n");
+  return web_open (fleet->fronts[vm], "POST", path, NULL, lines, "body");
+}
+
+static struct web *
+ask_at (unsigned vm, const char *path, const char *id)
+{
+  struct web *w = open_at (vm, path, id);
+  web_finish (w, WHOLE_MS);
+  return w;
+}
+
+static unsigned
+runs_at (unsigned replica, const char *id)
+{
+  json_t *seen = fleet_seen (addresses[replica]);
+  unsigned n = (unsigned)json_integer_value (
+      json_object_get (json_object_get (seen, "runs"), id));
+  json_decref (seen);
+  return n;
+}
+
+static void
+expect (const char *path, const char *id, int status, unsigned runs)
+{
+  struct web *w = ask_at (0, path, id);
+  g_test_message ("%s: %s", path, w->head->str);
+  g_assert_true (w->whole);
+  g_assert_cmpint (w->status, ==, status);
+  g_assert_cmpuint (runs_at (0, id) + runs_at (1, id), ==, runs);
+  web_close (w);
+}
+
+/* Before a file is in force a VM refuses, truly.  */
+static void
+test_no_file (void)
+{
+  struct web *w = ask_at (0, "/safe/ok", "early");
+  g_autofree char *after = web_header (w, "Retry-After");
+  g_assert_cmpint (w->status, ==, 503);
+  g_assert_nonnull (after);
+  web_close (w);
+}
+
+static bool
+both_serve (void *arg)
+{
+  for (unsigned vm = 0; vm < VMS; vm++)
+    {
+      struct web *w = ask_at (vm, arg, NULL);
+      bool served = w->status == 200;
+      web_close (w);
+      if (!served)
+        return false;
+    }
+  return true;
+}
+
+static void
+test_served (void)
+{
+  apply_routes (REPLICAS, NULL);
+  g_assert_true (fleet_wait (both_serve, (char *)"/safe/ok", IN_FORCE_MS));
+  struct web *w = ask_at (1, "/once/a%2Fb/ok?x=1", NULL);
+  g_autofree char *id = web_header (w, "X-Request-Id");
+  g_assert_cmpint (w->status, ==, 200);
+  g_assert_cmpuint (strlen (id), ==, MADE_ID_CHARS);
+  g_assert_true (
+      g_str_has_prefix (w->body->str, "POST /once/a%2Fb/ok?x=1 4 "));
+  web_close (w);
+  w = ask_at (0, "/elsewhere/ok", "nowhere");
+  g_assert_cmpint (w->status, ==, 404);
+  web_close (w);
+}
+
+static void
+test_truth (void)
+{
+  expect ("/once/lost", "once-1", 502, 1);
+  expect ("/once/cut", "once-2", 502, 1);
+  expect ("/once/silent", "once-3", 504, 1);
+  expect ("/once/not-run", "once-4", 503, 0);
+  expect ("/once/error", "once-5", 500, 1);
+  expect ("/safe/lost", "safe-1", 502, 2);
+  expect ("/safe/chunked", "safe-2", 200, 1);
+}
+
+static void
+test_streams (void)
+{
+  static const char *const paths[]
+      = { "/stream/stream", "/stream/stream-cut" };
+  g_autoptr (GString) expected = g_string_new (NULL);
+  for (unsigned i = 1; i <= 5; i++)
+    g_string_append_printf (expected, "id: %u\ndata: piece %u\n\n", i, i);
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      struct web *w = ask_at (0, paths[i], NULL);
+      g_assert_true (w->whole);
+      g_assert_cmpstr (w->body->str, ==, expected->str);
+      web_close (w);
+    }
+}
+
+/* A file that no longer names a replica, and that has one more route.  */
+static void
+test_file_changes (void)
+{
+  apply_routes (1, "later");
+  g_assert_true (fleet_wait (both_serve, (char *)"/later/ok", IN_FORCE_MS));
+  for (unsigned i = 0; i < 20; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("change-%u", i);
+      struct web *w = ask_at (i % VMS, "/once/ok", id);
+      g_assert_cmpint (w->status, ==, 200);
+      g_assert_cmpuint (runs_at (0, id), ==, 1);
+      web_close (w);
+    }
+  apply_routes (REPLICAS, NULL);
+}
+
+static void
+test_stop (void)
+{
+  struct web *slow = open_at (1, "/once/slow", "stop-1");
+  g_usleep (SLOW_UNDER_WAY_US);
+  proc_signal (fleet->vms[1], SIGTERM);
+  web_finish (slow, WHOLE_MS);
+  g_assert_cmpint (slow->status, ==, 200);
+  web_close (slow);
+  g_assert_true (proc_wait (fleet->vms[1], WHOLE_MS));
+  g_assert_cmpint (fleet->vms[1]->status, ==, 0);
+}
+
+int
+main (int argc, char **argv)
+{
+  struct fleet_shape shape = fleet_shape_small ();
+  g_test_init (&argc, &argv, NULL);
+  programs_init (argv[0]);
+  shape.vms = VMS;
+  shape.regions = 1;
+  shape.fronts = true;
+  fleet = fleet_create (programs (), &shape);
+  for (unsigned i = 0; i < REPLICAS; i++)
+    start_replica (i);
+  fleet_start (fleet);
+  g_test_add_func ("/file-routes/no-file", test_no_file);
+  g_test_add_func ("/file-routes/served", test_served);
+  g_test_add_func ("/file-routes/truth", test_truth);
+  g_test_add_func ("/file-routes/streams", test_streams);
+  g_test_add_func ("/file-routes/file-changes", test_file_changes);
+  g_test_add_func ("/file-routes/stop", test_stop);
+  int result = g_test_run ();
+  for (unsigned i = 0; i < REPLICAS; i++)
+    {
+      proc_destroy (replicas[i]);
+      g_free (addresses[i]);
+    }
+  fleet_destroy (fleet);
+  return result;
+}
--- a/tests/unit/test_file.c
+++ b/tests/unit/test_file.c
@@ -2,8 +2,10 @@
     The applied file, its records on the wire, heads, and edits.  */
 #include "base/file_edit.h"
 #include "base/head.h"
+#include "daemon/file_routes.h"
 #include "daemon/request_id.h"
 #include "links/frame.h"
+#include "links/own_requests.h"
 
 #include <string.h>
 
@@ -56,6 +58,95 @@
   file_destroy (file);
 }
 
+#define ROUTED                                                                \
+  "services:\n"                                                               \
+  "  - {name: shop, addresses: [127.0.0.1:9101], region: north}\n"            \
+  "routes:\n"
+
+/* Routes: references, whole prefixes, each once for a host.  */
+static void
+test_routes (void)
+{
+  g_autofree char *text = g_strconcat (
+      good, ROUTED,
+      "  - {name: r1, host: a.example, service: shop}\n"
+      "  - {name: r2, host: a.example, prefix: /x/, service: shop, kind: "
+      "stream, resume: true}\n",
+      NULL);
+  struct file *file = parse (text);
+  g_assert_nonnull (file);
+  const struct file_route *r
+      = &g_array_index (file->routes, struct file_route, 0);
+  g_assert_cmpstr (r->prefix, ==, "/");
+  g_assert_cmpuint (r->kind, ==, FILE_ROUTE_KIND_ONCE);
+  struct route_table *t = file_routes_table (file, 7);
+  g_assert_cmpuint (route_table_version (t), ==, 7);
+  const struct route *found = route_table_find (t, "A.example:80", "/x/y?z=1");
+  g_assert_cmpstr (found->name, ==, "r2");
+  g_assert_true (found->resumable);
+  g_assert_cmpstr (route_pick (found, "id"), ==, "shop");
+  g_assert_null (route_table_find (t, "b.example", "/x/"));
+  route_table_unref (t);
+  file_destroy (file);
+  g_autofree char *bad
+      = g_strconcat (good, ROUTED,
+                     "  - {name: r1, host: a.example, service: shop}\n"
+                     "  - {name: r1, host: A.example, service: shops}\n"
+                     "  - {name: r3, host: a.example, prefix: x/, service: "
+                     "shop, kind: any}\n",
+                     NULL);
+  g_autofree char *kinds = problems_of (bad);
+  g_assert_nonnull (strstr (kinds, "routes[2].kind: 'any' is none of "));
+  g_autofree char *bad_names = g_strconcat (
+      good, ROUTED,
+      "  - {name: r1, host: a.example, service: shop}\n"
+      "  - {name: r1, host: A.example, service: shops}\n"
+      "  - {name: r3, host: a.example, prefix: x/, service: shop}\n",
+      NULL);
+  g_autofree char *problems = problems_of (bad_names);
+  g_assert_nonnull (strstr (problems, "routes[1].service: 'shops' is not in"));
+  g_assert_nonnull (strstr (problems, "routes[1].name: 'r1' stands twice"));
+  g_assert_nonnull (
+      strstr (problems, "routes[1].prefix: '/' stands twice for A.example"));
+  g_assert_nonnull (strstr (
+      problems, "routes[2].prefix: 'x/' does not start and end with /"));
+}
+
+/* The fields by which the product's own routes speak.  */
+static void
+test_own_requests (void)
+{
+  struct http_head *h = http_head_create ();
+  struct request_facts facts;
+  struct request_marks marks = { .upstream = "shop@127.0.0.1:9101",
+                                 .patience_ms = 250,
+                                 .resume_after = "3" };
+  http_head_add (h, "X-Upstream", "forged");
+  http_head_add (h, "X-Deadline-Ms", "12x");
+  own_requests.read_request (h, &facts);
+  g_assert_cmpint (facts.patience_ms, ==, -1);
+  g_assert_cmpuint (strlen (facts.id), ==, 16);
+  g_assert_cmpstr (http_head_get (h, "X-Request-Id"), ==, facts.id);
+  g_assert_null (http_head_get (h, "X-Upstream"));
+  own_requests.mark_request (h, &marks);
+  g_assert_cmpstr (http_head_get (h, "X-Upstream"), ==, marks.upstream);
+  g_assert_cmpstr (http_head_get (h, "X-Deadline-Ms"), ==, "250");
+  g_assert_cmpstr (http_head_get (h, "Last-Event-ID"), ==, "3");
+  g_free (facts.id);
+  http_head_destroy (h);
+  struct http_head *answer = http_head_create ();
+  struct answer_facts told;
+  answer->status = 200;
+  own_requests.read_answer (answer, &told);
+  g_assert_false (told.not_run);
+  answer->status = 421;
+  own_requests.read_answer (answer, &told);
+  g_assert_true (told.not_run);
+  own_requests.mark_refusal (answer, 1001);
+  g_assert_cmpstr (http_head_get (answer, "Retry-After"), ==, "2");
+  http_head_destroy (answer);
+}
+
 /* All problems come at once, each with its line and key.  */
 static void
 test_problems (void)
@@ -259,6 +350,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/file/good", test_good);
+  g_test_add_func ("/file/routes", test_routes);
+  g_test_add_func ("/file/own-requests", test_own_requests);
   g_test_add_func ("/file/problems", test_problems);
   g_test_add_func ("/file/references", test_references);
   g_test_add_func ("/file/not-yaml", test_not_yaml);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -131,7 +131,7 @@
   http_head_add (h, "X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4:250");
   for (size_t i = 0; i < G_N_ELEMENTS (forged); i++)
     http_head_add (h, forged[i], "1");
-  platform_adapter.read_request (h, &facts);
+  platform_adapter.requests->read_request (h, &facts);
   g_assert_cmpstr (facts.id, ==, "9c41");
   g_assert_cmpint (facts.patience_ms, ==, 2000);
   g_assert_true (facts.has_prompt);
@@ -142,7 +142,7 @@
   for (size_t i = 0; i < G_N_ELEMENTS (forged); i++)
     g_assert_null (http_head_get (h, forged[i]));
   struct request_marks marks = { .upstream = "i-1", .patience_ms = 1500 };
-  platform_adapter.mark_request (h, &marks);
+  platform_adapter.requests->mark_request (h, &marks);
   g_assert_cmpstr (http_head_get (h, "X-Expect-Instance"), ==, "i-1");
   g_assert_cmpstr (http_head_get (h, "X-Deadline-Ms"), ==, "1500");
   g_assert_null (http_head_get (h, "X-Stage"));
@@ -157,16 +157,16 @@
   struct http_head *h = http_head_create ();
   struct answer_facts facts;
   h->status = 503;
-  platform_adapter.read_answer (h, &facts);
+  platform_adapter.requests->read_answer (h, &facts);
   g_assert_false (facts.not_run);
   http_head_add (h, "X-Not-Run", "1");
-  platform_adapter.read_answer (h, &facts);
+  platform_adapter.requests->read_answer (h, &facts);
   g_assert_true (facts.not_run);
   http_head_remove (h, "X-Not-Run");
   h->status = 421;
-  platform_adapter.read_answer (h, &facts);
+  platform_adapter.requests->read_answer (h, &facts);
   g_assert_true (facts.not_run);
-  platform_adapter.mark_refusal (h, 1250);
+  platform_adapter.requests->mark_refusal (h, 1250);
   g_assert_cmpstr (http_head_get (h, "Retry-After"), ==, "1.250");
   http_head_destroy (h);
 }
@@ -197,14 +197,15 @@
 test_readings (void)
 {
   static const char body[] = "{\"kvHandle\":\"3fa0\",\"tokens\":1460}";
-  g_autofree char *at
-      = platform_adapter.take_reading ("10.0.0.9:8080", body, strlen (body));
+  g_autofree char *at = platform_adapter.requests->take_reading (
+      "10.0.0.9:8080", body, strlen (body));
   g_assert_cmpstr (at, ==, "10.0.0.9:8080/3fa0");
-  struct http_head *h = platform_adapter.free_reading (at);
+  struct http_head *h = platform_adapter.requests->free_reading (at);
   g_assert_cmpstr (h->method, ==, "DELETE");
   g_assert_cmpstr (h->target, ==, "/api/kv-handle/3fa0");
   http_head_destroy (h);
-  g_assert_null (platform_adapter.take_reading ("10.0.0.9:8080", "{}", 2));
+  g_assert_null (
+      platform_adapter.requests->take_reading ("10.0.0.9:8080", "{}", 2));
 }
 
 /* An order names its engine, so that no other one carries it out.  */
