Bounds of a deployment are settings; free slots refuse nothing

Cause: two times that the users state for each deployment were constants of ours: within how long an upstream that leaves must get no more requests (2.5 s on the small sites, 4 s on the grown ones), and what must lie between orders of two holders. And after one answer of 300 ms a VM refused every request of that service, as it expected the next to be late, though nothing waited there: seen in test_wakes, 20 of 20 refused, after instances had left and come back.

Change: settings upstream-leave-ms and order-lease-ms, filled from the users' bounds; pauses of discovery and the quiet of a new holder follow from them. A plain service with free slots is refused only what could not end in time, one that runs nothing is refused nothing. A sample is taken into what is believed now, not into what was learned long ago, and weighs half at most.

Ruled out: weights alone (0.05 as before needs some 60 answers to go back; 0.5 without the new base took 3 of 200 requests back to an instance that was quick).

Before: wakes/address-given-away 0 of 20 served after all-leave; with the kept time of 1.4 s all-leave would be served past the 1.2 s that its setting names.

--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -8,8 +8,10 @@
 #include <string.h>
 
 /* Instances that start or leave one after the other are heard of this late at
-   most; far below the time in which one that leaves must get no more work.  */
+   most, and within this part of the time in which one that leaves must get no
+   more work.  */
 #define UPSTREAMS_GATHER_MS 600
+#define UPSTREAMS_GATHER_PERCENT 24
 #define TICK_MS 100
 /* How long a vanished entry may be missing before it counts as gone, and for
    how long after the service's return that holds.  */
@@ -18,10 +20,10 @@
    least, point to the service and not to the upstreams.  */
 #define MANY_MS 1000
 #define MANY_PART 3
-/* Where nothing else points to the service, what they are kept for is less:
-   with the pause in which changes are gathered it must stay below the time in
-   which an instance that leaves must get no more.  */
-#define MANY_KEPT_MS 1400
+/* Where nothing else points to the service, they are kept for this part of the
+   time in which an instance that leaves must get no more: the pause in which
+   changes are gathered comes before it.  */
+#define MANY_KEPT_PERCENT 56
 
 /* An entry that vanished, and when it counts as gone.  */
 struct missing
@@ -41,6 +43,7 @@
   uint64_t version; /* of the routes in force */
   bool has_routes;
   int64_t regained_ms;
+  int64_t many_kept_ms;
   int64_t vanished_ms; /* start of the latest MANY_MS in which some vanished */
   unsigned vanished;
   GHashTable *missing; /* id -> struct missing */
@@ -135,7 +138,8 @@
       return;
     }
   struct missing *m = g_new (struct missing, 1);
-  m->due_ms = MAX (many ? now + MANY_KEPT_MS : 0, d->regained_ms + RETURN_MS);
+  m->due_ms
+      = MAX (many ? now + d->many_kept_ms : 0, d->regained_ms + RETURN_MS);
   g_hash_table_replace (d->missing, g_strdup (id), m);
   log_event (LOG_INFO, "upstream_missing", "upstream", id, "why",
              many ? "many_at_once" : "service_was_away", "kept_ms",
@@ -217,23 +221,26 @@
 struct discovery *
 discovery_create (struct event_base *base, struct kv *kv,
                   const struct platform_ops *platform,
-                  struct upstreams *upstreams,
+                  struct upstreams *upstreams, unsigned leave_ms,
                   const struct discovery_events *events, void *arg)
 {
   static const struct timeval tick = { 0, TICK_MS * 1000 };
+  unsigned gather_ms
+      = MIN (UPSTREAMS_GATHER_MS, leave_ms * UPSTREAMS_GATHER_PERCENT / 100);
   struct discovery *d = g_new0 (struct discovery, 1);
   d->platform = platform;
   d->upstreams = upstreams;
   d->events = events;
   d->arg = arg;
   d->regained_ms = -RETURN_MS;
+  d->many_kept_ms = MIN (RETURN_MS, leave_ms * MANY_KEPT_PERCENT / 100);
   d->missing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   d->timer = event_new (base, -1, EV_PERSIST, on_timer, d);
   event_add (d->timer, &tick);
   d->routes_feed
       = feed_create (base, kv, platform->routes_key, 0, &routes_events, d);
   d->upstreams_feed = feed_create (base, kv, platform->upstreams_prefix,
-                                   UPSTREAMS_GATHER_MS, &upstream_events, d);
+                                   gather_ms, &upstream_events, d);
   return d;
 }
 
--- a/src/daemon/discovery.h
+++ b/src/daemon/discovery.h
@@ -25,10 +25,12 @@
   void (*on_upstream_gone) (void *arg, const char *id);
 };
 
-/** Starts to follow; the table UPSTREAMS is kept up to date.  */
+/** Starts to follow; the table UPSTREAMS is kept up to date.  An upstream that
+    leaves is to get no more requests within LEAVE_MS.  */
 struct discovery *discovery_create (struct event_base *base, struct kv *kv,
                                     const struct platform_ops *platform,
                                     struct upstreams *upstreams,
+                                    unsigned leave_ms,
                                     const struct discovery_events *events,
                                     void *arg);
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -455,9 +455,11 @@
                                      .stages = g->stages,
                                      .permits = roster_permits (g->roster),
                                      .members = roster_members (g->roster),
+                                     .lease_ms = (int64_t)s->order_lease_ms,
                                      .vm = s->vm };
   g->stage_link = stage_link_create (&orders);
   g->discovery = discovery_create (g->base, g->kv, g->platform, g->upstreams,
+                                   (unsigned)s->upstream_leave_ms,
                                    &discovery_events, g);
 }
 
--- a/src/daemon/offer.c
+++ b/src/daemon/offer.c
@@ -157,12 +157,13 @@
   if (e->n_tried == 0 && placing_is_long (ask->prompt))
     e->plain_ms = c.plain_ms;
   bool may_refuse = e->tries == 0 && e->read_by == NULL;
+  double left = (double)(e->until_ms - now);
   if (may_refuse
-      && (c.expected_ms > late_ms (e, now) || e->asked >= PERMITS_MOST))
+      && (refusal_is_due (&c, ask->limit_ms, left)
+          || e->asked >= PERMITS_MOST))
     {
-      exchange_refuse (
-          e, "overload",
-          refusal_retry_after_ms (e->facts.id, (double)(e->until_ms - now)));
+      exchange_refuse (e, "overload",
+                       refusal_retry_after_ms (e->facts.id, left));
       return true;
     }
   e->choice = c;
--- a/src/daemon/stage_link.c
+++ b/src/daemon/stage_link.c
@@ -287,7 +287,7 @@
   static const struct timeval tick = { 0, TICK_MS * 1000 };
   struct stage_link *l = g_new0 (struct stage_link, 1);
   l->parts = *parts;
-  l->authority = authority_create (parts->vm);
+  l->authority = authority_create (parts->vm, parts->lease_ms);
   l->changes = g_array_new (FALSE, FALSE, sizeof (struct stage_change));
   l->orders = g_hash_table_new_full (NULL, NULL, order_free, NULL);
   l->timer = event_new (parts->base, -1, EV_PERSIST, on_tick, l);
--- a/src/daemon/stage_link.h
+++ b/src/daemon/stage_link.h
@@ -26,6 +26,7 @@
   struct stages *stages;
   struct permit_link *permits;
   const struct members *members;
+  int64_t lease_ms; /**< least time between orders of two holders */
   const char *vm;
 };
 
--- a/src/decide/authority.c
+++ b/src/decide/authority.c
@@ -5,6 +5,9 @@
 /* Pause after a read or write that failed.  */
 #define RETRY_MS 1000
 #define VM_MAX_BYTES 64
+/* Times between two holders' orders for which a successor sends nothing: one
+   is asked for, the other covers an order that was on its way.  */
+#define QUIET_LEASES 2
 
 /* Steps of this VM.  */
 enum step
@@ -20,6 +23,7 @@
 struct authority
 {
   char *vm;
+  int64_t lease_ms;
   enum step step;
   int64_t revision; /* of the key, as last read or written */
   char *holder;     /* as the page has it, NULL for none */
@@ -33,10 +37,11 @@
 };
 
 struct authority *
-authority_create (const char *vm)
+authority_create (const char *vm, int64_t lease_ms)
 {
   struct authority *a = g_new0 (struct authority, 1);
   a->vm = g_strdup (vm);
+  a->lease_ms = lease_ms;
   a->revision = -1;
   return a;
 }
@@ -164,7 +169,7 @@
   g_free (a->holder);
   a->holder = g_strdup (a->vm);
   a->fencing = (uint64_t)a->revision;
-  a->quiet_ms = now_ms + AUTHORITY_QUIET_MS;
+  a->quiet_ms = now_ms + QUIET_LEASES * a->lease_ms;
   a->confirmed = false;
 }
 
--- a/src/decide/authority.h
+++ b/src/decide/authority.h
@@ -5,8 +5,9 @@
     One key names the holder.  Right before each order the holder writes it
    again by a conditional write, and sends only within SEND_WITHIN_MS of having
    asked for that; so whoever else writes it ends the orders of the one before.
-   A successor sends nothing for QUIET_MS after it has taken the key: by then
-   no order of its predecessor can be on its way.  Its fencing number is the
+   A successor sends nothing for twice the time that must lie between orders of
+   two holders, after it has taken the key: by then no order of its predecessor
+   can be on its way.  Its fencing number is the
     revision at which it took the key, so that it is higher than any before,
    even where the key was removed.  A key that another VM holds is taken only
    once it has stood still for TAKEOVER_MS, so that VMs that disagree on who
@@ -23,8 +24,6 @@
 
 /** How long the key must stand still before another VM takes it.  */
 #define AUTHORITY_TAKEOVER_MS 10000
-/** How long a VM that has taken it sends nothing.  */
-#define AUTHORITY_QUIET_MS 6000
 /** How long after it asked for a confirmation a holder may still send.  */
 #define AUTHORITY_SEND_WITHIN_MS 400
 
@@ -49,8 +48,9 @@
 
 struct authority;
 
-/** Makes the view of VM, which holds nothing.  */
-struct authority *authority_create (const char *vm);
+/** Makes the view of VM, which holds nothing.  LEASE_MS must lie between the
+    orders of two holders; it is more than AUTHORITY_SEND_WITHIN_MS.  */
+struct authority *authority_create (const char *vm, int64_t lease_ms);
 
 /** Releases A.  */
 void authority_destroy (struct authority *a);
--- a/src/decide/placing.c
+++ b/src/decide/placing.c
@@ -248,23 +248,6 @@
   return p->tokens > cached ? p->tokens - cached : 0;
 }
 
-/* What a plain request takes at the quickest instance of SERVICE; without
-   answers for long, what it takes anywhere.  */
-static double
-usual_service_ms (const struct upstreams *u, const char *service,
-                  int64_t now_ms)
-{
-  double least = DBL_MAX;
-  for (guint i = 1; i < u->slots->len; i++)
-    {
-      const struct upstream *x = upstreams_slot (u, i);
-      if (x->used && x->sampled_ms != 0
-          && strcmp (x->info.service, service) == 0)
-        least = MIN (least, upstreams_service_ms (x, SERVICE_MS, now_ms));
-    }
-  return least < DBL_MAX ? least : SERVICE_MS;
-}
-
 /* One search for an instance.  */
 struct search
 {
@@ -315,6 +298,8 @@
   else
     {
       double turns = (double)load.running / (double)MAX (x->info.slots, 1);
+      if (turns < 1)
+        out->room = load.running > 0 ? UPSTREAM_HAS_ROOM : UPSTREAM_IDLE;
       ms += upstreams_service_ms (x, s->usual_ms, s->now_ms)
             * (1 + (turns < 1 ? turns / 8 : turns));
     }
@@ -347,7 +332,7 @@
   if (ask->prompt)
     mark_kept (u, ask->service, now_ms);
   else
-    s.usual_ms = usual_service_ms (u, ask->service, now_ms);
+    s.usual_ms = upstreams_usual_ms (u, ask->service, now_ms);
   guint home = find_home (u, ask);
   if (may_read_apart (ask))
     find_nearest_decode (u, ask->service, now_ms, nearest);
--- a/src/decide/refusal.c
+++ b/src/decide/refusal.c
@@ -24,6 +24,21 @@
   return MIN (limit, left_ms - LEFT_MARGIN_MS);
 }
 
+bool
+refusal_is_due (const struct upstream_choice *choice, double late_ms,
+                double left_ms)
+{
+  switch (choice->room)
+    {
+    case UPSTREAM_IDLE:
+      return false;
+    case UPSTREAM_HAS_ROOM:
+      return choice->expected_ms > left_ms;
+    default:
+      return choice->expected_ms > late_ms;
+    }
+}
+
 unsigned
 refusal_retry_after_ms (const char *id, double left_ms)
 {
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -1,5 +1,6 @@
 #include "decide/upstreams_table.h"
 
+#include <float.h>
 #include <math.h>
 #include <string.h>
 #include <xxhash.h>
@@ -15,7 +16,7 @@
 /* How much one answer changes the time of a plain request: least, and after
    long without any.  */
 #define SERVICE_SAMPLE_WEIGHT 0.05
-#define SERVICE_SAMPLE_WEIGHT_MAX 0.8
+#define SERVICE_SAMPLE_WEIGHT_MAX 0.5
 /* Half of what an instance's slowness and failures tell is forgotten in as
    long, so that it is tried again; requests that may run once come later.  */
 #define FORGET_HALF_MS 2000.0
@@ -474,16 +475,34 @@
   return usual_ms + (x->service_ms - usual_ms) * left;
 }
 
+double
+upstreams_usual_ms (const struct upstreams *u, const char *service,
+                    int64_t now_ms)
+{
+  double least = DBL_MAX;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      const struct upstream *x = upstreams_slot (u, i);
+      if (x->used && x->sampled_ms != 0
+          && strcmp (x->info.service, service) == 0)
+        least = MIN (least, upstreams_service_ms (x, SERVICE_MS, now_ms));
+    }
+  return least < DBL_MAX ? least : SERVICE_MS;
+}
+
 /* A plain request was answered in MS.  */
 static void
-learn_service_ms (struct upstream *x, double ms, int64_t now_ms)
+learn_service_ms (const struct upstreams *u, struct upstream *x, double ms,
+                  int64_t now_ms)
 {
+  double usual = upstreams_usual_ms (u, x->info.service, now_ms);
+  double believed = upstreams_service_ms (x, usual, now_ms);
   double left = x->sampled_ms == 0
                     ? 0
                     : left_after (now_ms - x->sampled_ms, FORGET_HALF_MS);
   double weight = 1 - left * (1 - SERVICE_SAMPLE_WEIGHT);
   weight = MIN (weight, SERVICE_SAMPLE_WEIGHT_MAX);
-  x->service_ms += (MAX (ms, 1) - x->service_ms) * weight;
+  x->service_ms = believed + (MAX (ms, 1) - believed) * weight;
   x->sampled_ms = now_ms;
 }
 
@@ -579,7 +598,7 @@
   double whole = (double)(now_ms - work->sent_ms) - x->rtt_ms;
   unsigned took_ms = (unsigned)MAX (whole - FIRST_TOKEN_MS, 1);
   if (x->info.role == UPSTREAM_SERVICE)
-    learn_service_ms (x, whole, now_ms);
+    learn_service_ms (u, x, whole, now_ms);
   else
     learn_speed (x, work, took_ms);
   return took_ms;
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -98,6 +98,14 @@
   UPSTREAM_WORK_GENERATE /**< next to nothing to read */
 };
 
+/** Room at an instance of a plain service.  */
+enum upstream_room
+{
+  UPSTREAM_FULL,     /**< what is sent waits; also of engines */
+  UPSTREAM_HAS_ROOM, /**< it runs less than it can run at once */
+  UPSTREAM_IDLE      /**< it runs nothing, as far as is known */
+};
+
 /** What was chosen, and why.  */
 struct upstream_choice
 {
@@ -111,6 +119,7 @@
   bool is_home;       /**< it is the prompt's first choice */
   bool reads_apart;   /**< HANDLE only reads the prompt; another engine,
                            chosen once it has, generates */
+  enum upstream_room room;
   unsigned candidates;
 };
 
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -89,6 +89,10 @@
  */
 double upstreams_service_ms (const struct upstream *x, double usual_ms,
                              int64_t now_ms);
+/** What a plain request takes at the quickest instance of SERVICE; without
+    answers for long, what it takes anywhere.  */
+double upstreams_usual_ms (const struct upstreams *u, const char *service,
+                           int64_t now_ms);
 /** Whether X has answered none of its requests for long.  */
 bool upstreams_is_quiet (const struct upstream *x, int64_t now_ms);
 /** Whether X is passed over for now.  */
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -197,6 +197,7 @@
   s->n_vms = vms;
   s->n_upstreams = upstreams;
   s->leave_s = 5;
+  s->upstream_leave_ms = 2500;
   s->slots = 6;
   s->store = start_fake (s, "fake_store", "store", NULL, &s->store_address);
   for (unsigned i = 0; i < upstreams; i++)
@@ -259,6 +260,7 @@
   g_autofree char *name = g_strdup_printf ("vm%u", i);
   g_autofree char *log = g_strdup_printf ("%s/%s.log", s->dir, name);
   g_autofree char *leave = g_strdup_printf ("%u", s->leave_s);
+  g_autofree char *gone = g_strdup_printf ("%u", s->upstream_leave_ms);
   char *store
       = s->vm_store[i] ? (char *)(uintptr_t)s->vm_store[i] : s->store_address;
   if (s->fronts[i] == NULL)
@@ -298,6 +300,8 @@
                    metrics,
                    "--leave-deadline-s",
                    leave,
+                   "--upstream-leave-ms",
+                   gone,
                    "--retry-slack",
                    "1000",
                    "--max-connections",
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -38,9 +38,10 @@
   char *entries[SITE_VMS_MAX];
   uint16_t peer_ports[SITE_VMS_MAX];
   uint16_t metrics_ports[SITE_VMS_MAX];
-  unsigned leave_s; /**< time that a stop may take */
-  unsigned slots;   /**< that instances say they have */
-  bool quiet;       /**< VMs log warnings only */
+  unsigned leave_s;           /**< time that a stop may take */
+  unsigned upstream_leave_ms; /**< within which one that leaves gets no more */
+  unsigned slots;             /**< that instances say they have */
+  bool quiet;                 /**< VMs log warnings only */
 };
 
 /** Starts the store and UPSTREAMS instances "u0", ..., writes their entries
--- a/tests/process/test_wakes.c
+++ b/tests/process/test_wakes.c
@@ -10,8 +10,9 @@
 /* Longer than the 2 s for which routes wait for an answer.  */
 #define FROZEN_US 3000000
 #define UNDER_WAY_US 100000
-/* An instance that leaves gets no more within 2.5 s.  */
-#define LEAVES_MS 2500
+/* An instance that leaves gets no more within as long; less than on the users'
+   sites, as a setting says.  */
+#define LEAVES_MS 1200
 #define WHOLE_MS 10000
 #define VMS 2
 #define UPSTREAMS 2
@@ -137,6 +138,27 @@
   g_usleep (500000);
 }
 
+/* All instances leave at once, which looks like a fault of the store: they get
+   no more within the time that the setting names all the same.  */
+static void
+test_all_leave (void)
+{
+  site_write_upstream (site, 0, NULL);
+  site_write_upstream (site, 1, NULL);
+  g_usleep (LEAVES_MS * 1000);
+  for (unsigned i = 0; i < BURST; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("none-%u", i);
+      struct web *w = site_ask (site, i % VMS, "GET", "/safe/ok", id);
+      g_assert_cmpint (w->status, ==, 503);
+      g_assert_cmpuint (site_runs (site, -1, id), ==, 0);
+      web_close (w);
+    }
+  site_write_upstream (site, 0, "ready");
+  site_write_upstream (site, 1, "ready");
+  g_usleep (500000);
+}
+
 static bool
 serves_at (void *arg)
 {
@@ -194,10 +216,12 @@
   g_test_init (&argc, &argv, NULL);
   programs_init (argv[0]);
   site = site_create (programs (), VMS, UPSTREAMS);
+  site->upstream_leave_ms = LEAVES_MS;
   site_start (site);
   g_test_add_func ("/wakes/under-way", test_under_way);
   g_test_add_func ("/wakes/callers-left", test_callers_left);
   g_test_add_func ("/wakes/left-meanwhile", test_left_meanwhile);
+  g_test_add_func ("/wakes/all-leave", test_all_leave);
   g_test_add_func ("/wakes/address-given-away", test_address_given_away);
   int result = g_test_run ();
   site_destroy (site);
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -3,6 +3,7 @@
    prefix index, the choice of an upstream.  */
 #include "decide/attempts.h"
 #include "decide/placing.h"
+#include "decide/refusal.h"
 #include "decide/prefixes.h"
 #include "decide/retry_window.h"
 #include "decide/routes.h"
@@ -356,7 +357,7 @@
                   when_quick);
   g_assert_cmpuint (while_slow, >=, 1);
   g_assert_cmpuint (while_slow, <=, 4);
-  g_assert_cmpuint (when_quick, >=, 50);
+  g_assert_cmpuint (when_quick, >, 100);
   put (u, "new", "n1", UPSTREAM_SERVICE, false);
   upstreams_hear (u, "vm-2", "a", &busy, now);
   g_assert_cmpstr (chosen (u, NULL, now), ==, "new");
@@ -385,6 +386,33 @@
   upstreams_destroy (u);
 }
 
+/* Load: a service with free slots whose answers take longer than the
+   objective, or took so at its only one.  It is refused nothing that can end
+   in time, and nothing at all while it runs nothing; once its slots are taken,
+   what would be late is refused.  */
+static void
+test_free_slots_refuse_nothing (void)
+{
+  struct upstreams *u = make_table ();
+  struct upstream_ask ask = { .service = "s" };
+  struct upstream_load some = { .running = 2 };
+  struct upstream_load full = { .running = 4 };
+  put (u, "a", "n1", UPSTREAM_SERVICE, false);
+  int64_t now = play (u, "a", 20, ATTEMPT_ANSWERED, 400, 0);
+  struct upstream_choice c = placing_choose (u, &ask, now);
+  g_assert_cmpfloat (c.expected_ms, >, 300);
+  g_assert_false (refusal_is_due (&c, 120, 2000));
+  g_assert_false (refusal_is_due (&c, 120, 200));
+  upstreams_hear (u, "vm-2", "a", &some, now);
+  c = placing_choose (u, &ask, now);
+  g_assert_false (refusal_is_due (&c, 120, 2000));
+  g_assert_true (refusal_is_due (&c, 120, 200));
+  upstreams_hear (u, "vm-2", "a", &full, now);
+  c = placing_choose (u, &ask, now);
+  g_assert_true (refusal_is_due (&c, 120, 2000));
+  upstreams_destroy (u);
+}
+
 /* A VM that stood still with requests under way learns nothing from them.  */
 static void
 test_own_pause_is_no_slowness (void)
@@ -727,6 +755,7 @@
   g_test_add_func ("/upstreams/failing", test_failing_is_passed_over);
   g_test_add_func ("/upstreams/slow-is-tried-again", test_slow_is_tried_again);
   g_test_add_func ("/upstreams/slow-for-all", test_slow_for_all_is_forgotten);
+  g_test_add_func ("/upstreams/free-slots", test_free_slots_refuse_nothing);
   g_test_add_func ("/upstreams/own-pause", test_own_pause_is_no_slowness);
   g_test_add_func ("/upstreams/failing-comes-back", test_failing_comes_back);
   g_test_add_func ("/upstreams/silent", test_silent_is_left);
--- a/tests/unit/test_stages.c
+++ b/tests/unit/test_stages.c
@@ -41,6 +41,7 @@
 
 struct world
 {
+  int64_t lease_ms;
   GRand *rand;
   int64_t now;
   int64_t revision; /* of the latest change */
@@ -70,7 +71,7 @@
   if (w->last_sender >= 0 && w->last_sender != vm)
     {
       g_assert_cmpuint (fencing, >, w->highest);
-      g_assert_cmpint (w->now - w->last_sent_ms, >, LEASE_MS);
+      g_assert_cmpint (w->now - w->last_sent_ms, >, w->lease_ms);
       w->holders++;
     }
   w->highest = fencing;
@@ -188,15 +189,17 @@
 }
 
 static struct world
-play (guint32 seed)
+play (guint32 seed, int64_t lease_ms)
 {
-  struct world w = { .rand = g_rand_new_with_seed (seed), .last_sender = -1 };
+  struct world w = { .rand = g_rand_new_with_seed (seed),
+                     .lease_ms = lease_ms,
+                     .last_sender = -1 };
   w.writes = g_array_new (FALSE, TRUE, sizeof (struct write));
   w.page = g_bytes_new ("", 0);
   for (unsigned i = 0; i < VMS; i++)
     {
       g_snprintf (w.vms[i].name, sizeof w.vms[i].name, "vm%u", i);
-      w.vms[i].authority = authority_create (w.vms[i].name);
+      w.vms[i].authority = authority_create (w.vms[i].name, lease_ms);
       w.vms[i].lead = i == 0 || chance (&w, 3) == 0;
     }
   for (; w.now < DAY_MS; w.now += STEP_MS)
@@ -220,23 +223,28 @@
 static void
 test_one_holder (void)
 {
-  unsigned sends = 0;
-  unsigned turns = 0;
-  for (guint32 seed = 1; seed <= 300; seed++)
+  static const int64_t leases[] = { LEASE_MS, LEASE_MS / 3, LEASE_MS * 3 };
+  for (size_t i = 0; i < G_N_ELEMENTS (leases); i++)
     {
-      struct world w = play (seed);
-      sends += w.sends;
-      turns += w.holders;
+      unsigned sends = 0;
+      unsigned turns = 0;
+      for (guint32 seed = 1; seed <= 300; seed++)
+        {
+          struct world w = play (seed, leases[i]);
+          sends += w.sends;
+          turns += w.holders;
+        }
+      g_test_message ("lease %d ms: %u sends, %u changes of the holder",
+                      (int)leases[i], sends, turns);
+      g_assert_cmpuint (turns, >, 100);
     }
-  g_test_message ("%u sends, %u changes of the holder", sends, turns);
-  g_assert_cmpuint (turns, >, 100);
 }
 
 /* A holder that nobody disturbs sends what it has, and goes on.  */
 static void
 test_calm (void)
 {
-  struct authority *a = authority_create ("a");
+  struct authority *a = authority_create ("a", LEASE_MS);
   g_assert_cmpint (authority_next (a, true, false, 0), ==, AUTHORITY_READ);
   authority_read_done (a, true, 0, NULL, 5);
   g_assert_cmpint (authority_next (a, true, false, 5), ==, AUTHORITY_WRITE);
