Stand-in of an upstream: answers in a module of their own

Cause: fake_upstream.c had grown to 720 lines and held two jobs, what becomes of a request and how its answer looks on the wire. Change: tests/fakes/upstream_answer.{h,c}; the Makefile links all shared parts of the stand-ins by pattern. No change of what it does.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,7 @@
 
 bin ?= $(BUILD)/bin
 programs = $(bin)/buckthornd $(bin)/buckthornctl
+fakes_shared = $(call objects,$(filter-out tests/fakes/fake_%.c,$(wildcard tests/fakes/*.c)))
 fakes = $(patsubst tests/fakes/%.c,$(bin)/%,$(wildcard tests/fakes/fake_*.c))
 unit_tests = $(patsubst tests/unit/%.c,$(bin)/unit/%,$(wildcard tests/unit/*.c))
 process_tests = $(patsubst tests/process/%.c,$(bin)/process/%,$(wildcard tests/process/*.c))
@@ -59,7 +60,7 @@
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
-$(bin)/fake_%: $(BUILD)/tests/fakes/fake_%.o $(BUILD)/tests/fakes/faults.o $(BUILD)/tests/fakes/reading.o $(links) $(core)
+$(bin)/fake_%: $(BUILD)/tests/fakes/fake_%.o $(fakes_shared) $(links) $(core)
 	@mkdir -p $(dir $@)
 	$(CC) $(CFLAGS) $^ -o $@ $(LDLIBS)
 
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -44,11 +44,10 @@
 
     GET /seen tells {"runs":{ID:COUNT},"left":N,"heads":{ID:HEAD}}.  */
 #include "fakes/reading.h"
+#include "fakes/upstream_answer.h"
 
 #include "base/http_head.h"
-#include "links/http_codec.h"
 
-#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/listener.h>
 #include <glib.h>
@@ -60,46 +59,19 @@
 #include <string.h>
 #include <sys/socket.h>
 
-#define EVENTS 5
-#define EVENT_MS 20
-#define SLOW_MS 300
-#define FAST_EVENTS 1000
-#define LINGER_OFF_S 0
 #define SPEED_TOKENS_PER_MS 100.0
 #define FETCH_MS 4
 /* An engine refuses what it could read only after as long.  */
 #define QUEUE_MOST_MS 2000.0
 #define US_PER_MS 1000.0
 
-struct conn
-{
-  struct bufferevent *bev;
-  struct http_codec *codec;
-  struct evbuffer *body;
-  struct event *timer;
-  char *id;
-  char *directive;
-  unsigned next_event;
-  bool working;
-  bool close_after;
-};
-
-/* Names of header fields.  */
-struct fields
-{
-  const char *id;       /* of a request, in its answer; NULL for none */
-  const char *instance; /* that is meant */
-  const char *refused;
-  const char *mark; /* of the instance; NULL for none */
-};
-
-static const struct fields platform_fields
+static const struct answer_fields platform_fields
     = { "X-Request-Id", "X-Expect-Instance", "X-Not-Run", "X-Response-Seal" };
-static const struct fields own_fields
+static const struct answer_fields own_fields
     = { NULL, "X-Upstream", "X-Refused", NULL };
 
 static struct event_base *base;
-static const struct fields *fields = &platform_fields;
+static const struct answer_fields *fields = &platform_fields;
 static const char *instance = "u1";
 static GHashTable *runs;  /* request id -> count */
 static GHashTable *heads; /* request id -> head as it came */
@@ -108,198 +80,14 @@
 static struct reading *reading;
 static unsigned handles;
 
-static void
-conn_free (struct conn *c)
-{
-  event_free (c->timer);
-  bufferevent_free (c->bev);
-  http_codec_destroy (c->codec);
-  evbuffer_free (c->body);
-  g_free (c->id);
-  g_free (c->directive);
-  g_free (c);
-}
-
-static void
-conn_reset (struct conn *c)
-{
-  struct linger hard = { 1, LINGER_OFF_S };
-  setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &hard,
-              sizeof hard);
-  conn_free (c);
-}
-
-static void
-send_text (struct conn *c, const char *text)
-{
-  evbuffer_add (bufferevent_get_output (c->bev), text, strlen (text));
-}
-
-/* The field that names the request ID.  */
-static char *
-id_line (const char *id)
-{
-  return fields->id ? g_strdup_printf ("%s: %s\r\n", fields->id, id)
-                    : g_strdup ("");
-}
-
-/* Head of an answer to the request ID; more fields and the end follow.  */
-static char *
-answer_head (const char *id, const char *status, bool mark)
-{
-  g_autofree char *line
-      = mark && fields->mark
-            ? g_strdup_printf ("%s: %s\r\n", fields->mark, instance)
-            : g_strdup ("");
-  g_autofree char *named = id_line (id);
-  return g_strdup_printf ("HTTP/1.1 %s\r\n%s%s", status, named, line);
-}
-
-/* What a whole answer says: what was asked.  */
-static char *
-answer_body (const struct conn *c)
-{
-  const struct http_head *h = http_codec_head (c->codec);
-  size_t n = evbuffer_get_length (c->body);
-  g_autofree char *sum = g_compute_checksum_for_data (
-      G_CHECKSUM_SHA256, evbuffer_pullup (c->body, -1), n);
-  return g_strdup_printf ("%s %s %zu %s\n", h->method, h->target, n, sum);
-}
-
-static void
-send_sized (struct conn *c, const char *id, const char *status, bool mark,
-            const char *body, size_t told)
-{
-  g_autofree char *head = answer_head (id, status, mark);
-  g_autofree char *text
-      = g_strdup_printf ("%sContent-Length: %zu\r\n\r\n%s", head, told, body);
-  send_text (c, text);
-}
-
-static void
-send_ok (struct conn *c)
-{
-  g_autofree char *body = answer_body (c);
-  send_sized (c, c->id, "200 OK", true, body, strlen (body));
-}
-
-static void
-finish (struct conn *c, bool close)
-{
-  c->working = false;
-  c->close_after = close;
-  g_clear_pointer (&c->id, g_free);
-  g_clear_pointer (&c->directive, g_free);
-  evbuffer_drain (c->body, evbuffer_get_length (c->body));
-  http_codec_next (c->codec, false);
-}
-
-static void
-send_chunked (struct conn *c)
-{
-  g_autofree char *body = answer_body (c);
-  g_autofree char *head = answer_head (c->id, "200 OK", true);
-  g_autofree char *text
-      = g_strdup_printf ("%sTransfer-Encoding: "
-                         "chunked\r\n\r\n3\r\n%.3s\r\n%zx\r\n%s\r\n0\r\n\r\n",
-                         head, body, strlen (body) - 3, body + 3);
-  send_text (c, text);
-  finish (c, false);
-}
-
-static void
-send_unframed (struct conn *c)
-{
-  g_autofree char *body = answer_body (c);
-  g_autofree char *head = answer_head (c->id, "200 OK", true);
-  g_autofree char *text = g_strdup_printf ("%s\r\n%s", head, body);
-  send_text (c, text);
-}
-
-static void
-arm (struct conn *c, unsigned ms)
-{
-  struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
-  evtimer_add (c->timer, &tv);
-}
-
-static void
-start_stream (struct conn *c)
-{
-  g_autofree char *head = answer_head (c->id, "200 OK", true);
-  const char *after
-      = http_head_get (http_codec_head (c->codec), "Last-Event-Id");
-  g_autofree char *text
-      = g_strdup_printf ("%sContent-Type: text/event-stream\r\n"
-                         "Transfer-Encoding: chunked\r\n\r\n",
-                         head);
-  c->next_event = after ? (unsigned)g_ascii_strtoull (after, NULL, 10) + 1 : 1;
-  send_text (c, text);
-  arm (c, EVENT_MS);
-}
-
-static void
-send_chunk (struct conn *c, const char *text)
-{
-  evbuffer_add_printf (bufferevent_get_output (c->bev), "%zx\r\n%s\r\n",
-                       strlen (text), text);
-}
-
-/* COUNT events at once; the end follows unless HELD.  */
-static void
-send_burst (struct conn *c, unsigned count, bool held)
-{
-  g_autofree char *head = answer_head (c->id, "200 OK", true);
-  g_autofree char *text
-      = g_strdup_printf ("%sContent-Type: text/event-stream\r\n"
-                         "Transfer-Encoding: chunked\r\n\r\n",
-                         head);
-  send_text (c, text);
-  for (unsigned i = 1; i <= count; i++)
-    {
-      g_autofree char *event
-          = g_strdup_printf ("id: %u\ndata: piece %u\n\n", i, i);
-      send_chunk (c, event);
-    }
-  if (held)
-    return;
-  send_text (c, "0\r\n\r\n");
-  finish (c, false);
-}
-
-static void
-next_event (struct conn *c)
-{
-  g_autofree char *event = g_strdup_printf ("id: %u\ndata: piece %u\n\n",
-                                            c->next_event, c->next_event);
-  bool goes_on = http_head_get (http_codec_head (c->codec), "Last-Event-Id");
-  if (strcmp (c->directive, "stream-cut") == 0 && c->next_event == 3
-      && !goes_on)
-    {
-      event[8] = '\0';
-      send_chunk (c, event);
-      finish (c, true);
-      return;
-    }
-  if (c->next_event > EVENTS && strcmp (c->directive, "long") != 0)
-    {
-      send_text (c, "0\r\n\r\n");
-      finish (c, false);
-      return;
-    }
-  send_chunk (c, event);
-  c->next_event++;
-  arm (c, EVENT_MS);
-}
-
 /* The prompt has been read for another engine.  */
 static void
 tell_handle (struct conn *c)
 {
   g_autofree char *body = g_strdup_printf (
       "{\"kvHandle\":\"%s-%u\",\"tokens\":1,\"version\":1}", c->id, ++handles);
-  send_sized (c, c->id, "200 OK", true, body, strlen (body));
-  finish (c, false);
+  answer_sized (c, c->id, "200 OK", true, body, strlen (body));
+  answer_finish (c, false);
 }
 
 static void
@@ -308,98 +96,12 @@
   (void)fd;
   (void)what;
   struct conn *c = arg;
-  if (c->directive && strcmp (c->directive, "slow") == 0)
-    {
-      send_ok (c);
-      finish (c, false);
-    }
-  else if (c->directive && strcmp (c->directive, "unframed-reset") == 0)
-    conn_reset (c);
-  else if (c->directive && strcmp (c->directive, "read") == 0)
+  if (c->directive && strcmp (c->directive, "read") == 0)
     tell_handle (c);
   else if (c->directive && strcmp (c->directive, "generate") == 0)
-    send_burst (c, 2, false);
+    answer_burst (c, 2, false);
   else if (c->directive)
-    next_event (c);
-}
-
-/* Answers that are no stream; false for a directive that is none of them.  */
-static bool
-answer_oddly (struct conn *c, const char *d)
-{
-  g_autofree char *body = answer_body (c);
-  size_t n = strlen (body);
-  if (strcmp (d, "error") == 0)
-    send_sized (c, c->id, "500 Failed", true, "failed\n", 7);
-  else if (strcmp (d, "busy") == 0)
-    send_sized (c, c->id, "503 Busy", true, "busy\n", 5);
-  else if (strcmp (d, "unsigned") == 0)
-    send_sized (c, c->id, "200 OK", false, body, n);
-  else if (strcmp (d, "extra") == 0)
-    {
-      send_ok (c);
-      send_sized (c, "of-another", "200 OK", true, "not yours\n", 10);
-    }
-  else if (strcmp (d, "stray") == 0)
-    {
-      send_sized (c, "of-another", "200 OK", true, "not yours\n", 10);
-      send_ok (c);
-    }
-  else
-    return false;
-  finish (c, false);
-  return true;
-}
-
-/* Ends without a whole answer; false for other directives.  */
-static bool
-break_off (struct conn *c, const char *d)
-{
-  g_autofree char *body = answer_body (c);
-  if (strcmp (d, "cut") == 0)
-    send_sized (c, c->id, "200 OK", true, "a part", strlen (body) + 6);
-  else if (strcmp (d, "garbage") == 0)
-    send_text (c, "\x01\x02\x03 this is no answer\r\n\r\n");
-  else if (strcmp (d, "unframed") == 0)
-    send_unframed (c);
-  else
-    return false;
-  finish (c, true);
-  return true;
-}
-
-static void
-run (struct conn *c)
-{
-  const char *d = c->directive;
-  if (strcmp (d, "reset") == 0)
-    conn_reset (c);
-  else if (strcmp (d, "lost") == 0)
-    conn_free (c);
-  else if (strcmp (d, "silent") == 0)
-    return;
-  else if (strcmp (d, "slow") == 0)
-    arm (c, SLOW_MS);
-  else if (strcmp (d, "chunked") == 0)
-    send_chunked (c);
-  else if (strcmp (d, "unframed-reset") == 0)
-    {
-      send_unframed (c);
-      arm (c, EVENT_MS);
-    }
-  else if (strcmp (d, "two") == 0)
-    send_burst (c, 2, false);
-  else if (strcmp (d, "fast") == 0)
-    send_burst (c, FAST_EVENTS, false);
-  else if (strcmp (d, "held") == 0)
-    send_burst (c, 1, true);
-  else if (g_str_has_prefix (d, "stream") || strcmp (d, "long") == 0)
-    start_stream (c);
-  else if (!answer_oddly (c, d) && !break_off (c, d))
-    {
-      send_ok (c);
-      finish (c, false);
-    }
+    answer_go_on (c);
 }
 
 static void
@@ -412,17 +114,6 @@
                  g_get_monotonic_time ());
 }
 
-static void
-refuse (struct conn *c, const char *status)
-{
-  g_autofree char *named = id_line (c->id);
-  g_autofree char *text = g_strdup_printf ("HTTP/1.1 %s\r\n%s%s: 1\r\n"
-                                           "Content-Length: 0\r\n\r\n",
-                                           status, named, fields->refused);
-  send_text (c, text);
-  finish (c, false);
-}
-
 static void
 tell_seen (struct conn *c)
 {
@@ -441,9 +132,9 @@
                             (int)left, "heads", texts);
   char *text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
-  send_sized (c, "-", "200 OK", false, text, strlen (text));
+  answer_sized (c, "-", "200 OK", false, text, strlen (text));
   free (text);
-  finish (c, false);
+  answer_finish (c, false);
 }
 
 /* DIRECTIVE or DIRECTIVE@ID, after the last slash.  */
@@ -480,14 +171,14 @@
                  t.tokens, t.queue_ms);
   if (t.queue_ms > QUEUE_MOST_MS)
     {
-      refuse (c, "503 Full");
+      answer_refuse (c, "503 Full");
       return;
     }
   if (strcmp (directive, "generate") == 0)
     note_run (c->id);
   g_free (c->directive);
   c->directive = g_strdup (directive);
-  arm (c, (unsigned)t.all_ms + 1);
+  answer_arm (c, (unsigned)t.all_ms + 1);
 }
 
 /* Goes on from what another engine has read.  */
@@ -500,7 +191,7 @@
   note_run (c->id);
   g_free (c->directive);
   c->directive = g_strdup ("generate");
-  arm (c, FETCH_MS);
+  answer_arm (c, FETCH_MS);
 }
 
 /* A model request at an engine.  */
@@ -511,7 +202,7 @@
   const char *source = http_head_get (h, "X-Kv-Source");
   bool only_read = http_head_get (h, "X-Stage") != NULL;
   if (only_read != (strcmp (stage, "prefill") == 0))
-    refuse (c, "421 Wrong stage");
+    answer_refuse (c, "421 Wrong stage");
   else if (only_read)
     read_prompt (c, "read");
   else if (source)
@@ -541,8 +232,8 @@
       stage = strcmp (to, "prefill") == 0 ? "prefill" : "decode";
     }
   json_decref (root);
-  send_sized (c, "-", good ? "202 Accepted" : "400 Bad", false, "", 0);
-  finish (c, false);
+  answer_sized (c, "-", good ? "202 Accepted" : "400 Bad", false, "", 0);
+  answer_finish (c, false);
 }
 
 static void
@@ -564,7 +255,7 @@
     return;
   c->id = g_strdup (id ? id : "-");
   note_head (c);
-  refuse (c, "503 Full");
+  answer_refuse (c, "503 Full");
   c->close_after = true;
 }
 
@@ -589,20 +280,20 @@
   c->directive = directive_of (h->target);
   note_head (c);
   if (expected && strcmp (expected, instance) != 0)
-    refuse (c, "421 Misdirected");
+    answer_refuse (c, "421 Misdirected");
   else if (strcmp (c->directive, "not-run") == 0)
-    refuse (c, "503 Full");
+    answer_refuse (c, "503 Full");
   else if (strcmp (h->method, "DELETE") == 0)
     {
-      send_ok (c);
-      finish (c, false);
+      answer_ok (c);
+      answer_finish (c, false);
     }
   else if (stage && http_head_get (h, "X-Token-Counts"))
     take_model_request (c);
   else
     {
       note_run (c->id);
-      run (c);
+      answer_run (c);
     }
 }
 
@@ -626,7 +317,7 @@
   (void)bev;
   struct conn *c = arg;
   if (c->close_after)
-    conn_free (c);
+    answer_conn_free (c);
 }
 
 static void
@@ -637,7 +328,7 @@
   if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
     return;
   left += c->working;
-  conn_free (c);
+  answer_conn_free (c);
 }
 
 static void
@@ -704,6 +395,7 @@
   g_autofree char *named = g_strdup_printf ("%s@127.0.0.1:%u", instance, port);
   if (fields == &own_fields)
     instance = named;
+  answer_setup (fields, instance);
   printf ("port=%u\n", port);
   (void)fflush (stdout);
   struct event *term = evsignal_new (base, SIGTERM, on_term, NULL);
