Soak of a site in modules; changes gathered by part of the leaving time

And the pause in which changes of upstreams are gathered had a cap of its own (0.6 s) where a deployment allows more.

Pause: 24 of 100 of upstream-leave-ms; a hint of another VM waits for it.

Ruled out: longer waits at the store (20 s in place of 10): a wait that an outage has swallowed would be missed that much later.

--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -7,11 +7,9 @@
 
 #include <string.h>
 
-/* Instances that start or leave one after the other are heard of this late at
-   most, and within this part of the time in which one that leaves must get no
-   more work.  */
-#define UPSTREAMS_GATHER_MS 600
-#define UPSTREAMS_GATHER_PERCENT 24
+/* Instances that start or leave one after the other are heard of late by this
+   part, at most, of the time in which one that leaves must get no more.  */
+#define GATHER_PERCENT 24
 #define TICK_MS 100
 /* How long a vanished entry may be missing before it counts as gone, and for
    how long after the service's return that holds.  */
@@ -225,8 +223,7 @@
                   const struct discovery_events *events, void *arg)
 {
   static const struct timeval tick = { 0, TICK_MS * 1000 };
-  unsigned gather_ms
-      = MIN (UPSTREAMS_GATHER_MS, leave_ms * UPSTREAMS_GATHER_PERCENT / 100);
+  unsigned gather_ms = leave_ms * GATHER_PERCENT / 100;
   struct discovery *d = g_new0 (struct discovery, 1);
   d->platform = platform;
   d->upstreams = upstreams;
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -11,9 +11,10 @@
    within CALM_MS.  */
 #define GATHER_MS 150
 #define CALM_MS 1000
-/* How long a change that another VM knows of may be missing here: the pause in
-   which changes are gathered, and their way.  */
-#define HINT_MS 1000
+/* How long a change that another VM knows of may be missing here: least, and
+   besides the pause in which changes are gathered.  */
+#define HINT_LEAST_MS 1000
+#define HINT_MARGIN_MS 400
 /* Where history was lost, all VMs read everything again; spread over as long
    for each key.  */
 #define READ_AGAIN_US_PER_KEY 200
@@ -297,7 +298,8 @@
 void
 feed_hint (struct feed *f, int64_t revision)
 {
-  static const struct timeval wait = { 0, HINT_MS * 1000 };
+  unsigned ms = MAX (f->gather_most_ms + HINT_MARGIN_MS, HINT_LEAST_MS);
+  struct timeval wait = { ms / 1000, (ms % 1000) * 1000 };
   f->hinted = MAX (f->hinted, revision);
   if (is_behind (f) && !evtimer_pending (f->hint_timer, NULL))
     evtimer_add (f->hint_timer, &wait);
--- /dev/null
+++ b/tests/harness/site_soak_faults.c
@@ -0,0 +1,329 @@
+#include "harness/site_soak.h"
+
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+/* Rounds of faults, and then of planned work alone, long enough for what is
+   held to promises in calm.  */
+#define ROUND_US (20000 * MS_US)
+#define FAULTS_US (5000 * MS_US)
+/* A configuration and a leaving hold after as long.  */
+#define APPLY_US (2500 * MS_US)
+
+/* Faults.  */
+
+void
+soak_note_own_end (struct soak *s, unsigned vm)
+{
+  if (s->site->vms[vm]->pid > 0 && proc_wait (s->site->vms[vm], 0))
+    soak_violation (&s->violations, "vm%u ended by itself, status %d", vm,
+                    s->site->vms[vm]->status);
+}
+
+/* Planned: nothing that it has read may be lost.  */
+static void
+stop_vm (struct soak *s, GRand *rand, unsigned vm)
+{
+  struct proc *p = s->site->vms[vm];
+  proc_signal (p, SIGTERM);
+  if (!proc_wait (p, (s->site->leave_s + 5) * 1000))
+    soak_violation (&s->violations, "vm%u did not end after SIGTERM", vm);
+  site_start_vm (s->site, vm);
+  soak_sleep_ms (rand, 500, 1500);
+}
+
+static void
+fault_vm (struct soak *s, GRand *rand, unsigned vm)
+{
+  struct proc *p = s->site->vms[vm];
+  soak_note_own_end (s, vm);
+  switch (soak_pick (rand, 4))
+    {
+    case 0:
+      soak_harm (s, &s->vms[vm]);
+      proc_kill (p);
+      soak_sleep_ms (rand, 100, 2000);
+      site_start_vm (s->site, vm);
+      soak_heal (s, &s->vms[vm]);
+      break;
+    case 1:
+      soak_harm (s, &s->vms[vm]);
+      proc_signal (p, SIGSTOP);
+      soak_sleep_ms (rand, 100, 4000);
+      proc_signal (p, SIGCONT);
+      soak_heal (s, &s->vms[vm]);
+      break;
+    case 2:
+      stop_vm (s, rand, vm);
+      break;
+    default:
+      proc_signal (p, SIGHUP);
+    }
+}
+
+static void
+fault_all_vms (struct soak *s, GRand *rand)
+{
+  unsigned locked = 0;
+  while (locked < VMS && g_mutex_trylock (&s->vm_locks[locked]))
+    locked++;
+  if (locked < VMS)
+    {
+      while (locked > 0)
+        g_mutex_unlock (&s->vm_locks[--locked]);
+      return;
+    }
+  for (unsigned i = 0; i < VMS; i++)
+    {
+      soak_note_own_end (s, i);
+      soak_harm (s, &s->vms[i]);
+      proc_kill (s->site->vms[i]);
+    }
+  soak_sleep_ms (rand, 100, 1500);
+  for (unsigned i = 0; i < VMS; i++)
+    {
+      site_start_vm (s->site, i);
+      soak_heal (s, &s->vms[i]);
+      g_mutex_unlock (&s->vm_locks[i]);
+    }
+}
+
+/* The instance leaves, as its entry says or by losing it, and is back.  */
+static void
+leave (struct soak *s, GRand *rand, unsigned i)
+{
+  gint64 before_us = g_get_monotonic_time ();
+  site_write_upstream (s->site, i, soak_pick (rand, 2) ? "draining" : NULL);
+  struct leaving l = { i, g_get_monotonic_time () + APPLY_US, 0 };
+  soak_sleep_ms (rand, 3000, 4500);
+  l.to_us = g_get_monotonic_time ();
+  g_mutex_lock (&s->lock);
+  bool calm = soak_is_calm (&s->upstreams[i], before_us);
+  g_mutex_unlock (&s->lock);
+  if (calm && soak_store_is_calm (s, VMS, before_us))
+    {
+      g_mutex_lock (&s->lock);
+      g_array_append_val (s->leavings, l);
+      g_mutex_unlock (&s->lock);
+    }
+  site_write_upstream (s->site, i, "ready");
+}
+
+static void
+fault_relay (struct soak *s, GRand *rand, struct relay *r,
+             struct subject *subject)
+{
+  unsigned ways = 1 + soak_pick (rand, 3);
+  soak_harm (s, subject);
+  switch (soak_pick (rand, 4))
+    {
+    case 0:
+      relay_cut (r, soak_pick (rand, 2));
+      soak_sleep_ms (rand, 10, 1500);
+      relay_cut (r, FALSE);
+      break;
+    case 1:
+      relay_forget (r);
+      break;
+    case 2:
+      relay_delay (r, 20 + soak_pick (rand, 300));
+      soak_sleep_ms (rand, 300, 2500);
+      relay_delay (r, 0);
+      break;
+    default:
+      relay_hold (r, (ways & 1) != 0, (ways & 2) != 0);
+      soak_sleep_ms (rand, 100, 3000);
+      relay_hold (r, FALSE, FALSE);
+    }
+  soak_heal (s, subject);
+}
+
+static void
+fault_upstream (struct soak *s, GRand *rand, unsigned i)
+{
+  struct proc *p = s->site->upstreams[i];
+  switch (soak_pick (rand, 4))
+    {
+    case 0:
+      soak_harm (s, &s->upstreams[i]);
+      proc_kill (p);
+      soak_sleep_ms (rand, 100, 2000);
+      site_restart_upstream (s->site, i);
+      soak_heal (s, &s->upstreams[i]);
+      break;
+    case 1:
+      soak_harm (s, &s->upstreams[i]);
+      proc_signal (p, SIGSTOP);
+      soak_sleep_ms (rand, 100, 2500);
+      proc_signal (p, SIGCONT);
+      soak_heal (s, &s->upstreams[i]);
+      break;
+    case 2:
+      leave (s, rand, i);
+      break;
+    default:
+      fault_relay (s, rand, s->to_upstream[i], &s->upstreams[i]);
+    }
+}
+
+static void
+fault_store (struct soak *s, GRand *rand)
+{
+  static const char *const faults[]
+      = { "refuse=1", "silent=1", "reply_delay_ms=300", "drop_replies=5" };
+  soak_harm (s, &s->store);
+  if (soak_pick (rand, 4) == 0)
+    site_store_forget (s->site);
+  else
+    site_store_faults (s->site,
+                       faults[soak_pick (rand, G_N_ELEMENTS (faults))]);
+  soak_sleep_ms (rand, 200, 4000);
+  site_store_faults (s->site,
+                     "refuse=0&silent=0&reply_delay_ms=0&drop_replies=0");
+  soak_heal (s, &s->store);
+}
+
+/* Status of a request to VM of the path that version VERSION added.  */
+static int
+ask_version (struct soak *s, unsigned vm, unsigned version)
+{
+  g_autofree char *path = g_strdup_printf ("/x%u/ok", version);
+  g_autofree char *id
+      = g_strdup_printf ("%u-v%u-%u-%u", s->seed, version, vm, s->version);
+  struct record r = { .plain = true };
+  struct web *w = site_ask (s->site, vm, "GET", path, id);
+  int status = r.status = w->status;
+  r.whole = w->whole;
+  soak_keep_record (s, id, &r);
+  web_close (w);
+  return status;
+}
+
+/* A version adds one path and drops that of the one before.  */
+static void
+change_routes (struct soak *s)
+{
+  gint64 before_us = g_get_monotonic_time ();
+  g_autofree char *extra = g_strdup_printf ("x%u", ++s->version);
+  site_write_routes (s->site, s->version, extra);
+  g_usleep (APPLY_US);
+  for (unsigned vm = 0; vm < VMS; vm++)
+    {
+      if (!g_mutex_trylock (&s->vm_locks[vm]))
+        continue;
+      if (soak_store_is_calm (s, vm, before_us) && site_is_ready (s->site, vm))
+        {
+          int now = ask_version (s, vm, s->version);
+          int old = ask_version (s, vm, s->version - 1);
+          if (soak_store_is_calm (s, vm, before_us)
+              && (now == 404 || (s->version > 2 && old != 404 && old != 503)))
+            soak_violation (&s->violations,
+                            "vm%u: version %u is not in force: %d, and %d", vm,
+                            s->version, now, old);
+        }
+      g_mutex_unlock (&s->vm_locks[vm]);
+    }
+}
+
+static void
+try_vm (struct soak *s, GRand *rand, bool planned)
+{
+  unsigned vm = soak_pick (rand, VMS);
+  if (!g_mutex_trylock (&s->vm_locks[vm]))
+    return;
+  if (!planned)
+    fault_vm (s, rand, vm);
+  else if (soak_pick (rand, 2))
+    stop_vm (s, rand, vm);
+  else
+    proc_signal (s->site->vms[vm], SIGHUP);
+  g_mutex_unlock (&s->vm_locks[vm]);
+}
+
+static void
+try_upstream (struct soak *s, GRand *rand, bool planned)
+{
+  unsigned i = soak_pick (rand, UPSTREAMS);
+  if (!g_mutex_trylock (&s->upstream_locks[i]))
+    return;
+  if (planned)
+    leave (s, rand, i);
+  else
+    fault_upstream (s, rand, i);
+  g_mutex_unlock (&s->upstream_locks[i]);
+}
+
+static void
+try_routes (struct soak *s)
+{
+  if (!g_mutex_trylock (&s->routes_lock))
+    return;
+  change_routes (s);
+  g_mutex_unlock (&s->routes_lock);
+}
+
+static void
+inject_planned (struct soak *s, GRand *rand)
+{
+  unsigned kind = soak_pick (rand, 4);
+  if (kind == 0)
+    try_vm (s, rand, true);
+  else if (kind < 3)
+    try_upstream (s, rand, true);
+  else
+    try_routes (s);
+}
+
+static void
+inject_fault (struct soak *s, GRand *rand)
+{
+  unsigned vm = soak_pick (rand, VMS);
+  switch (soak_pick (rand, 13))
+    {
+    case 0:
+    case 1:
+    case 2:
+      try_vm (s, rand, false);
+      break;
+    case 3:
+    case 4:
+    case 5:
+      try_upstream (s, rand, false);
+      break;
+    case 6:
+      fault_store (s, rand);
+      break;
+    case 7:
+      fault_relay (s, rand, s->to_store[vm], &s->vms[vm]);
+      break;
+    case 8:
+      fault_relay (s, rand, s->to_vm[vm], &s->vms[vm]);
+      break;
+    case 9:
+      if (soak_pick (rand, 4) == 0)
+        fault_all_vms (s, rand);
+      break;
+    default:
+      try_routes (s);
+    }
+}
+
+gpointer
+soak_run_injector (gpointer arg)
+{
+  struct worker *w = arg;
+  while (!g_atomic_int_get (&w->soak->stop))
+    {
+      gint64 at = (g_get_monotonic_time () - w->soak->start_us) % ROUND_US;
+      if (at < FAULTS_US)
+        inject_fault (w->soak, w->rand);
+      else
+        inject_planned (w->soak, w->rand);
+      soak_sleep_ms (w->rand, 10, 600);
+    }
+  /* Processes end with the thread that started them.  */
+  while (!g_atomic_int_get (&w->soak->finished))
+    g_usleep (10 * MS_US);
+  return NULL;
+}
