A settings file that changes twice within a tick is read again; reload is tested

Cause: reload had no test as a process.

Change: inode and size count too, and the stamp is taken before the file is read. The time within which leaving upstreams get no more, and the lease of orders, are taken over at a reload as the retry budget is.

Ruled out: the signal (its reload was logged); a process that ends on a wrong file (it went on serving).

--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -223,24 +223,30 @@
                   const struct discovery_events *events, void *arg)
 {
   static const struct timeval tick = { 0, TICK_MS * 1000 };
-  unsigned gather_ms = leave_ms * GATHER_PERCENT / 100;
   struct discovery *d = g_new0 (struct discovery, 1);
   d->platform = platform;
   d->upstreams = upstreams;
   d->events = events;
   d->arg = arg;
   d->regained_ms = -RETURN_MS;
-  d->many_kept_ms = MIN (RETURN_MS, leave_ms * MANY_KEPT_PERCENT / 100);
   d->missing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   d->timer = event_new (base, -1, EV_PERSIST, on_timer, d);
   event_add (d->timer, &tick);
   d->routes_feed
       = feed_create (base, kv, platform->routes_key, 0, &routes_events, d);
-  d->upstreams_feed = feed_create (base, kv, platform->upstreams_prefix,
-                                   gather_ms, &upstream_events, d);
+  d->upstreams_feed = feed_create (base, kv, platform->upstreams_prefix, 0,
+                                   &upstream_events, d);
+  discovery_set_leave_ms (d, leave_ms);
   return d;
 }
 
+void
+discovery_set_leave_ms (struct discovery *d, unsigned leave_ms)
+{
+  d->many_kept_ms = MIN (RETURN_MS, leave_ms * MANY_KEPT_PERCENT / 100);
+  feed_set_gather (d->upstreams_feed, leave_ms * GATHER_PERCENT / 100);
+}
+
 void
 discovery_destroy (struct discovery *d)
 {
--- a/src/daemon/discovery.h
+++ b/src/daemon/discovery.h
@@ -34,6 +34,9 @@
                                     const struct discovery_events *events,
                                     void *arg);
 
+/** Changes the time within which an upstream that leaves is to get no more. */
+void discovery_set_leave_ms (struct discovery *d, unsigned leave_ms);
+
 /** Releases D.  */
 void discovery_destroy (struct discovery *d);
 
--- a/src/daemon/feed.c
+++ b/src/daemon/feed.c
@@ -311,6 +311,12 @@
   return f->changed;
 }
 
+void
+feed_set_gather (struct feed *f, unsigned gather_most_ms)
+{
+  f->gather_most_ms = MAX (gather_most_ms, GATHER_MS);
+}
+
 struct feed *
 feed_create (struct event_base *base, struct kv *kv, const char *prefix,
              unsigned gather_most_ms, const struct feed_events *events,
@@ -322,7 +328,7 @@
   f->events = events;
   f->arg = arg;
   f->pause_ms = RETRY_MS;
-  f->gather_most_ms = MAX (gather_most_ms, GATHER_MS);
+  feed_set_gather (f, gather_most_ms);
   f->up = true;
   for (unsigned i = 0; i < WAITS; i++)
     f->waits[i].feed = f;
--- a/src/daemon/feed.h
+++ b/src/daemon/feed.h
@@ -30,6 +30,9 @@
                           const char *prefix, unsigned gather_most_ms,
                           const struct feed_events *events, void *arg);
 
+/** Changes the longest pause in which changes are gathered.  */
+void feed_set_gather (struct feed *f, unsigned gather_most_ms);
+
 /** Releases F.  */
 void feed_destroy (struct feed *f);
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -34,6 +34,15 @@
 #define STOP_IDLE_MS 1500
 #define STOP_QUIET_MS 1200
 
+/* What tells two states of a file apart; two writes within one tick of the
+   file system's clock have the same time.  */
+struct file_stamp
+{
+  struct timespec changed;
+  ino_t inode;
+  off_t size;
+};
+
 struct gateway
 {
   struct event_base *base;
@@ -60,8 +69,8 @@
 
   struct event *timer;
   int64_t second_ms;
-  int64_t file_changed_ns;
-  int64_t leaving_ms; /* since when; 0 while it is not */
+  struct file_stamp file; /* of the settings file, when it was read */
+  int64_t leaving_ms;     /* since when; 0 while it is not */
   bool was_ready;
 };
 
@@ -232,14 +241,26 @@
          && proxy_open (g->proxy) == 0 && front_connections (g->callers) == 0;
 }
 
-static int64_t
-file_time (const struct gateway *g)
+static struct file_stamp
+file_stamp (const struct gateway *g)
 {
   struct stat st;
   const char *path = g->settings->settings_file;
   if (path[0] == '\0' || stat (path, &st) != 0)
-    return 0;
-  return (int64_t)st.st_mtim.tv_sec * 1000000000 + st.st_mtim.tv_nsec;
+    return (struct file_stamp){ 0 };
+  return (struct file_stamp){ .changed = st.st_mtim,
+                              .inode = st.st_ino,
+                              .size = st.st_size };
+}
+
+static bool
+file_has_changed (const struct gateway *g)
+{
+  struct file_stamp now = file_stamp (g);
+  const struct file_stamp *then = &g->file;
+  return now.changed.tv_sec != then->changed.tv_sec
+         || now.changed.tv_nsec != then->changed.tv_nsec
+         || now.inode != then->inode || now.size != then->size;
 }
 
 static void
@@ -261,8 +282,8 @@
 static void
 reload_settings (struct gateway *g, const char *why)
 {
+  g->file = file_stamp (g);
   struct settings *s = g->reload (g->reload_arg);
-  g->file_changed_ns = file_time (g);
   if (s == NULL)
     {
       log_event (LOG_ERROR, "reload_refused", "why", why, "kept",
@@ -277,10 +298,15 @@
   g->settings->retry_slack = s->retry_slack;
   g->settings->entry_ttl_s = s->entry_ttl_s;
   g->settings->leave_deadline_s = s->leave_deadline_s;
+  g->settings->upstream_leave_ms = s->upstream_leave_ms;
+  g->settings->order_lease_ms = s->order_lease_ms;
   g_free (g->settings->log_level);
   g->settings->log_level = g_strdup (s->log_level);
   settings_destroy (s);
   apply_settings (g);
+  discovery_set_leave_ms (g->discovery,
+                          (unsigned)g->settings->upstream_leave_ms);
+  stage_link_set_lease (g->stage_link, (int64_t)g->settings->order_lease_ms);
   log_event (LOG_INFO, "reloaded", "why", why, "needs_restart",
              same_place ? "false" : "true", NULL);
 }
@@ -299,7 +325,7 @@
   if (now - g->second_ms < SECOND_MS)
     return;
   g->second_ms = now;
-  if (file_time (g) != g->file_changed_ns)
+  if (file_has_changed (g))
     reload_settings (g, "file_changed");
 }
 
@@ -474,7 +500,7 @@
   g->platform = platform;
   g->reload = reload;
   g->reload_arg = arg;
-  g->file_changed_ns = file_time (g);
+  g->file = file_stamp (g);
   if (!listen_for_all (g, error))
     {
       gateway_destroy (g);
--- a/src/daemon/stage_link.c
+++ b/src/daemon/stage_link.c
@@ -295,6 +295,12 @@
   return l;
 }
 
+void
+stage_link_set_lease (struct stage_link *l, int64_t lease_ms)
+{
+  authority_set_lease (l->authority, lease_ms);
+}
+
 void
 stage_link_destroy (struct stage_link *l)
 {
--- a/src/daemon/stage_link.h
+++ b/src/daemon/stage_link.h
@@ -33,6 +33,9 @@
 /** Makes a link.  */
 struct stage_link *stage_link_create (const struct stage_link_parts *parts);
 
+/** Changes the least time between orders of two holders.  */
+void stage_link_set_lease (struct stage_link *l, int64_t lease_ms);
+
 /** Releases L.  */
 void stage_link_destroy (struct stage_link *l);
 
--- a/src/decide/authority.c
+++ b/src/decide/authority.c
@@ -46,6 +46,12 @@
   return a;
 }
 
+void
+authority_set_lease (struct authority *a, int64_t lease_ms)
+{
+  a->lease_ms = lease_ms;
+}
+
 void
 authority_destroy (struct authority *a)
 {
--- a/src/decide/authority.h
+++ b/src/decide/authority.h
@@ -52,6 +52,10 @@
     orders of two holders; it is more than AUTHORITY_SEND_WITHIN_MS.  */
 struct authority *authority_create (const char *vm, int64_t lease_ms);
 
+/** Changes the time that must lie between the orders of two holders.  A quiet
+    that has begun lasts as long as it was to.  */
+void authority_set_lease (struct authority *a, int64_t lease_ms);
+
 /** Releases A.  */
 void authority_destroy (struct authority *a);
 
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -253,6 +253,20 @@
   return g_strdup_printf (VM_IP ":%u", (unsigned)free_port (VM_IP));
 }
 
+static char *
+settings_path (const struct site *s, unsigned i)
+{
+  return g_strdup_printf ("%s/vm%u.conf", s->dir, i);
+}
+
+void
+site_write_settings (const struct site *s, unsigned i, const char *text)
+{
+  g_autofree char *path = settings_path (s, i);
+  if (!g_file_set_contents (path, text, -1, NULL))
+    g_error ("cannot write %s", path);
+}
+
 void
 site_start_vm (struct site *s, unsigned i)
 {
@@ -261,10 +275,12 @@
   g_autofree char *log = g_strdup_printf ("%s/%s.log", s->dir, name);
   g_autofree char *leave = g_strdup_printf ("%u", s->leave_s);
   g_autofree char *gone = g_strdup_printf ("%u", s->upstream_leave_ms);
+  g_autofree char *settings = settings_path (s, i);
   char *store
       = s->vm_store[i] ? (char *)(uintptr_t)s->vm_store[i] : s->store_address;
   if (s->fronts[i] == NULL)
     {
+      site_write_settings (s, i, "");
       s->fronts[i] = any_address ();
       s->readies[i] = any_address ();
       s->entries[i] = any_address ();
@@ -300,6 +316,8 @@
                    metrics,
                    "--leave-deadline-s",
                    leave,
+                   "--settings-file",
+                   settings,
                    "--upstream-leave-ms",
                    gone,
                    "--retry-slack",
@@ -324,20 +342,37 @@
   return ready;
 }
 
-unsigned
-site_entries (const struct site *s, unsigned i)
+static json_t *
+ask_entries (const struct site *s, unsigned i)
 {
   struct web *w = web_open (s->entries[i], "GET",
                             "/api/resolve?name=" SITE_HOST "&region=r&zone=d",
                             NULL, NULL, NULL);
   web_finish (w, ANSWER_MS);
   json_t *root = web_json (w);
+  web_close (w);
+  return root;
+}
+
+unsigned
+site_entries (const struct site *s, unsigned i)
+{
+  json_t *root = ask_entries (s, i);
   unsigned n = (unsigned)json_array_size (json_object_get (root, "addrs"));
   json_decref (root);
-  web_close (w);
   return n;
 }
 
+double
+site_entry_ttl_s (const struct site *s, unsigned i)
+{
+  json_t *root = ask_entries (s, i);
+  const json_t *ttl = json_object_get (root, "ttlS");
+  double seconds = ttl ? json_number_value (ttl) : -1;
+  json_decref (root);
+  return seconds;
+}
+
 static bool
 all_know_all (void *arg)
 {
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -65,6 +65,10 @@
 /** Starts VM number I, again or for the first time.  */
 void site_start_vm (struct site *s, unsigned i);
 
+/** Writes TEXT, lines of NAME=VALUE, as the settings file of VM number I,
+   which it finds when it starts and when it changes.  */
+void site_write_settings (const struct site *s, unsigned i, const char *text);
+
 /** Starts all VMs and waits until each is ready and names all.  */
 void site_start (struct site *s);
 
@@ -74,6 +78,10 @@
 /** Number of addresses that VM number I names; 0 where it names none.  */
 unsigned site_entries (const struct site *s, unsigned i);
 
+/** Seconds for which VM number I lets callers keep its answer; -1 where it
+    names no addresses.  */
+double site_entry_ttl_s (const struct site *s, unsigned i);
+
 /** Waits until CHECK holds for ARG; fails the test after TIMEOUT_MS.  */
 void site_wait (bool (*check) (void *arg), void *arg, unsigned timeout_ms);
 
--- a/tests/process/test_routed.c
+++ b/tests/process/test_routed.c
@@ -438,6 +438,56 @@
   g_assert_nonnull (strstr (out, ", 2 VMs, "));
 }
 
+struct ttl_wait
+{
+  unsigned vm;
+  double ttl_s;
+  unsigned asked;
+};
+
+/* Serves a request on the way.  */
+static bool
+has_ttl (void *arg)
+{
+  struct ttl_wait *x = arg;
+  g_autofree char *id
+      = g_strdup_printf ("reload-%.0f-%u", x->ttl_s, x->asked++);
+  struct web *w = site_ask (site, x->vm, "GET", "/once/ok", id);
+  g_assert_cmpint (w->status, ==, 200);
+  web_close (w);
+  return site_entry_ttl_s (site, x->vm) == x->ttl_s;
+}
+
+static bool
+has_refused_reload (void *arg)
+{
+  (void)arg;
+  g_autofree char *log = site_log (site, 0);
+  return strstr (log, "event=reload_refused") != NULL;
+}
+
+/* Settings that change while requests are served: by themselves, and on
+   SIGHUP; wrong ones change nothing, and say so.  */
+static void
+test_reload (void)
+{
+  struct ttl_wait three = { .vm = 0, .ttl_s = 3 };
+  struct ttl_wait four = { .vm = 0, .ttl_s = 4 };
+  struct web *stream
+      = site_open (site, 0, "POST", "/live/stream", "reload", NULL, NULL);
+  site_write_settings (site, 0, "BUCKTHORN_ENTRY_TTL_S=3\n");
+  site_wait (has_ttl, &three, APPLY_MS);
+  site_write_settings (site, 0, "BUCKTHORN_ENTRY_TTL_S=4\n");
+  proc_signal (site->vms[0], SIGHUP);
+  site_wait (has_ttl, &four, APPLY_MS);
+  site_write_settings (site, 0, "BUCKTHORN_ENTRY_TTL_S=never\n");
+  site_wait (has_refused_reload, NULL, APPLY_MS);
+  g_assert_true (has_ttl (&four));
+  web_finish (stream, WHOLE_MS);
+  g_assert_true (stream->whole);
+  web_close (stream);
+}
+
 static bool
 only_one_is_named (void *arg)
 {
@@ -537,6 +587,7 @@
   g_test_add_func ("/routed/store-link-is-silent", test_store_link_is_silent);
   g_test_add_func ("/routed/metrics-and-log", test_metrics_and_log);
   g_test_add_func ("/routed/status", test_status);
+  g_test_add_func ("/routed/reload", test_reload);
   g_test_add_func ("/routed/stop", test_stop);
   g_test_add_func ("/routed/late-in-a-stop", test_late_in_a_stop);
   g_test_add_func ("/routed/kill", test_kill);
