Table of upstreams and outcomes of requests in two modules

Change: src/decide/upstreams_outcomes.c; constants stand where they are used. No change of what it does. After: unit tests as before, lint and checks clean.

--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -1,6 +1,7 @@
 /** @file
     The table behind decide/upstreams.h, for the modules of decide/ that read
-    it.  */
+    it.  upstreams.c holds the table and its loads, upstreams_outcomes.c what
+    becomes of requests and what is learned from it.  */
 #ifndef DECIDE_UPSTREAMS_TABLE_H
 #define DECIDE_UPSTREAMS_TABLE_H
 
@@ -15,6 +16,9 @@
 #define READ_APART_MIN_TOKENS 1500
 /* An engine's own time for a token of the answer's start.  */
 #define FIRST_TOKEN_MS 8.0
+/* Bounds of an engine's speed of reading.  */
+#define READ_TOKENS_PER_MS_MIN 15.0
+#define READ_TOKENS_PER_MS_MAX 800.0
 /* Time of a plain request where nothing is known of its service.  */
 #define SERVICE_MS 20.0
 
