--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -140,23 +140,6 @@
 
 /* Callers and questions.  */
 
-static void
-on_caller (void *arg, struct front_request *request)
-{
-  struct gateway *g = arg;
-  proxy_take (g->proxy, request);
-}
-
-static char *
-on_refused (void *arg, unsigned status, const char *reason)
-{
-  (void)arg;
-  metrics_add (METRIC_bad_requests_total, 1);
-  log_event (LOG_WARN, "request_refused", "status", log_num (status), "reason",
-             reason, NULL);
-  return NULL;
-}
-
 static void
 on_ready_question (void *arg, struct front_request *request)
 {
@@ -206,7 +189,6 @@
   inspect_answer (&parts, request);
 }
 
-static const struct front_events caller_events = { on_caller, on_refused };
 static const struct front_events ready_events = { on_ready_question, NULL };
 static const struct front_events entry_events = { on_entry_question, NULL };
 static const struct front_events metrics_events = { on_inspection, NULL };
@@ -394,7 +376,7 @@
   g_autofree char *metrics
       = g_strdup_printf ("%s:%u", s->ip, (unsigned)s->metrics_port);
   g->callers = front_create (g->base, s->front_address, &callers,
-                             &caller_events, g, error);
+                             &proxy_front_events, g->proxy, error);
   if (g->callers)
     g->ready = front_create (g->base, s->ready_address, &questions,
                              &ready_events, g, error);
@@ -501,12 +483,12 @@
   g->reload = reload;
   g->reload_arg = arg;
   g->file = file_stamp (g);
+  make_parts (g);
   if (!listen_for_all (g, error))
     {
       gateway_destroy (g);
       return NULL;
     }
-  make_parts (g);
   g->timer = event_new (g->base, -1, EV_PERSIST, on_tick, g);
   event_add (g->timer, &tick);
   return g;
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -98,9 +98,10 @@
     }
 }
 
-void
-proxy_take (struct proxy *p, struct front_request *r)
+static void
+take_request (void *arg, struct front_request *r)
 {
+  struct proxy *p = arg;
   struct exchange *e = g_new0 (struct exchange, 1);
   struct http_head *head = front_request_head (r);
   e->proxy = p;
@@ -117,6 +118,20 @@
   route_exchange (e, head);
 }
 
+/* A request that is malformed, or that breaks the limits of callers.  */
+static char *
+on_bad_request (void *arg, unsigned status, const char *reason)
+{
+  (void)arg;
+  metrics_add (METRIC_bad_requests_total, 1);
+  log_event (LOG_WARN, "request_refused", "status", log_num (status), "reason",
+             reason, NULL);
+  return NULL;
+}
+
+const struct front_events proxy_front_events
+    = { take_request, on_bad_request };
+
 /* Silent upstreams.  */
 
 /* The request is tried elsewhere as if its connection had been lost.  */
--- a/src/daemon/proxy.h
+++ b/src/daemon/proxy.h
@@ -24,8 +24,9 @@
 /** Routes in force, or NULL.  */
 const struct route_table *proxy_routes (const struct proxy *p);
 
-/** Takes a caller's request.  */
-void proxy_take (struct proxy *p, struct front_request *r);
+/** What a front reports whose callers' requests the proxy takes; its argument
+    is the proxy.  */
+extern const struct front_events proxy_front_events;
 
 /** The VM stops at END_MS of the monotonic clock: from FROM_MS on, requests
    that could last longer are refused.  */
--- a/src/daemon/route_server.c
+++ b/src/daemon/route_server.c
@@ -44,27 +44,6 @@
   return members_count_live (r->ctx->members);
 }
 
-/* Callers.  */
-
-static void
-on_caller (void *arg, struct front_request *request)
-{
-  struct route_server *r = arg;
-  proxy_take (r->proxy, request);
-}
-
-static char *
-on_refused (void *arg, unsigned status, const char *reason)
-{
-  (void)arg;
-  metrics_add (METRIC_bad_requests_total, 1);
-  log_event (LOG_WARN, "request_refused", "status", log_num (status), "reason",
-             reason, NULL);
-  return NULL;
-}
-
-static const struct front_events front_events = { on_caller, on_refused };
-
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
@@ -143,8 +122,8 @@
   r->ctx = ctx;
   r->conf = conf;
   make_parts (r);
-  r->front = front_create (ctx->base, s->front_address, &limits, &front_events,
-                           r, error);
+  r->front = front_create (ctx->base, s->front_address, &limits,
+                           &proxy_front_events, r->proxy, error);
   if (r->front)
     return r;
   route_server_destroy (r);
--- a/tests/unit/test_file.c
+++ b/tests/unit/test_file.c
@@ -63,16 +63,21 @@
   "  - {name: shop, addresses: [127.0.0.1:9101], region: north}\n"            \
   "routes:\n"
 
+/* The good file with LINES of routes.  */
+static char *
+with_routes (const char *lines)
+{
+  return g_strconcat (good, ROUTED, lines, NULL);
+}
+
 /* Routes: references, whole prefixes, each once for a host.  */
 static void
 test_routes (void)
 {
-  g_autofree char *text = g_strconcat (
-      good, ROUTED,
+  g_autofree char *text = with_routes (
       "  - {name: r1, host: a.example, service: shop}\n"
       "  - {name: r2, host: a.example, prefix: /x/, service: shop, kind: "
-      "stream, resume: true}\n",
-      NULL);
+      "stream, resume: true}\n");
   struct file *file = parse (text);
   g_assert_nonnull (file);
   const struct file_route *r
@@ -88,21 +93,14 @@
   g_assert_null (route_table_find (t, "b.example", "/x/"));
   route_table_unref (t);
   file_destroy (file);
-  g_autofree char *bad
-      = g_strconcat (good, ROUTED,
-                     "  - {name: r1, host: a.example, service: shop}\n"
-                     "  - {name: r1, host: A.example, service: shops}\n"
-                     "  - {name: r3, host: a.example, prefix: x/, service: "
-                     "shop, kind: any}\n",
-                     NULL);
-  g_autofree char *kinds = problems_of (bad);
-  g_assert_nonnull (strstr (kinds, "routes[2].kind: 'any' is none of "));
-  g_autofree char *bad_names = g_strconcat (
-      good, ROUTED,
+  g_autofree char *bad_kind = with_routes (
+      "  - {name: r1, host: a.example, service: shop, kind: any}\n");
+  g_autofree char *kinds = problems_of (bad_kind);
+  g_assert_nonnull (strstr (kinds, "routes[0].kind: 'any' is none of "));
+  g_autofree char *bad_names = with_routes (
       "  - {name: r1, host: a.example, service: shop}\n"
       "  - {name: r1, host: A.example, service: shops}\n"
-      "  - {name: r3, host: a.example, prefix: x/, service: shop}\n",
-      NULL);
+      "  - {name: r3, host: a.example, prefix: x/, service: shop}\n");
   g_autofree char *problems = problems_of (bad_names);
   g_assert_nonnull (strstr (problems, "routes[1].service: 'shops' is not in"));
   g_assert_nonnull (strstr (problems, "routes[1].name: 'r1' stands twice"));
