buckthornctl: one reader of the named file; check counts routes

Change: named_file; a count more in check's line. After: test_config 13 of 13; exit codes 0, 2 and 3 as before.

--- a/src/ctl/commands.c
+++ b/src/ctl/commands.c
@@ -113,16 +113,28 @@
   return file;
 }
 
+/* The file that is named on the command line, and its TEXT; NULL after a
+   message with CODE set.  */
+static struct file *
+named_file (const struct ctl_options *o, char **text, size_t *size, int *code)
+{
+  *code = exit_code (RESULT_USAGE);
+  if (!read_file (o->argument, text, size))
+    return NULL;
+  struct file *file = parse_or_print (o->argument, *text, *size);
+  *code = file ? 0 : exit_code (RESULT_FILE_INVALID);
+  return file;
+}
+
 static int
 run_check (const struct ctl_options *o)
 {
   g_autofree char *text = NULL;
   size_t size = 0;
-  if (!read_file (o->argument, &text, &size))
-    return exit_code (RESULT_USAGE);
-  struct file *file = parse_or_print (o->argument, text, size);
+  int code = 0;
+  struct file *file = named_file (o, &text, &size, &code);
   if (file == NULL)
-    return exit_code (RESULT_FILE_INVALID);
+    return code;
   if (o->json)
     {
       json_t *root = record_to_json (&file_record, file);
@@ -131,8 +143,9 @@
       json_decref (root);
     }
   else
-    printf ("%s: holds: %u engines, %u services, %u callers\n", o->argument,
-            file->engines->len, file->services->len, file->callers->len);
+    printf ("%s: holds: %u engines, %u services, %u routes, %u callers\n",
+            o->argument, file->engines->len, file->services->len,
+            file->routes->len, file->callers->len);
   file_destroy (file);
   return 0;
 }
@@ -169,11 +182,9 @@
   g_autofree char *text = NULL;
   size_t size = 0;
   int code = 0;
-  if (!read_file (o->argument, &text, &size))
-    return exit_code (RESULT_USAGE);
-  struct file *mine = parse_or_print (o->argument, text, size);
+  struct file *mine = named_file (o, &text, &size, &code);
   if (mine == NULL)
-    return exit_code (RESULT_FILE_INVALID);
+    return code;
   struct file *theirs = file_in_force (o, NULL, NULL, &code);
   if (theirs)
     {
@@ -265,11 +276,10 @@
 {
   g_autofree char *text = NULL;
   size_t size = 0;
-  if (!read_file (o->argument, &text, &size))
-    return exit_code (RESULT_USAGE);
-  struct file *file = parse_or_print (o->argument, text, size);
+  int code = 0;
+  struct file *file = named_file (o, &text, &size, &code);
   if (file == NULL)
-    return exit_code (RESULT_FILE_INVALID);
+    return code;
   file_destroy (file);
   return apply_text (o, o->argument, text, size);
 }
