--- a/tests/process/test_wakes.c
+++ b/tests/process/test_wakes.c
@@ -14,6 +14,8 @@
    sites, as a setting says.  */
 #define LEAVES_MS 1200
 #define WHOLE_MS 10000
+/* All is calm as long after the store is back.  */
+#define CALM_MS 4000
 #define VMS 2
 #define UPSTREAMS 2
 #define BURST 20
@@ -121,6 +123,49 @@
   return n;
 }
 
+static bool
+all_ready (void *arg)
+{
+  (void)arg;
+  for (unsigned i = 0; i < VMS; i++)
+    if (!site_is_ready (site, i))
+      return false;
+  return true;
+}
+
+/* All VMs are lost at once and start again while the store refuses them: they
+   refuse, truly, and serve soon after it is back.  */
+static void
+test_start_without_store (void)
+{
+  site_store_faults (site, "refuse=1");
+  for (unsigned i = 0; i < VMS; i++)
+    proc_kill (site->vms[i]);
+  for (unsigned i = 0; i < VMS; i++)
+    site_start_vm (site, i);
+  g_usleep (FROZEN_US);
+  for (unsigned i = 0; i < VMS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("unready-%u", i);
+      struct web *w = site_ask (site, i, "GET", "/safe/ok", id);
+      g_autofree char *after = web_header (w, "Retry-After");
+      g_assert_false (site_is_ready (site, i));
+      g_assert_cmpint (w->status, ==, 503);
+      g_assert_nonnull (after);
+      g_assert_cmpuint (site_runs (site, -1, id), ==, 0);
+      web_close (w);
+    }
+  site_store_faults (site, "refuse=0");
+  site_wait (all_ready, NULL, CALM_MS);
+  for (unsigned i = 0; i < VMS; i++)
+    {
+      g_autofree char *id = g_strdup_printf ("ready-%u", i);
+      struct web *w = site_ask (site, i, "GET", "/safe/ok", id);
+      g_assert_cmpint (w->status, ==, 200);
+      web_close (w);
+    }
+}
+
 /* An instance that left while the VM stood still gets nothing once the VM has
    heard of it, and it hears of it in time.  */
 static void
@@ -220,6 +265,7 @@
   site_start (site);
   g_test_add_func ("/wakes/under-way", test_under_way);
   g_test_add_func ("/wakes/callers-left", test_callers_left);
+  g_test_add_func ("/wakes/start-without-store", test_start_without_store);
   g_test_add_func ("/wakes/left-meanwhile", test_left_meanwhile);
   g_test_add_func ("/wakes/all-leave", test_all_leave);
   g_test_add_func ("/wakes/address-given-away", test_address_given_away);
