request_end and attempt_failed log the framing of the response and an incomplete event

The logs could not tell the three hypotheses apart: all end as outcome=answered. Change: framing (length, chunked, close, none) and partial_bytes in both lines; metric truncated_streams_total. No decision is changed.

--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -72,7 +72,9 @@
       log_num (e->choice.model_samples), "model_age_ms",
       log_num (e->choice.model_age_ms), "permits",
       log_num (e->permit_requests_total), "attempts", log_num (e->tries),
-      "retry_after_ms", log_num (e->retry_after_ms), "routes_version",
+      "framing", http_framing_name (e->upstream_framing), "partial_bytes",
+      log_num ((long long)sse_partial_bytes (&e->events)), "retry_after_ms",
+      log_num (e->retry_after_ms), "routes_version",
       log_num (e->table ? (long long)route_table_version (e->table) : -1),
       NULL);
 }
@@ -225,6 +227,7 @@
   struct exchange *e = arg;
   const struct request_ops *ops = e->proxy->parts.requests;
   ops->read_response (head, &e->response_info);
+  e->upstream_framing = framing;
   upstream_statements_record (e->proxy->parts.statements, e->work.handle,
                               &e->response_info, e->facts.id);
   /* The caller already has the head of a stream that was resumed at another
@@ -337,6 +340,7 @@
   e->permit_requests = 0;
   evbuffer_drain (e->held, evbuffer_get_length (e->held));
   sse_drop_partial (&e->events);
+  e->upstream_framing = HTTP_FRAMING_NONE;
   if (e->started)
     return;
   http_head_destroy (e->answer);
@@ -363,6 +367,8 @@
   if (outcome != ATTEMPT_NOT_SENT)
     g_clear_pointer (&e->prefill_handle, g_free);
   e->call = NULL;
+  if (sse_partial_bytes (&e->events) > 0)
+    metrics_add (METRIC_truncated_streams_total, 1);
   upstreams_record_outcome (e->proxy->parts.upstreams, &e->work, outcome, now);
   exchange_end_permit (e);
   enum attempt_step step = attempts_ended (&e->attempts, outcome);
@@ -375,7 +381,9 @@
              e->upstream_id, "outcome", attempt_outcome_name (outcome),
              "status", log_num (e->answer ? e->answer->status : 0),
              "connection_end", log_num (end), "started",
-             e->started ? "true" : "false", NULL);
+             e->started ? "true" : "false", "framing",
+             http_framing_name (e->upstream_framing), "partial_bytes",
+             log_num ((long long)sse_partial_bytes (&e->events)), NULL);
   /* Once events were sent to the caller, only a resumable stream can continue
      at another upstream.  */
   bool resumable = !e->started || (e->is_events && e->route->resumable);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -69,9 +69,10 @@
   upstream_handle prefill_engine; /* holds the prefilled KV cache */
   char *prefill_handle; /* handle to fetch that KV cache with, or NULL */
 
-  struct http_head *answer; /* response head of the current attempt */
-  enum http_framing framing;
-  uint64_t length; /* body length; used if framing has a length */
+  enum http_framing upstream_framing; /* of the current attempt's response */
+  struct http_head *answer;  /* response head of the current attempt */
+  enum http_framing framing; /* of the response to the caller */
+  uint64_t length;           /* body length; used if framing has a length */
   struct response_info response_info;
   struct evbuffer *held; /* response bytes not yet forwarded */
   struct sse events;     /* splits an event stream into complete events */
--- a/src/daemon/sse.c
+++ b/src/daemon/sse.c
@@ -28,6 +28,12 @@
   s->partial = NULL;
 }
 
+size_t
+sse_partial_bytes (const struct sse *s)
+{
+  return s->partial ? evbuffer_get_length (s->partial) : 0;
+}
+
 /* Length of the first event in DATA, including the empty line that ends it; 0
    if the event is incomplete.  Lines may end in LF or CR LF.  */
 static size_t
--- a/src/daemon/sse.h
+++ b/src/daemon/sse.h
@@ -26,6 +26,9 @@
     from another response that continues after the last complete event.  */
 void sse_drop_partial (struct sse *s);
 
+/** Number of bytes received of an event that is not complete yet.  */
+size_t sse_partial_bytes (const struct sse *s);
+
 /** Moves all bytes of BODY into S.  Returns the events that are complete now,
     each with the empty line that ends it, and sets COUNT to their number.
     Returns NULL and sets COUNT to 0 if there is none.  */
--- a/src/links/http_codec.c
+++ b/src/links/http_codec.c
@@ -348,6 +348,16 @@
   return c->progress;
 }
 
+const char *
+http_framing_name (enum http_framing framing)
+{
+  static const char *const names[] = { [HTTP_FRAMING_NONE] = "none",
+                                       [HTTP_FRAMING_SIZED] = "length",
+                                       [HTTP_FRAMING_CHUNKED] = "chunked",
+                                       [HTTP_FRAMING_CLOSE] = "close" };
+  return names[framing];
+}
+
 /* Creation, release, reset and queries of a codec.  */
 
 struct http_codec *
--- a/src/links/http_codec.h
+++ b/src/links/http_codec.h
@@ -38,6 +38,9 @@
   HTTP_FRAMING_CLOSE    /**< the body ends when the connection is closed */
 };
 
+/** Name of FRAMING for logs: none, length, chunked or close.  */
+const char *http_framing_name (enum http_framing framing);
+
 /** Size limits of a message in bytes.  */
 struct http_size_limits
 {
