--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -31,7 +31,20 @@
       stream         5 events, 20 ms apart, from the one after Last-Event-Id
       stream-cut     the same, closed within event 3 unless the request has
                      Last-Event-Id
+      stream-short   the same, but the chunks end properly within event 3
+      stream-bare    as "stream" without length or chunks; closing the
+                     connection ends it
+      stream-bare-cut, stream-bare-line
+                     the same, closed within line 2 or after line 1 of event 3
+                     unless the request has Last-Event-Id
+      stream-bare-first, stream-bare-empty
+                     the same, closed within event 1 or before any event
+      stream-bare-reset
+                     the same, reset after event 2
       long           events without end, 20 ms apart
+      long-bare      the same without chunks
+      endless-event  one event without end, without chunks
+      endless-error  500 with a body without end, without chunks
       two            2 events at once
       fast           1,000 events at once
       held           1 event, then nothing more
--- a/tests/fakes/upstream_response.c
+++ b/tests/fakes/upstream_response.c
@@ -10,6 +10,42 @@
 #define SLOW_MS 300
 #define FAST_EVENTS 1000
 #define LINGER_S 0 /* close with a TCP reset */
+#define ENDLESS_PART_BYTES 65536
+#define ENDLESS_PART_MS 1
+
+/* How a stream ends after its last event, or in the middle.  */
+enum stream_end
+{
+  STREAM_END_WHOLE,  /* with its last chunk, or the close if it has none */
+  STREAM_END_CLOSED, /* closed without its last chunk */
+  STREAM_END_RESET   /* the connection is reset */
+};
+
+/* A stream that a directive asks for.  */
+struct stream_variant
+{
+  const char *directive;
+  bool unframed; /* neither length nor chunks */
+  /* Ends with event CUT_AT, of which CUT_BYTES are sent, unless the request
+     resumes a stream; 0: after EVENTS events.  */
+  unsigned cut_at;
+  unsigned cut_bytes;
+  enum stream_end end;
+};
+
+static const struct stream_variant stream_variants[] = {
+  { "stream", false, 0, 0, STREAM_END_WHOLE },
+  { "stream-cut", false, 3, 8, STREAM_END_CLOSED },
+  { "stream-short", false, 3, 8, STREAM_END_WHOLE },
+  { "stream-bare", true, 0, 0, STREAM_END_WHOLE },
+  { "stream-bare-cut", true, 3, 8, STREAM_END_WHOLE },
+  { "stream-bare-line", true, 3, 6, STREAM_END_WHOLE },
+  { "stream-bare-first", true, 1, 8, STREAM_END_WHOLE },
+  { "stream-bare-empty", true, 1, 0, STREAM_END_WHOLE },
+  { "stream-bare-reset", true, 3, 0, STREAM_END_RESET },
+  { "long", false, G_MAXUINT, 0, STREAM_END_WHOLE },
+  { "long-bare", true, G_MAXUINT, 0, STREAM_END_WHOLE },
+};
 
 static const struct response_fields *fields;
 static const char *instance;
@@ -139,16 +175,25 @@
   evtimer_add (c->timer, &tv);
 }
 
+/* Returns the stream that DIRECTIVE asks for; NULL if it asks for none.  */
+static const struct stream_variant *
+find_stream_variant (const char *directive)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (stream_variants); i++)
+    if (strcmp (stream_variants[i].directive, directive) == 0)
+      return &stream_variants[i];
+  return NULL;
+}
+
 static void
-start_stream (struct conn *c)
+start_stream (struct conn *c, const struct stream_variant *v)
 {
   g_autofree char *head = format_head (c->id, "200 OK", true);
   const char *after
       = http_head_get (http_codec_head (c->codec), "Last-Event-Id");
   g_autofree char *text
-      = g_strdup_printf ("%sContent-Type: text/event-stream\r\n"
-                         "Transfer-Encoding: chunked\r\n\r\n",
-                         head);
+      = g_strdup_printf ("%sContent-Type: text/event-stream\r\n%s\r\n", head,
+                         v->unframed ? "" : "Transfer-Encoding: chunked\r\n");
   c->next_event_id
       = after ? (unsigned)g_ascii_strtoull (after, NULL, 10) + 1 : 1;
   send_text (c, text);
@@ -183,31 +228,73 @@
   response_finish (c, false);
 }
 
+static void
+end_stream (struct conn *c, const struct stream_variant *v)
+{
+  if (v->end == STREAM_END_RESET)
+    {
+      conn_reset (c);
+      return;
+    }
+  if (v->end == STREAM_END_WHOLE && !v->unframed)
+    send_text (c, "0\r\n\r\n");
+  response_finish (c, v->unframed || v->end == STREAM_END_CLOSED);
+  /* Nothing may be left to write that would trigger the close.  */
+  if (c->close_after
+      && evbuffer_get_length (bufferevent_get_output (c->bev)) == 0)
+    response_conn_free (c);
+}
+
 static void
 send_next_event (struct conn *c)
 {
+  const struct stream_variant *v = find_stream_variant (c->directive);
   g_autofree char *event = g_strdup_printf (
       "id: %u\ndata: piece %u\n\n", c->next_event_id, c->next_event_id);
   bool resumed = http_head_get (http_codec_head (c->codec), "Last-Event-Id");
-  if (strcmp (c->directive, "stream-cut") == 0 && c->next_event_id == 3
-      && !resumed)
+  bool is_cut = v->cut_at == c->next_event_id && !resumed;
+  if (v->cut_at != G_MAXUINT && c->next_event_id > EVENTS)
     {
-      event[8] = '\0';
-      send_chunk (c, event);
-      response_finish (c, true);
+      end_stream (c, v);
       return;
     }
-  if (c->next_event_id > EVENTS && strcmp (c->directive, "long") != 0)
+  if (is_cut)
+    event[v->cut_bytes] = '\0';
+  if (v->unframed)
+    send_text (c, event);
+  else if (event[0] != '\0')
+    send_chunk (c, event);
+  if (is_cut)
     {
-      send_text (c, "0\r\n\r\n");
-      response_finish (c, false);
+      end_stream (c, v);
       return;
     }
-  send_chunk (c, event);
   c->next_event_id++;
   response_set_timer (c, EVENT_MS);
 }
 
+/* Starts a response without length or chunks whose body never ends: part of
+   one event, or the body of a status 500.  */
+static void
+start_endless (struct conn *c, bool error)
+{
+  g_autofree char *head
+      = format_head (c->id, error ? "500 Failed" : "200 OK", true);
+  g_autofree char *text = g_strdup_printf (
+      "%sContent-Type: %s\r\n\r\n%s", head,
+      error ? "text/plain" : "text/event-stream", error ? "" : "data: ");
+  send_text (c, text);
+  response_set_timer (c, ENDLESS_PART_MS);
+}
+
+static void
+send_endless_part (struct conn *c)
+{
+  g_autofree char *part = g_strnfill (ENDLESS_PART_BYTES, 'x');
+  send_text (c, part);
+  response_set_timer (c, ENDLESS_PART_MS);
+}
+
 /* Sends error responses and complete ones that lack the seal or accompany a
    response to another request.  Returns false for other directives.  */
 static bool
@@ -282,8 +369,10 @@
     response_send_events (c, FAST_EVENTS, false);
   else if (strcmp (d, "held") == 0)
     response_send_events (c, 1, true);
-  else if (g_str_has_prefix (d, "stream") || strcmp (d, "long") == 0)
-    start_stream (c);
+  else if (find_stream_variant (d))
+    start_stream (c, find_stream_variant (d));
+  else if (g_str_has_prefix (d, "endless-"))
+    start_endless (c, strcmp (d, "endless-error") == 0);
   else if (!send_faulty_response (c, d) && !send_closing_response (c, d))
     {
       response_send_ok (c);
@@ -312,6 +401,8 @@
     }
   else if (strcmp (c->directive, "unframed-reset") == 0)
     conn_reset (c);
+  else if (g_str_has_prefix (c->directive, "endless-"))
+    send_endless_part (c);
   else
     send_next_event (c);
 }
--- a/tests/harness/web.c
+++ b/tests/harness/web.c
@@ -1,6 +1,7 @@
 #include "harness/web.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <netinet/tcp.h>
 #include <poll.h>
 #include <string.h>
@@ -29,6 +30,21 @@
   return -1;
 }
 
+static void
+send_text (struct web *w, const GString *text)
+{
+  size_t sent = 0;
+  while (w->fd >= 0 && sent < text->len)
+    {
+      ssize_t n
+          = send (w->fd, text->str + sent, text->len - sent, MSG_NOSIGNAL);
+      if (n <= 0)
+        break;
+      sent += (size_t)n;
+    }
+  w->failed = w->fd < 0 || sent < text->len;
+}
+
 static void
 send_request (struct web *w, const char *address, const char *method,
               const char *path, const char *key, const char *headers,
@@ -50,21 +66,11 @@
   g_string_append (text, "\r\n");
   if (body)
     g_string_append (text, body);
-  size_t sent = 0;
-  while (w->fd >= 0 && sent < text->len)
-    {
-      ssize_t n
-          = send (w->fd, text->str + sent, text->len - sent, MSG_NOSIGNAL);
-      if (n <= 0)
-        break;
-      sent += (size_t)n;
-    }
-  w->failed = w->fd < 0 || sent < text->len;
+  send_text (w, text);
 }
 
-struct web *
-web_send_request (const char *address, const char *method, const char *path,
-                  const char *key, const char *headers, const char *body)
+static struct web *
+web_create (const char *address)
 {
   struct web *w = g_new0 (struct web, 1);
   w->raw = g_string_new (NULL);
@@ -72,10 +78,29 @@
   w->body = g_string_new (NULL);
   w->length = -1;
   w->fd = connect_to (address);
+  return w;
+}
+
+struct web *
+web_send_request (const char *address, const char *method, const char *path,
+                  const char *key, const char *headers, const char *body)
+{
+  struct web *w = web_create (address);
   send_request (w, address, method, path, key, headers, body);
   return w;
 }
 
+struct web *
+web_send_http10_request (const char *address, const char *path,
+                         const char *headers)
+{
+  struct web *w = web_create (address);
+  g_autoptr (GString) text = g_string_new (NULL);
+  g_string_append_printf (text, "GET %s HTTP/1.0\r\n%s\r\n", path, headers);
+  send_text (w, text);
+  return w;
+}
+
 void
 web_send_next_request (struct web *w, const char *address, const char *method,
                        const char *path, const char *headers)
@@ -164,6 +189,7 @@
   if (n <= 0)
     {
       w->failed = true;
+      w->reset = n < 0 && errno == ECONNRESET;
       return false;
     }
   g_string_append_len (w->raw, buf, n);
--- a/tests/harness/web.h
+++ b/tests/harness/web.h
@@ -19,6 +19,7 @@
   bool complete; /**< the response is complete by its length or chunks */
   bool failed;   /**< connecting, sending or receiving failed, or the server
                     closed the connection */
+  bool reset;    /**< the connection was reset rather than closed */
   bool chunked;
   gint64 length;   /**< Content-Length, -1 for none */
   gint64 first_us; /**< monotonic time of the first body byte, 0 for none */
@@ -32,6 +33,11 @@
                               const char *path, const char *key,
                               const char *headers, const char *body);
 
+/** Like web_send_request, for GET, as an HTTP/1.0 client: the end of the
+    response is the end of the connection.  */
+struct web *web_send_http10_request (const char *address, const char *path,
+                                     const char *headers);
+
 /** Sends another request on the connection of W, whose last response must be
     complete, and discards that response.  */
 void web_send_next_request (struct web *w, const char *address,
--- /dev/null
+++ b/tests/process/test_response_ends.c
@@ -0,0 +1,202 @@
+/** @file
+    Process tests of how responses end: a VM proxies responses that their
+    upstream breaks off, most of them without length or chunks, so that only
+    the end of the connection delimits them.  */
+#include "harness/site.h"
+#include "process/common.h"
+
+#include <string.h>
+
+#define TIMEOUT_MS 10000
+/* Time-out of all routes.  */
+#define ROUTE_TIMEOUT_MS 2000
+#define VMS 1
+#define UPSTREAMS 2
+#define TWO_EVENTS "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n"
+#define FIVE_EVENTS                                                           \
+  TWO_EVENTS                                                                  \
+  "id: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n"
+
+static struct site *site;
+
+static void
+expect_whole (const char *path, const char *id, unsigned runs)
+{
+  struct web *w = site_request (site, 0, "POST", path, id);
+  g_assert_cmpint (w->status, ==, 200);
+  g_assert_true (w->complete);
+  g_assert_cmpstr (w->body->str, ==, FIVE_EVENTS);
+  g_assert_cmpuint (site_runs (site, -1, id), ==, runs);
+  web_close (w);
+}
+
+/* Expects a response that ends after BODY and is seen to be incomplete.  */
+static void
+expect_aborted (const char *path, const char *id, const char *body)
+{
+  struct web *w = site_request (site, 0, "POST", path, id);
+  g_assert_false (w->complete);
+  g_assert_true (w->failed);
+  g_assert_cmpstr (w->body->str, ==, body);
+  g_assert_cmpuint (site_runs (site, -1, id), ==, 1);
+  web_close (w);
+}
+
+/* Expects the status for "the outcome is unknown".  */
+static void
+expect_unknown (const char *path, const char *id)
+{
+  struct web *w = site_request (site, 0, "POST", path, id);
+  g_assert_true (w->complete);
+  g_assert_cmpint (w->status, ==, 502);
+  g_assert_cmpuint (site_runs (site, -1, id), ==, 1);
+  web_close (w);
+}
+
+static char *
+log_line (const char *event, const char *id)
+{
+  g_autofree char *log = site_log (site, 0);
+  g_autofree char *key = g_strdup_printf ("event=%s request=%s ", event, id);
+  const char *line = strstr (log, key);
+  g_assert_nonnull (line);
+  return g_strndup (line, strcspn (line, "\n"));
+}
+
+static void
+test_closed_inside_event_is_not_complete (void)
+{
+  expect_aborted ("/live/stream-bare-cut", "cut-1", TWO_EVENTS);
+  expect_aborted ("/live/stream-bare-line", "cut-2", TWO_EVENTS);
+  g_autofree char *line = log_line ("attempt_failed", "cut-1");
+  g_assert_nonnull (strstr (line, "framing=close partial_bytes=8"));
+}
+
+static void
+test_closed_before_first_event_is_not_success (void)
+{
+  expect_unknown ("/live/stream-bare-first", "first-1");
+  expect_unknown ("/live/stream-bare-empty", "first-2");
+}
+
+/* The chunks end properly, so that their framing says that it is complete.  */
+static void
+test_last_chunk_inside_event_is_not_complete (void)
+{
+  expect_aborted ("/live/stream-short", "short-1", TWO_EVENTS);
+}
+
+static void
+test_reset_between_events_is_not_complete (void)
+{
+  expect_aborted ("/live/stream-bare-reset", "reset-1", TWO_EVENTS);
+}
+
+static void
+test_truncated_stream_resumes_elsewhere (void)
+{
+  expect_whole ("/stream/stream-bare-cut", "resume-1", 2);
+  expect_whole ("/stream/stream-bare-line", "resume-2", 2);
+  expect_whole ("/stream/stream-bare-first", "resume-3", 2);
+  expect_whole ("/stream/stream-bare-empty", "resume-4", 2);
+  expect_whole ("/stream/stream-bare-reset", "resume-5", 2);
+  expect_whole ("/stream/stream-short", "resume-6", 2);
+}
+
+static void
+test_whole_without_length (void)
+{
+  expect_whole ("/live/stream-bare", "whole-1", 1);
+  expect_whole ("/stream/stream-bare", "whole-2", 1);
+  struct web *w = site_request (site, 0, "GET", "/once/unframed", "whole-3");
+  g_assert_cmpint (w->status, ==, 200);
+  g_assert_true (w->complete);
+  g_assert_true (g_str_has_prefix (w->body->str, "GET /once/unframed 0 "));
+  web_close (w);
+}
+
+static struct web *
+send_http10 (const char *path, const char *id)
+{
+  g_autofree char *lines
+      = g_strdup_printf ("Host: " SITE_HOST "\r\nX-Request-Id: %s\r\n", id);
+  return web_send_http10_request (site->front_addresses[0], path, lines);
+}
+
+/* An HTTP/1.0 caller takes a closed connection for a complete response.  */
+static void
+test_http10_caller_sees_reset (void)
+{
+  struct web *w = send_http10 ("/live/stream-bare-cut", "old-1");
+  web_read_response (w, TIMEOUT_MS);
+  g_assert_true (w->reset);
+  web_close (w);
+  w = send_http10 ("/live/stream-bare", "old-2");
+  web_read_response (w, TIMEOUT_MS);
+  g_assert_true (w->failed);
+  g_assert_false (w->reset);
+  g_assert_cmpstr (w->body->str, ==, FIVE_EVENTS);
+  web_close (w);
+}
+
+static void
+test_http10_caller_of_killed_vm_sees_reset (void)
+{
+  struct web *w = send_http10 ("/live/long-bare", "old-3");
+  web_read_events (w, 2, TIMEOUT_MS);
+  proc_kill (site->vms[0]);
+  web_read_response (w, TIMEOUT_MS);
+  g_assert_true (w->reset);
+  web_close (w);
+  site_start (site);
+}
+
+/* Responses without end must not fill the VM's memory until the time-out.  */
+static void
+test_endless_responses_are_cut_off (void)
+{
+  static const char *const paths[]
+      = { "/live/endless-event", "/once/endless-error" };
+  for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
+    {
+      g_autofree char *id = g_strdup_printf ("endless-%zu", i);
+      unsigned before
+          = site_disconnects (site, 0) + site_disconnects (site, 1);
+      gint64 start_us = g_get_monotonic_time ();
+      expect_unknown (paths[i], id);
+      gint64 ms = (g_get_monotonic_time () - start_us) / 1000;
+      g_assert_cmpint (ms, <, ROUTE_TIMEOUT_MS);
+      g_assert_cmpuint (
+          site_disconnects (site, 0) + site_disconnects (site, 1), >, before);
+    }
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  program_directory_init (argv[0]);
+  site = site_create (program_directory (), VMS, UPSTREAMS);
+  site_start (site);
+  g_test_add_func ("/response-ends/whole-without-length",
+                   test_whole_without_length);
+  g_test_add_func ("/response-ends/closed-inside-event-is-not-complete",
+                   test_closed_inside_event_is_not_complete);
+  g_test_add_func ("/response-ends/closed-before-first-event-is-not-success",
+                   test_closed_before_first_event_is_not_success);
+  g_test_add_func ("/response-ends/last-chunk-inside-event-is-not-complete",
+                   test_last_chunk_inside_event_is_not_complete);
+  g_test_add_func ("/response-ends/reset-between-events-is-not-complete",
+                   test_reset_between_events_is_not_complete);
+  g_test_add_func ("/response-ends/truncated-stream-resumes-elsewhere",
+                   test_truncated_stream_resumes_elsewhere);
+  g_test_add_func ("/response-ends/http10-caller-sees-reset",
+                   test_http10_caller_sees_reset);
+  g_test_add_func ("/response-ends/http10-caller-of-killed-vm-sees-reset",
+                   test_http10_caller_of_killed_vm_sees_reset);
+  g_test_add_func ("/response-ends/endless-responses-are-cut-off",
+                   test_endless_responses_are_cut_off);
+  int result = g_test_run ();
+  site_destroy (site);
+  return result;
+}
