--- a/tests/fakes/upstream_response.c
+++ b/tests/fakes/upstream_response.c
@@ -13,7 +13,7 @@
 #define ENDLESS_PART_BYTES 65536
 #define ENDLESS_PART_MS 1
 
-/* How a stream ends after its last event, or in the middle.  */
+/* How a stream ends.  */
 enum stream_end
 {
   STREAM_END_WHOLE,  /* with its last chunk, or the close if it has none */
@@ -26,8 +26,9 @@
 {
   const char *directive;
   bool unframed; /* neither length nor chunks */
-  /* Ends with event CUT_AT, of which CUT_BYTES are sent, unless the request
-     resumes a stream; 0: after EVENTS events.  */
+  /* Ends like END with event CUT_AT, of which CUT_BYTES are sent, unless the
+     request resumes a stream; 0: whole, after EVENTS events; G_MAXUINT:
+     never.  */
   unsigned cut_at;
   unsigned cut_bytes;
   enum stream_end end;
@@ -229,16 +230,16 @@
 }
 
 static void
-end_stream (struct conn *c, const struct stream_variant *v)
+end_stream (struct conn *c, enum stream_end end, bool unframed)
 {
-  if (v->end == STREAM_END_RESET)
+  if (end == STREAM_END_RESET)
     {
       conn_reset (c);
       return;
     }
-  if (v->end == STREAM_END_WHOLE && !v->unframed)
+  if (end == STREAM_END_WHOLE && !unframed)
     send_text (c, "0\r\n\r\n");
-  response_finish (c, v->unframed || v->end == STREAM_END_CLOSED);
+  response_finish (c, unframed || end == STREAM_END_CLOSED);
   /* Nothing may be left to write that would trigger the close.  */
   if (c->close_after
       && evbuffer_get_length (bufferevent_get_output (c->bev)) == 0)
@@ -255,7 +256,7 @@
   bool is_cut = v->cut_at == c->next_event_id && !resumed;
   if (v->cut_at != G_MAXUINT && c->next_event_id > EVENTS)
     {
-      end_stream (c, v);
+      end_stream (c, STREAM_END_WHOLE, v->unframed);
       return;
     }
   if (is_cut)
@@ -266,7 +267,7 @@
     send_chunk (c, event);
   if (is_cut)
     {
-      end_stream (c, v);
+      end_stream (c, v->end, v->unframed);
       return;
     }
   c->next_event_id++;
