A VM's own end resets the responses that only a close would end

A VM that was killed in the middle closed it like a complete one; only an abort of its own reset it. Change: the connection is set to reset on close when such a response starts, and back when it ends properly. Before: response-ends/http10-caller-of-killed-vm-sees-reset red. After: green. The other HTTP/1.0 case waits for the fix of the truncated streams.

--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -495,6 +495,17 @@
   conn_end_response (r->conn);
 }
 
+/* While RESET is set, closing the connection resets it, also at the end of the
+   process.  Where a close ends the body, only a reset shows the caller that
+   the body is incomplete.  */
+static void
+set_reset_on_close (const struct http_listener_conn *c, bool reset)
+{
+  struct linger linger = { reset, 0 };
+  (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &linger,
+                    sizeof linger);
+}
+
 void
 inbound_request_stream_start (struct inbound_request *r,
                               const struct http_head *head,
@@ -509,7 +520,10 @@
     text = g_strdup_printf ("Content-Length: %" G_GUINT64_FORMAT "\r\n",
                             (guint64)length);
   if (framing == HTTP_FRAMING_CLOSE)
-    r->conn->close_after_response = true;
+    {
+      r->conn->close_after_response = true;
+      set_reset_on_close (r->conn, true);
+    }
   write_head (r, head,
               framing == HTTP_FRAMING_CHUNKED
                   ? "Transfer-Encoding: chunked\r\n"
@@ -540,6 +554,8 @@
 {
   if (r->framing == HTTP_FRAMING_CHUNKED)
     evbuffer_add (get_output (r), "0\r\n\r\n", 5);
+  if (r->framing == HTTP_FRAMING_CLOSE)
+    set_reset_on_close (r->conn, false);
   conn_end_response (r->conn);
 }
 
@@ -547,12 +563,6 @@
 inbound_request_abort (struct inbound_request *r)
 {
   struct http_listener_conn *c = r->conn;
-  /* This body ends when the connection is closed.  A reset instead of a
-     normal close shows the caller that the body is incomplete.  */
-  struct linger reset = { 1, 0 };
-  if (r->framing == HTTP_FRAMING_CLOSE)
-    (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER,
-                      &reset, sizeof reset);
   r->on_close = NULL;
   conn_free (c);
 }
