A stream that its upstream ends inside an event is broken off, whatever its framing

Cause: the end of the transport was taken for the end of the message. A response without length or chunks ends with its connection, and a truncated one ends the same way. The VM keeps an incomplete event back while the stream runs; at its end it sent that part and the last chunk, or a Content-Length if nothing had been sent yet. The content knew better than the framing, and was not asked. Ruled out: a mix-up of connections (ids match, no bytes of another response); a fault of remote prefill (seen with and without). Change: at its end a stream must be between two events; one without any event must have a framing of its own. Otherwise the attempt has no valid response: it is resumed or repeated where the route allows it, aborted where it has begun, 502 where not. Lines may end in CR too, so that such streams are not taken for cut.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -24,7 +24,7 @@
   X (streams_resumed_total, "Streams resumed")                                \
   X (streams_moved_total, "Streams moved to another home VM")                 \
   X (events_total, "Stream events sent to callers")                           \
-  X (truncated_streams_total, "Streams that ended inside an event")           \
+  X (truncated_streams_total, "Streams that upstreams broke off")             \
   X (home_streams_total, "Requests taken as home VM")                         \
   X (home_refused_total, "Requests refused as home VM")                       \
   X (engine_resumes_total, "Engine connections replaced in mid-stream")       \
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -285,6 +285,19 @@
   return status == 408 || status == 421 || status == 429 || status == 503;
 }
 
+/* Whether the upstream has broken off its event stream, whatever the framing
+   says: the stream ends within an event, or it has no event and only the end
+   of the connection shows its end.  */
+static bool
+stream_is_truncated (const struct exchange *e)
+{
+  if (!e->is_events || !is_trusted_success (e))
+    return false;
+  return sse_in_event (&e->events)
+         || (e->events.events == 0
+             && e->upstream_framing == HTTP_FRAMING_CLOSE);
+}
+
 static enum attempt_outcome
 classify_outcome (const struct exchange *e, enum pool_outcome end)
 {
@@ -292,7 +305,7 @@
     return ATTEMPT_NOT_SENT;
   if (e->response_info.not_run)
     return ATTEMPT_NOT_RUN;
-  if (end != POOL_COMPLETE || e->answer == NULL)
+  if (end != POOL_COMPLETE || e->answer == NULL || stream_is_truncated (e))
     return ATTEMPT_NO_VALID_RESPONSE;
   if (is_trusted_success (e))
     return ATTEMPT_ANSWERED;
@@ -339,7 +352,7 @@
 {
   e->permit_requests = 0;
   evbuffer_drain (e->held, evbuffer_get_length (e->held));
-  sse_drop_partial (&e->events);
+  sse_restart (&e->events);
   e->upstream_framing = HTTP_FRAMING_NONE;
   if (e->started)
     return;
@@ -367,7 +380,7 @@
   if (outcome != ATTEMPT_NOT_SENT)
     g_clear_pointer (&e->prefill_handle, g_free);
   e->call = NULL;
-  if (sse_partial_bytes (&e->events) > 0)
+  if (stream_is_truncated (e))
     metrics_add (METRIC_truncated_streams_total, 1);
   upstreams_record_outcome (e->proxy->parts.upstreams, &e->work, outcome, now);
   exchange_end_permit (e);
--- a/src/daemon/sse.c
+++ b/src/daemon/sse.c
@@ -8,47 +8,64 @@
 void
 sse_init (struct sse *s)
 {
-  s->partial = NULL;
-  s->done = false;
-  s->last_id = NULL;
+  *s = (struct sse){ 0 };
 }
 
 void
 sse_clear (struct sse *s)
 {
-  sse_drop_partial (s);
+  sse_restart (s);
   g_clear_pointer (&s->last_id, g_free);
 }
 
 void
-sse_drop_partial (struct sse *s)
+sse_restart (struct sse *s)
 {
   if (s->partial)
     evbuffer_free (s->partial);
   s->partial = NULL;
+  s->events = 0;
 }
 
-size_t
-sse_partial_bytes (const struct sse *s)
+/* One line of a stream.  */
+struct line
 {
-  return s->partial ? evbuffer_get_length (s->partial) : 0;
+  const char *text;
+  size_t size; /* without the line end */
+  size_t next; /* offset of the next line */
+  bool ended;  /* the line end has arrived */
+};
+
+/* Returns the line at offset AT of DATA.  Lines end in LF, CR LF or CR.  */
+static struct line
+line_at (const char *data, size_t n, size_t at)
+{
+  const char *text = data + at;
+  const char *lf = memchr (text, '\n', n - at);
+  size_t size = lf ? (size_t)(lf - text) : n - at;
+  const char *cr = memchr (text, '\r', size);
+  if (cr)
+    size = (size_t)(cr - text);
+  bool is_crlf = cr && at + size + 1 < n && cr[1] == '\n';
+  bool ended = cr || lf;
+  return (struct line){ text, size, at + size + (is_crlf ? 2 : ended), ended };
 }
 
 /* Length of the first event in DATA, including the empty line that ends it; 0
-   if the event is incomplete.  Lines may end in LF or CR LF.  */
+   if the event is incomplete.  */
 static size_t
 event_length (const char *data, size_t n)
 {
-  const char *from = data;
-  const char *nl;
-  while ((nl = memchr (from, '\n', n - (size_t)(from - data))) != NULL)
+  bool has_line = false;
+  for (size_t at = 0; at < n;)
     {
-      size_t next = (size_t)(nl - data) + 1;
-      if (next < n && data[next] == '\n')
-        return next + 1;
-      if (next + 1 < n && data[next] == '\r' && data[next + 1] == '\n')
-        return next + 2;
-      from = nl + 1;
+      struct line l = line_at (data, n, at);
+      if (!l.ended)
+        return 0;
+      if (l.size == 0 && has_line)
+        return l.next;
+      has_line = has_line || l.size > 0;
+      at = l.next;
     }
   return 0;
 }
@@ -57,22 +74,17 @@
 static void
 store_last_id (struct sse *s, const char *event, size_t n)
 {
-  const char *line = event;
-  const char *end = event + n;
-  while (line < end)
+  size_t prefix = strlen (ID_FIELD);
+  for (size_t at = 0; at < n;)
     {
-      const char *nl = memchr (line, '\n', (size_t)(end - line));
-      const char *stop = nl ? nl : end;
-      size_t size = (size_t)(stop - line);
-      if (size > strlen (ID_FIELD)
-          && strncmp (line, ID_FIELD, strlen (ID_FIELD)) == 0)
+      struct line l = line_at (event, n, at);
+      if (l.size > prefix && strncmp (l.text, ID_FIELD, prefix) == 0)
         {
           g_free (s->last_id);
           s->last_id
-              = g_strndup (line + strlen (ID_FIELD), size - strlen (ID_FIELD));
-          g_strstrip (s->last_id);
+              = g_strstrip (g_strndup (l.text + prefix, l.size - prefix));
         }
-      line = stop + 1;
+      at = l.next;
     }
 }
 
@@ -97,9 +109,39 @@
       complete += size;
       ++*count;
     }
+  s->events += *count;
   if (*count == 0)
     return NULL;
   GBytes *events = g_bytes_new (data, complete);
   evbuffer_drain (s->partial, complete);
   return events;
 }
+
+size_t
+sse_partial_bytes (const struct sse *s)
+{
+  return s->partial ? evbuffer_get_length (s->partial) : 0;
+}
+
+bool
+sse_is_oversized (const struct sse *s)
+{
+  return sse_partial_bytes (s) > SSE_EVENT_MAX_BYTES;
+}
+
+bool
+sse_in_event (const struct sse *s)
+{
+  size_t n = sse_partial_bytes (s);
+  if (n == 0)
+    return false;
+  const char *data = (const char *)evbuffer_pullup (s->partial, -1);
+  for (size_t at = 0; at < n;)
+    {
+      struct line l = line_at (data, n, at);
+      if (!l.ended || (l.size > 0 && l.text[0] != ':'))
+        return true;
+      at = l.next;
+    }
+  return false;
+}
