Responses without end are cut off at a size limit

Change: an event and a body that is not forwarded while it arrives: 256 KiB; a body that the HTTP client holds: 16 MiB. Past it the connection is closed and the response counts as malformed.

--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -11,6 +11,9 @@
    of it is sent to the caller, so that a truncated one can be replaced by a
    retry.  */
 #define BUFFERED_MAX_BYTES (128U * 1024)
+/* An upstream may send no more than this of a body that is not forwarded while
+   it arrives: an error response or a remote prefill.  */
+#define UNFORWARDED_MAX_BYTES (256U * 1024)
 /* A caller that has more unread response bytes than this is disconnected.  */
 #define BACKLOG_MAX_BYTES (2U * 1024 * 1024)
 /* Share of an upstream's connection limit that is divided among the known
@@ -192,6 +195,15 @@
          && e->response_info.sent_by_upstream;
 }
 
+/* Cancels the call in progress, whose response exceeds a size limit, and
+   handles it like a malformed response.  */
+static void
+reject_oversized (struct exchange *e)
+{
+  pool_cancel (e->call);
+  exchange_attempt_ended (e, POOL_BAD_RESPONSE);
+}
+
 void
 exchange_data (void *arg, struct evbuffer *data)
 {
@@ -201,6 +213,8 @@
   if (e->prefilling || !is_trusted_success (e))
     {
       evbuffer_add_buffer (e->held, data);
+      if (evbuffer_get_length (e->held) > UNFORWARDED_MAX_BYTES)
+        reject_oversized (e);
       return;
     }
   record_first_byte (e);
@@ -215,8 +229,10 @@
           inbound_request_stream_send (e->caller, e->held);
         }
     }
-  if (e->started
-      && inbound_request_stream_backlog (e->caller) > BACKLOG_MAX_BYTES)
+  if (e->is_events && sse_is_oversized (&e->events))
+    reject_oversized (e);
+  else if (e->started
+           && inbound_request_stream_backlog (e->caller) > BACKLOG_MAX_BYTES)
     exchange_abort (e, "caller_too_slow");
 }
 
--- a/src/daemon/home.c
+++ b/src/daemon/home.c
@@ -135,6 +135,9 @@
   g_autoptr (GBytes) events = sse_feed (&s->sse, body, &count);
   if (count > 0)
     forward_events (s, events, count);
+  if (sse_is_oversized (&s->sse))
+    stream_finish (s, RESULT_UPSTREAM_ERROR,
+                   "engine sent an event that exceeds the size limit", "");
 }
 
 /* Starts a call for the rest of the stream.  Returns false if the last
--- a/src/links/http_client.c
+++ b/src/links/http_client.c
@@ -103,6 +103,13 @@
 on_data (void *arg, struct evbuffer *data)
 {
   struct http_call *call = arg;
+  size_t size = evbuffer_get_length (call->body) + evbuffer_get_length (data);
+  if (size > HTTP_CLIENT_BODY_MAX_BYTES)
+    {
+      pool_cancel (call->call);
+      call_end (call, HTTP_OUTCOME_UNKNOWN);
+      return;
+    }
   evbuffer_add_buffer (call->body, data);
   restart_timer (call);
   if (call->callbacks->on_data && call->status == 200)
--- a/src/links/http_client.h
+++ b/src/links/http_client.h
@@ -11,6 +11,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Largest response body, in bytes, that a call holds for its callbacks.  A
+    larger one ends the call like a lost connection.  */
+#define HTTP_CLIENT_BODY_MAX_BYTES (16U * 1024 * 1024)
+
 /** HTTP client with its pool of connections.  */
 struct http_client;
 
--- a/tests/fakes/fake_engine.c
+++ b/tests/fakes/fake_engine.c
@@ -13,6 +13,7 @@
       cut_after N     once per stream, close its connection after N events
       stall_after N   once per stream, send nothing more on its connection
                       after N events
+      endless_event 1 send an event without end instead of each event
       order_delay_ms  time before an order is handled  */
 #include "fakes/faults.h"
 
@@ -25,6 +26,7 @@
 #define LINGER_MS 10000
 #define KEEP_DONE_MS 30000
 #define BYTES_PER_TOKEN 4
+#define ENDLESS_PART_BYTES 65536
 
 struct stream
 {
@@ -103,7 +105,11 @@
           s->req = NULL; /* the connection stays open without data */
           return;
         }
-      const char *event = g_ptr_array_index (s->events, s->sent);
+      g_autofree char *endless = fault ("endless_event")
+                                     ? g_strnfill (ENDLESS_PART_BYTES, 'x')
+                                     : NULL;
+      const char *event
+          = endless ? endless : g_ptr_array_index (s->events, s->sent);
       struct evbuffer *out = evbuffer_new ();
       evbuffer_add (out, event, strlen (event));
       evhttp_send_reply_chunk (s->req, out);
--- a/tests/process/test_path.c
+++ b/tests/process/test_path.c
@@ -9,6 +9,9 @@
 
 /* Time after which a VM or upstream that leaves must get no new requests.  */
 #define LEAVE_MS 3000
+/* An answer of this many tokens takes longer than ENDLESS_TIMEOUT_MS.  */
+#define ENDLESS_TOKENS 4000
+#define ENDLESS_TIMEOUT_MS 3000
 
 static struct fleet *fleet;
 
@@ -50,6 +53,25 @@
   web_close (w);
 }
 
+/* An event without end must not fill the VM's memory until the stream ends.
+   The engines would go on for longer than the test waits.  */
+static void
+test_endless_event_is_refused (void)
+{
+  g_autofree char *body = fleet_chat_body ("endless", ENDLESS_TOKENS, true);
+  for (unsigned i = 0; i < fleet->shape.engines; i++)
+    fleet_fault (fleet->engine_addresses[i], "endless_event=1");
+  struct web *w = web_send_request (fleet->http_addresses[0], "POST",
+                                    "/v1/chat/completions", FLEET_CALLER_KEY,
+                                    NULL, body);
+  web_read_response (w, ENDLESS_TIMEOUT_MS);
+  for (unsigned i = 0; i < fleet->shape.engines; i++)
+    fleet_fault (fleet->engine_addresses[i], "endless_event=0");
+  g_assert_true (w->complete);
+  g_assert_cmpint (w->status, ==, 502);
+  web_close (w);
+}
+
 static void
 test_authorization (void)
 {
@@ -285,6 +307,8 @@
   fleet_apply (fleet);
   g_test_add_func ("/path/streams", test_streams);
   g_test_add_func ("/path/unstreamed-response", test_unstreamed_response);
+  g_test_add_func ("/path/endless-event-is-refused",
+                   test_endless_event_is_refused);
   g_test_add_func ("/path/caller-authorization", test_authorization);
   g_test_add_func ("/path/bad-requests", test_bad_requests);
   g_test_add_func ("/path/idempotent-call", test_idempotent_call);
