Store: an answer without its revision is not a success

A write whose 200 came without a usable body, as after a connection that ended early, counted as done at revision 0, which is also the fencing number of the order lease; lists and long polls without asOf began anew at 0.

--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -286,6 +286,37 @@
   stop ();
 }
 
+/* An answer that lacks its revision was broken off or is malformed, whatever
+   its status says.  */
+static void
+test_answers_without_revision (void)
+{
+  static const char *const bodies[]
+      = { "",
+          "{\"revision\": 1",
+          "{}",
+          "[]",
+          "{\"revision\": \"10\"}",
+          "{\"items\": [], \"events\": []}",
+          "{\"items\": [], \"events\": [], \"asOf\": null}" };
+  for (size_t i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      const struct answer a = { "1", 200, bodies[i], 0 };
+      const struct answer script[] = { a, a, a };
+      start (script);
+      write_key (0, 0);
+      await_ends (1);
+      kv_list (kv, "k", on_changes, GUINT_TO_POINTER (1));
+      await_ends (2);
+      kv_changes (kv, "k", ERA_UNIT + 1, 0, on_changes, GUINT_TO_POINTER (2));
+      await_ends (3);
+      g_assert_cmpint (statuses[0], ==, KV_UNKNOWN);
+      g_assert_cmpint (statuses[1], ==, KV_NOT_DONE);
+      g_assert_cmpint (statuses[2], ==, KV_NOT_DONE);
+      stop ();
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -295,5 +326,7 @@
   g_test_add_func ("/store/polls-end", test_polls_end);
   g_test_add_func ("/store/comparisons", test_comparisons);
   g_test_add_func ("/store/absurd-eras", test_absurd_eras);
+  g_test_add_func ("/store/answers-without-revision",
+                   test_answers_without_revision);
   return g_test_run ();
 }
