Soak: streams without length, and all ways to truncate one; relays reset what they cut

Now eight, and whole ones without length. The relay closed a connection properly after it had dropped bytes, which no network does; a body without length then looks complete at the VM. It resets now, and passes on what a closed side had sent.

--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -43,7 +43,7 @@
                      the same, reset after event 2
       long           events without end, 20 ms apart
       long-bare      the same without chunks
-      endless-event  one event without end, without chunks
+      stream-endless one event without end, without chunks
       endless-error  500 with a body without end, without chunks
       two            2 events at once
       fast           1,000 events at once
--- a/tests/fakes/upstream_response.c
+++ b/tests/fakes/upstream_response.c
@@ -70,12 +70,20 @@
   g_free (c);
 }
 
+/* While RESET is set, closing the connection resets it, also when the process
+   is killed.  */
+static void
+set_reset_on_close (struct conn *c, bool reset)
+{
+  struct linger linger = { reset, LINGER_S };
+  setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &linger,
+              sizeof linger);
+}
+
 static void
 conn_reset (struct conn *c)
 {
-  struct linger reset = { 1, LINGER_S };
-  setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &reset,
-              sizeof reset);
+  set_reset_on_close (c, true);
   response_conn_free (c);
 }
 
@@ -197,6 +205,7 @@
                          v->unframed ? "" : "Transfer-Encoding: chunked\r\n");
   c->next_event_id
       = after ? (unsigned)g_ascii_strtoull (after, NULL, 10) + 1 : 1;
+  set_reset_on_close (c, v->unframed);
   send_text (c, text);
   response_set_timer (c, EVENT_MS);
 }
@@ -237,6 +246,7 @@
       conn_reset (c);
       return;
     }
+  set_reset_on_close (c, false);
   if (end == STREAM_END_WHOLE && !unframed)
     send_text (c, "0\r\n\r\n");
   response_finish (c, unframed || end == STREAM_END_CLOSED);
@@ -274,6 +284,13 @@
   response_set_timer (c, EVENT_MS);
 }
 
+static bool
+is_endless (const char *directive)
+{
+  return strcmp (directive, "stream-endless") == 0
+         || strcmp (directive, "endless-error") == 0;
+}
+
 /* Starts a response without length or chunks whose body never ends: part of
    one event, or the body of a status 500.  */
 static void
@@ -372,7 +389,7 @@
     response_send_events (c, 1, true);
   else if (find_stream_variant (d))
     start_stream (c, find_stream_variant (d));
-  else if (g_str_has_prefix (d, "endless-"))
+  else if (is_endless (d))
     start_endless (c, strcmp (d, "endless-error") == 0);
   else if (!send_faulty_response (c, d) && !send_closing_response (c, d))
     {
@@ -402,7 +419,7 @@
     }
   else if (strcmp (c->directive, "unframed-reset") == 0)
     conn_reset (c);
-  else if (g_str_has_prefix (c->directive, "endless-"))
+  else if (is_endless (c->directive))
     send_endless_part (c);
   else
     send_next_event (c);
--- a/tests/harness/relay.c
+++ b/tests/harness/relay.c
@@ -20,6 +20,7 @@
   GString *pending[2]; /* bytes to send to fd[i] */
   gint64 due_us[2];    /* earliest send time of pending[i], set when its
                           first byte arrived */
+  gboolean ended[2];   /* fd[i] was closed in an orderly way */
   gboolean blackholed;
 };
 
@@ -51,10 +52,18 @@
   return sa;
 }
 
+/* Closes both sides with a reset unless each byte that a side sent before it
+   closed has been passed on: otherwise the other side would take what it got
+   for all.  */
 static void
 connection_free (void *p)
 {
   struct connection *x = p;
+  gboolean orderly = (x->ended[0] && x->pending[1]->len == 0)
+                     || (x->ended[1] && x->pending[0]->len == 0);
+  struct linger reset = { 1, 0 };
+  for (int i = 0; i < 2 && !orderly; i++)
+    setsockopt (x->fd[i], SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
   for (int i = 0; i < 2; i++)
     {
       close (x->fd[i]);
@@ -92,8 +101,8 @@
 }
 
 /* Forwards bytes from fd[FROM] to the other socket, unless they are held
-   back.  Returns false if either side has closed or failed; the caller then
-   closes the connection, and bytes still pending are lost.  */
+   back.  Returns false if either side has failed, or if fd[FROM] was closed
+   and all its bytes were passed on; the caller then closes the connection.  */
 static gboolean
 forward_bytes (const struct relay *r, struct connection *x, int from)
 {
@@ -103,7 +112,10 @@
   if (r->hold[from])
     return TRUE;
   ssize_t n = recv (x->fd[from], buf, sizeof buf, 0);
-  if (n == 0 || (n < 0 && errno != EAGAIN))
+  if (n < 0 && errno != EAGAIN)
+    return FALSE;
+  x->ended[from] = n == 0;
+  if (x->ended[from] && out->len == 0)
     return FALSE;
   if (n > 0 && out->len == 0)
     x->due_us[1 - from] = now + (gint64)r->delay_ms * 1000;
--- a/tests/harness/relay.h
+++ b/tests/harness/relay.h
@@ -1,6 +1,6 @@
 /** @file
     TCP proxy that injects network faults between two processes: it delays or
-    holds back bytes, closes connections, or blackholes them (they stay open
+    holds back bytes, resets connections, or blackholes them (they stay open
     and pass nothing, while new ones work).  */
 #ifndef TESTS_HARNESS_RELAY_H
 #define TESTS_HARNESS_RELAY_H
@@ -27,7 +27,7 @@
     passes until relay_close_connections or relay_destroy closes them.  */
 void relay_blackhole (struct relay *r);
 
-/** Closes all connections that are open now.  New ones are closed at once if
+/** Resets all connections that are open now.  New ones are closed at once if
     REFUSE, until a later call with FALSE.  */
 void relay_close_connections (struct relay *r, gboolean refuse);
 
--- a/tests/harness/site_soak_callers.c
+++ b/tests/harness/site_soak_callers.c
@@ -11,6 +11,25 @@
     = { "lost",  "reset", "cut",      "not-run", "busy",     "error",
         "extra", "stray", "unsigned", "garbage", "unframed", "slow" };
 static const char *const normal_directives[] = { "ok", "chunked", "slow" };
+static const char *const truncated_streams[]
+    = { "stream-cut",        "stream-short",      "stream-bare-cut",
+        "stream-bare-line",  "stream-bare-first", "stream-bare-empty",
+        "stream-bare-reset", "stream-endless" };
+static const char *const whole_streams[] = { "stream", "stream-bare" };
+
+static char *
+pick_stream_path (GRand *rand, const char *prefix, bool truncated,
+                  unsigned instance)
+{
+  if (!truncated)
+    return g_strdup_printf (
+        "/%s/%s", prefix,
+        whole_streams[soak_random_below (rand, G_N_ELEMENTS (whole_streams))]);
+  return g_strdup_printf ("/%s/%s@u%u", prefix,
+                          truncated_streams[soak_random_below (
+                              rand, G_N_ELEMENTS (truncated_streams))],
+                          instance);
+}
 
 /* Returns a random request path; sets in R whether the request must run at
    most once and whether it asks for a faulty response.  */
@@ -21,13 +40,10 @@
   bool faulty = soak_random_below (rand, 3) == 0;
   unsigned instance = soak_random_below (rand, SERVICES);
   r->requests_no_fault = !faulty;
-  if (kind == 0)
-    return faulty ? g_strdup_printf ("/stream/stream-cut@u%u", instance)
-                  : g_strdup ("/stream/stream");
-  r->at_most_once = kind <= 4;
-  if (kind == 1)
-    return faulty ? g_strdup_printf ("/live/stream-cut@u%u", instance)
-                  : g_strdup ("/live/stream");
+  r->at_most_once = kind > 0 && kind <= 4;
+  if (kind <= 1)
+    return pick_stream_path (rand, kind == 0 ? "stream" : "live", faulty,
+                             instance);
   if (kind == 5)
     {
       r->requests_no_fault = true;
--- a/tests/process/test_response_ends.c
+++ b/tests/process/test_response_ends.c
@@ -181,7 +181,7 @@
 test_endless_responses_are_cut_off (void)
 {
   static const char *const paths[]
-      = { "/live/endless-event", "/once/endless-error" };
+      = { "/live/stream-endless", "/once/endless-error" };
   for (size_t i = 0; i < G_N_ELEMENTS (paths); i++)
     {
       g_autofree char *id = g_strdup_printf ("endless-%zu", i);
