A decode engine is reserved before a remote prefill where the decode stage may bind

Change: exchange_decode reserves by a permit that is awaited, where slots are taken or a link has more to transfer than is done during the prefill. Home VMs keep the time when a link is free; VMs get it with each answer, placement adds it. Permits count as running from their expected arrival on and expire after it. A VM of an earlier version does not understand the longer permit messages and counts as silent: requests then go without permits, as before.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -51,6 +51,8 @@
   X (kv_writes_total, "Writes to the key-value service")                      \
   X (prompts_read_apart_total, "Prompts read at another engine first")        \
   X (readings_dropped_total, "Prompts read apart and not used")               \
+  X (decodes_asked_total, "Engines asked to decode before a remote prefill")  \
+  X (decodes_refused_total, "Decodes refused before their remote prefill")    \
   X (permits_asked_total, "Permits asked of the home VMs of engines")         \
   X (permits_refused_total, "Permits refused: the wait would be too long")    \
   X (permits_unanswered_total, "Permits not answered in time")                \
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -42,6 +42,7 @@
     pool_cancel (e->call);
   upstreams_record_cancel (e->proxy->parts.upstreams, &e->work);
   exchange_end_permit (e);
+  exchange_release_decode (e);
   exchange_prefill_release (e);
   if (e->timer)
     event_free (e->timer);
@@ -74,8 +75,10 @@
       e->choice.is_preferred ? "true" : "false", "model_samples",
       log_num (e->choice.model_samples), "model_age_ms",
       log_num (e->choice.model_age_ms), "permits",
-      log_num (e->permit_requests_total), "attempts", log_num (e->tries),
-      "framing", http_framing_name (e->upstream_framing), "partial_bytes",
+      log_num (e->permit_requests_total), "decodes_asked",
+      log_num (e->decodes_asked), "decodes_refused",
+      log_num (e->n_decode_refused), "attempts", log_num (e->tries), "framing",
+      http_framing_name (e->upstream_framing), "partial_bytes",
       log_num ((long long)sse_partial_bytes (&e->events)), "retry_after_ms",
       log_num (e->retry_after_ms), "routes_version",
       log_num (e->table ? (long long)route_table_version (e->table) : -1),
@@ -406,13 +409,16 @@
       finish_response (e);
       return;
     }
-  log_event (LOG_INFO, "attempt_failed", "request", e->facts.id, "upstream",
-             e->upstream_id, "outcome", attempt_outcome_name (outcome),
-             "status", log_num (e->answer ? e->answer->status : 0),
-             "connection_end", log_num (end), "started",
-             e->started ? "true" : "false", "framing",
-             http_framing_name (e->upstream_framing), "partial_bytes",
-             log_num ((long long)sse_partial_bytes (&e->events)), NULL);
+  log_event (
+      LOG_INFO, "attempt_failed", "request", e->facts.id, "upstream",
+      e->upstream_id, "outcome", attempt_outcome_name (outcome), "status",
+      log_num (e->answer ? e->answer->status : 0), "connection_end",
+      log_num (end), "work", upstream_work_name (e->work.kind), "waited_ms",
+      log_num (now - e->work.sent_ms), "running", log_num (e->choice.running),
+      "transfer_ms", log_num ((long long)e->choice.transfer_ms), "started",
+      e->started ? "true" : "false", "framing",
+      http_framing_name (e->upstream_framing), "partial_bytes",
+      log_num ((long long)sse_partial_bytes (&e->events)), NULL);
   /* Once events were sent to the caller, only a resumable stream can continue
      at another upstream.  */
   bool resumable = !e->started || (e->is_events && e->route->resumable);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -13,11 +13,15 @@
 #include "daemon/proxy_parts.h"
 #include "daemon/sse.h"
 #include "decide/attempts.h"
+#include "decide/placement.h"
 #include "decide/route_table.h"
 #include "links/http_listener.h"
 
 /** Most instances that one request is sent to, remote prefill included.  */
 #define EXCHANGE_TRIED_MAX 8
+/** Most engines that are asked to decode for one request, before its remote
+    prefill.  */
+#define EXCHANGE_DECODES_ASKED_MAX 3
 /** No further attempt starts with less time than this before the deadline.  */
 #define EXCHANGE_ATTEMPT_MIN_MS 40
 /** Longest idle time after which a connection to an upstream is reused.  */
@@ -65,6 +69,15 @@
                             prompt is long */
   char upstream_id[64];  /* upstream of the latest attempt, for logs */
 
+  struct upstream_choice decode; /* engine reserved for the decode after a
+                                    remote prefill; handle 0: none */
+  upstream_handle decode_after;  /* engine of that remote prefill */
+  permit_ticket decode_permit;   /* permit requested or held for it */
+  unsigned decodes_asked;        /* engines asked to decode */
+  upstream_handle decode_refused[EXCHANGE_DECODES_ASKED_MAX];
+  unsigned n_decode_refused;
+  bool no_remote_prefill; /* no engine accepts the decode after one */
+
   bool prefilling; /* the call in progress is a remote prefill */
   upstream_handle prefill_engine; /* holds the prefilled KV cache */
   char *prefill_handle; /* handle to fetch that KV cache with, or NULL */
@@ -143,6 +156,25 @@
 void exchange_log_end (const struct exchange *e, const char *outcome,
                        unsigned status);
 
+/* Reservation of the engine that decodes, before a remote prefill.  */
+
+/** Result of exchange_reserve_decode.  */
+enum decode_reservation
+{
+  DECODE_RESERVED, /**< E's request may be prefilled */
+  DECODE_PENDING,  /**< exchange_attempt continues with the answer */
+  DECODE_REFUSED   /**< no engine accepts it; choose without remote prefill */
+};
+
+/** Reserves an engine that decodes after the remote prefill C of REQUEST, if
+    the decode stage may bind; asks up to EXCHANGE_DECODES_ASKED_MAX engines. A
+    reservation ends with exchange_release_decode or with its permit.  */
+enum decode_reservation
+exchange_reserve_decode (struct exchange *e, const struct upstream_choice *c,
+                         const struct placement_request *request, int64_t now);
+/** Gives the reservation of E back, if it has one.  */
+void exchange_release_decode (struct exchange *e);
+
 /* Remote prefill.  */
 
 /** The remote prefill call of E ended with END.  Sends E to its next engine,
--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -164,6 +164,23 @@
 
 /* Choice of an instance.  */
 
+/* Reserves a decode engine if C is a remote prefill, whose transfer then
+   counts for both engines.  Gives an earlier reservation back if C is not.  */
+static enum decode_reservation
+reserve_decode (struct exchange *e, struct upstream_choice *c,
+                const struct placement_request *request, int64_t now)
+{
+  if (!c->remote_prefill)
+    {
+      exchange_release_decode (e);
+      return DECODE_RESERVED;
+    }
+  enum decode_reservation r = exchange_reserve_decode (e, c, request, now);
+  if (r == DECODE_RESERVED && e->decode.handle != 0)
+    c->link_ms = e->decode.link_ms;
+  return r;
+}
+
 /* Chooses the best instance for E, then sends E, waits for a permit or ends E.
    Returns false if the request could not be sent there or its permit was
    refused, so that the next one is to be chosen.  */
@@ -193,6 +210,16 @@
                        load_shed_retry_after_ms (e->facts.id, left_ms));
       return true;
     }
+  switch (reserve_decode (e, &c, request, now))
+    {
+    case DECODE_PENDING:
+      return true;
+    case DECODE_REFUSED:
+      e->no_remote_prefill = true;
+      return false;
+    default:
+      break;
+    }
   e->choice = c;
   switch (request_engine_permit (e, &c, now))
     {
@@ -209,6 +236,29 @@
     }
 }
 
+/* Sends E, whose prompt is prefilled, to the engine that is reserved for the
+   decode.  Returns false if there is none or it does not accept E any more. */
+static bool
+send_to_reserved (struct exchange *e)
+{
+  if (e->prefill_handle == NULL || e->decode.handle == 0
+      || e->prefill_engine != e->decode_after
+      || e->n_tried >= EXCHANGE_TRIED_MAX)
+    {
+      exchange_release_decode (e);
+      return false;
+    }
+  e->choice = e->decode;
+  e->expected_ms = e->choice.expected_ms;
+  e->permit = e->decode_permit;
+  e->decode_permit = 0;
+  e->decode.handle = 0;
+  if (send_choice (e, &e->choice, clock_ms ()))
+    return true;
+  exchange_end_permit (e);
+  return false;
+}
+
 void
 exchange_attempt (struct exchange *e)
 {
@@ -218,9 +268,12 @@
           .tried = e->tried,
           .repeatable = e->attempts.repeatable };
   e->response_info = (struct response_info){ 0 };
+  if (e->prefill_handle && send_to_reserved (e))
+    return;
   do
     {
       request.n_tried = e->n_tried;
+      request.exclude_prefill_engines = e->no_remote_prefill;
       request.prefill_engine = e->prefill_handle ? e->prefill_engine : 0;
     }
   while (!try_best_upstream (e, &request));
--- a/src/daemon/permit_link.c
+++ b/src/daemon/permit_link.c
@@ -111,7 +111,9 @@
           .kv_tokens = request->kv_tokens,
           .started_ms = (uint64_t)MAX (request->started_ms, 0),
           .queue_limit_ms = (uint64_t)MAX (request->queue_limit_ms, 0),
-          .wait_limit_ms = (uint64_t)MAX (request->wait_limit_ms, 0) };
+          .wait_limit_ms = (uint64_t)MAX (request->wait_limit_ms, 0),
+          .link_ms = (uint64_t)request->link_ms,
+          .delay_ms = (uint64_t)request->delay_ms };
   g_autoptr (GArray) parts
       = g_array_new (FALSE, FALSE, sizeof (struct permit_part));
   m.parts = parts;
@@ -178,6 +180,8 @@
           .rates
           = upstreams_rates (l->parts.upstreams, choice->handle, choice->work),
           .residence_ms = choice->residence_ms,
+          .link_ms = choice->link_ms,
+          .delay_ms = limits->delay_ms,
           .queue_limit_ms = limits->queue_ms,
           .wait_limit_ms = limits->wait_ms };
   metrics_add (METRIC_permits_asked_total, 1);
@@ -261,7 +265,8 @@
   struct outstanding_permit *o = g_hash_table_lookup (l->outstanding, &ticket);
   struct upstream_load load = { .running = (uint32_t)m->running,
                                 .generating = (uint32_t)m->generating,
-                                .tokens = m->tokens };
+                                .tokens = m->tokens,
+                                .link_wait_ms = (uint32_t)m->link_wait_ms };
   if (o == NULL)
     return;
   g_hash_table_remove (l->unresponsive, o->home);
@@ -330,6 +335,8 @@
           .rates = { .fixed_ms = (double)m->fixed_us / US_PER_MS,
                      .ms_per_1000 = (double)m->us_per_1000 / US_PER_MS },
           .residence_ms = (double)m->residence_ms,
+          .link_ms = (double)m->link_ms,
+          .delay_ms = (double)m->delay_ms,
           .queue_limit_ms = (double)m->queue_limit_ms,
           .wait_limit_ms = (double)m->wait_limit_ms };
   if (from == NULL)
@@ -355,7 +362,8 @@
           .fixed_us = (uint64_t)(d.rates.fixed_ms * US_PER_MS),
           .us_per_1000 = (uint64_t)(d.rates.ms_per_1000 * US_PER_MS),
           .samples = d.rates.samples,
-          .to_prefill = d.tokens };
+          .to_prefill = d.tokens,
+          .link_wait_ms = d.load.link_wait_ms };
   l->parts.send (l->parts.arg, from, MESSAGE_PERMIT_ANSWER, &answer);
 }
 
--- a/src/daemon/permit_link.h
+++ b/src/daemon/permit_link.h
@@ -65,6 +65,7 @@
 /** Longest acceptable waits at an engine; see struct permit_request.  */
 struct permit_limits
 {
+  double delay_ms; /* time until the request reaches the engine */
   double queue_ms;
   double wait_ms;
 };
--- a/src/decide/permits.c
+++ b/src/decide/permits.c
@@ -3,8 +3,9 @@
 #include "decide/placement.h"
 
 /* A permit whose request is not reported as prefilled expires
-   PREFILL_TIMEOUT_MS after its grant; one whose request is prefilled but not
-   reported as ended, REQUEST_TIMEOUT_MS after its grant.  The VM that asked
+   PREFILL_TIMEOUT_MS after its expected arrival at the engine; one whose
+   request is prefilled but not reported as ended, REQUEST_TIMEOUT_MS after
+   it.  The VM that asked
    for it has failed, or its report was lost.  */
 #define PREFILL_TIMEOUT_MS 3000
 #define REQUEST_TIMEOUT_MS 16000
@@ -18,6 +19,10 @@
 /* Least time that counts for a request: one that was prefilled together with
    the one before it.  */
 #define SERVICE_MS_MIN 0.1
+/* Longest announced time until a request reaches its engine, and longest
+   transfer, that count.  */
+#define DELAY_MAX_MS 10000.0
+#define TRANSFER_MAX_MS 10000.0
 /* Part of an engine's KV capacity that is assumed to cache prefixes.  */
 #define KV_CACHE_PERCENT 80
 
@@ -30,13 +35,17 @@
   struct prefix_index *cache;  /* of what its KV cache likely holds */
   int64_t started_ms;          /* start time on the wall clock; 0: unknown */
   int64_t first_ms;            /* when the first permit was requested */
+  GQueue announced;      /* struct permit of requests that have not reached it,
+                            in no order */
   GQueue prefilling;     /* struct permit of prompts that it has to prefill and
                             that are not reported as prefilled, in the order of
                             their grants */
   int64_t head_since_ms; /* when the first of them became the first */
   double done_ms; /* when it finished the latest request that was prefilled, on
                      a clock without the delay of reports */
-  bool has_prefill; /* the model is set */
+  double link_free_ms; /* when its link has done the transfers of all open
+                          permits */
+  bool has_prefill;    /* the model is set */
   bool has_decode;
   int64_t paused_until_ms; /* no permits are granted before that */
 };
@@ -51,6 +60,9 @@
   uint64_t tokens_at_grant; /* to be prefilled by the engine when the permit
                                was granted, including this request's */
   int64_t granted_ms;
+  int64_t arrives_ms; /* when its request is expected to reach the engine */
+  bool arrived;       /* counted in the engine's load.running */
+  double link_ms;     /* time of its transfer on the engine's link */
   bool prefilled;
   GList link; /* in struct engine.prefilling, until it is prefilled; unused
                  for decodes */
@@ -74,6 +86,7 @@
 engine_free (void *value)
 {
   struct engine *e = value;
+  g_queue_clear (&e->announced);
   prefix_index_destroy (e->cache);
   g_free (e);
 }
@@ -114,6 +127,7 @@
     {
       e = g_new0 (struct engine, 1);
       e->cache = prefix_index_create (0);
+      g_queue_init (&e->announced);
       g_queue_init (&e->prefilling);
       g_hash_table_insert (p->engines, g_strdup (upstream), e);
     }
@@ -202,6 +216,30 @@
   (void)engine_model_learn (get_model (e, permit->work), &s, now_ms);
 }
 
+/* Counts the request of PERMIT as running at its engine.  */
+static void
+count_arrival (struct permit *permit)
+{
+  if (permit->arrived)
+    return;
+  g_queue_remove (&permit->engine->announced, permit);
+  permit->arrived = true;
+  permit->engine->load.running++;
+}
+
+/* Counts the requests that are expected to have reached E by NOW_MS.  */
+static void
+count_arrivals (struct engine *e, int64_t now_ms)
+{
+  for (GList *l = e->announced.head; l;)
+    {
+      struct permit *permit = l->data;
+      l = l->next;
+      if (permit->arrives_ms <= now_ms)
+        count_arrival (permit);
+    }
+}
+
 /* Marks the request of PERMIT as prefilled and subtracts its tokens from the
    engine's load, unless that is done already.  */
 static void
@@ -227,6 +265,7 @@
   struct permit *permit = g_hash_table_lookup (p->open, key);
   if (permit == NULL || permit->prefilled)
     return;
+  count_arrival (permit);
   finish_prefill (permit, now_ms);
   if (took_ms > 0)
     learn_prefill (permit, took_ms, now_ms);
@@ -237,8 +276,14 @@
 remove_load (struct permit *permit, int64_t now_ms)
 {
   struct upstream_load *load = &permit->engine->load;
+  /* Without a first token, or a prefill that ended, there was no transfer.  */
+  if (!permit->prefilled)
+    permit->engine->link_free_ms -= permit->link_ms;
   finish_prefill (permit, now_ms);
-  load->running -= MIN (load->running, 1);
+  if (permit->arrived)
+    load->running -= MIN (load->running, 1);
+  else
+    g_queue_remove (&permit->engine->announced, permit);
   if (permit->work == UPSTREAM_WORK_SHORT_PROMPT)
     load->generating -= MIN (load->generating, 1);
 }
@@ -308,7 +353,11 @@
   permit->tokens_at_grant
       = tokens + engine_model_tokens_in (&e->prefill, backlog_ms (e, now_ms));
   permit->granted_ms = now_ms;
-  e->load.running++;
+  permit->link_ms = CLAMP (q->link_ms, 0, TRANSFER_MAX_MS);
+  e->link_free_ms = MAX (e->link_free_ms, (double)now_ms) + permit->link_ms;
+  permit->arrives_ms = now_ms + (int64_t)CLAMP (q->delay_ms, 0, DELAY_MAX_MS);
+  g_queue_push_tail (&e->announced, permit);
+  count_arrivals (e, now_ms);
   e->load.generating += q->work == UPSTREAM_WORK_SHORT_PROMPT;
   e->load.tokens += tokens;
   enqueue (e, permit, now_ms);
@@ -316,6 +365,22 @@
   g_hash_table_replace (p->open, permit->key, permit);
 }
 
+/* Returns how long Q would wait for earlier requests at E, of which QUEUE_MS
+   is for prefill and slots.  Transfers on the engine's link run one after the
+   other, beside the computation: before a decode, and after a prefill that
+   ends in WAIT_MS.  */
+static double
+total_queue_ms (const struct engine *e, const struct permit_request *q,
+                double queue_ms, double wait_ms, int64_t now_ms)
+{
+  if (q->link_ms <= 0)
+    return queue_ms;
+  double link_wait_ms = MAX (e->link_free_ms - (double)now_ms, 0);
+  if (q->work == UPSTREAM_WORK_DECODE)
+    return MAX (queue_ms, link_wait_ms);
+  return queue_ms + MAX (link_wait_ms - wait_ms, 0);
+}
+
 struct permit_decision
 permits_request (struct permits *p, const struct permit_request *q,
                  int64_t now_ms)
@@ -324,6 +389,7 @@
   struct engine_model *model = get_model (e, q->work);
   engine_model_age (&e->prefill, now_ms);
   engine_model_age (model, now_ms);
+  count_arrivals (e, now_ms);
   struct permit_decision d = { .load = e->load,
                                .rates = engine_model_rates (model),
                                .tokens = tokens_to_prefill (e, q, now_ms) };
@@ -337,10 +403,12 @@
       = { .model = model, .slots = q->slots, .residence_ms = q->residence_ms };
   d.wait_ms = placement_wait_ms (q->work, &d.load, d.tokens, &engine);
   double queue_ms = placement_queue_ms (q->work, &d.load, &engine);
+  queue_ms = total_queue_ms (e, q, queue_ms, d.wait_ms, now_ms);
   d.granted = queue_ms <= q->queue_limit_ms && d.wait_ms <= q->wait_limit_ms
               && now_ms >= e->paused_until_ms;
   if (d.granted)
     grant (p, e, q, d.tokens, now_ms);
+  d.load.link_wait_ms = (uint32_t)MAX (e->link_free_ms - (double)now_ms, 0);
   return d;
 }
 
@@ -364,7 +432,7 @@
       struct permit *permit = value;
       int64_t timeout
           = permit->prefilled ? REQUEST_TIMEOUT_MS : PREFILL_TIMEOUT_MS;
-      if (now_ms - permit->granted_ms < timeout)
+      if (now_ms - permit->arrives_ms < timeout)
         continue;
       remove_load (permit, now_ms);
       g_hash_table_iter_remove (&it);
--- a/src/decide/permits.h
+++ b/src/decide/permits.h
@@ -42,6 +42,9 @@
   struct engine_rates rates;   /**< VM's estimates for this kind of work, used
                                     until there are samples here */
   double residence_ms;         /**< mean time that a request occupies a slot */
+  double link_ms;              /**< time for which the KV cache transfer of the
+                                    request occupies the engine's link; 0 for none */
+  double delay_ms;       /**< time until the request reaches the engine */
   double queue_limit_ms; /**< longest acceptable wait for earlier requests */
   double wait_limit_ms;  /**< longest acceptable time to the first token, or
                               to the end of a remote prefill */
--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -297,6 +297,15 @@
   return rtt_ms + link_ms (u, local_ms, from, to);
 }
 
+/* Returns the time until the transfers are done that are known to wait for the
+   link of X.  */
+static double
+link_wait_ms (const struct upstream *x, int64_t now_ms)
+{
+  double age_ms = (double)(now_ms - x->home_load_ms);
+  return MAX (x->home_load.link_wait_ms - age_ms, 0);
+}
+
 /* Returns the expected time at X, for a request of kind WORK with TOKENS to
    prefill.  */
 static double
@@ -316,7 +325,8 @@
 decode_ms (const struct upstream *x, int64_t now_ms)
 {
   struct upstream_load load = upstreams_total_load (x, now_ms);
-  return x->rtt_ms + wait_at (x, UPSTREAM_WORK_DECODE, 0, &load);
+  return x->rtt_ms + link_wait_ms (x, now_ms)
+         + wait_at (x, UPSTREAM_WORK_DECODE, 0, &load);
 }
 
 /* Best decode after a prefill in one failure domain.  */
@@ -428,6 +438,75 @@
   return cost * (double)((1U << rank) - 1);
 }
 
+/* Latency and cost of a request at one upstream, in ms.  */
+struct latency
+{
+  double ms;   /* uncorrected */
+  double cost; /* delay for other requests, risk of failure, caching twice */
+};
+
+/* Estimates the decode at X of a prompt that PREFILL_ENGINE has prefilled.  */
+static void
+estimate_decode (const struct search *s, const struct upstream *x,
+                 const struct upstream *prefill_engine,
+                 const struct upstream_load *load, struct upstream_choice *out,
+                 struct latency *l)
+{
+  unsigned from = prefill_engine->domain;
+  out->work = UPSTREAM_WORK_DECODE;
+  out->wait_ms = wait_at (x, out->work, 0, load);
+  out->transfer_ms = transfer_ms (s->u, s->local_transfer_ms, from, x->domain)
+                     + link_wait_ms (x, s->now_ms);
+  out->link_ms = link_ms (s->u, s->local_transfer_ms, from, x->domain);
+  l->ms += out->transfer_ms + out->wait_ms;
+  l->cost += out->link_ms * LINK_COST;
+}
+
+/* Estimates a request at X whose prompt X has to prefill.  */
+static void
+estimate_prompt (const struct search *s, const struct upstream *x,
+                 unsigned rank, const struct upstream_load *load,
+                 struct upstream_choice *out, struct latency *l)
+{
+  const struct placement_request *request = s->request;
+  bool is_long = needs_long_prefill (request);
+  out->tokens = tokens_to_prefill (x, request->prompt, rank == 0);
+  out->remote_prefill = x->info.role == UPSTREAM_PREFILL;
+  out->work = is_long ? UPSTREAM_WORK_PREFILL : UPSTREAM_WORK_SHORT_PROMPT;
+  out->wait_ms = wait_at (x, out->work, out->tokens, load);
+  out->compute_ms = engine_model_compute_ms (&x->prefill, out->tokens);
+  out->queue_ms = out->wait_ms - out->compute_ms - x->prefill.rates.fixed_ms;
+  /* The permit takes a round trip of its own.  */
+  l->ms += x->rtt_ms + out->wait_ms;
+  if (out->remote_prefill)
+    {
+      l->ms += MAX (link_wait_ms (x, s->now_ms) - out->wait_ms, 0);
+      l->ms += s->decode[x->domain].ms;
+      l->cost += s->decode[x->domain].cost - s->decode[x->domain].ms;
+    }
+  l->cost
+      += engine_model_compute_ms (&x->prefill, shared_tokens (request->prompt))
+         * spill_factor (s, rank);
+  if (is_long)
+    l->cost += load->generating * out->compute_ms * INTERFERENCE_SHARE;
+  else if (x->info.role == UPSTREAM_DECODE)
+    l->cost += x->reserved ? 0 : UNRESERVED_COST_MS;
+}
+
+/* Estimates a plain request at X.  */
+static void
+estimate_plain (const struct search *s, const struct upstream *x,
+                const struct upstream_load *load, struct upstream_choice *out,
+                struct latency *l)
+{
+  double utilization = (double)load->running / (double)MAX (x->info.slots, 1);
+  if (utilization < 1)
+    out->occupancy
+        = load->running > 0 ? UPSTREAM_HAS_FREE_SLOTS : UPSTREAM_IDLE;
+  l->ms += upstreams_service_ms (x, s->best_service_ms, s->now_ms)
+           * (1 + (utilization < 1 ? utilization / 8 : utilization));
+}
+
 /* Estimates the request at X and fills OUT.  Returns the cost that upstreams
    are compared by: the uncorrected latency, plus the delay for other requests,
    the risk of failure, and the cost of caching a prefix twice.  */
@@ -440,56 +519,19 @@
   const struct upstream *prefill_engine
       = upstreams_lookup (u, request->prefill_engine);
   struct upstream_load load = upstreams_total_load (x, s->now_ms);
-  double ms = x->rtt_ms;
-  double cost = upstreams_failure_rate (x, request->repeatable, s->now_ms)
-                * FAILURE_COST_MS;
+  struct latency l
+      = { .ms = x->rtt_ms,
+          .cost = upstreams_failure_rate (x, request->repeatable, s->now_ms)
+                  * FAILURE_COST_MS };
   if (prefill_engine)
-    {
-      out->work = UPSTREAM_WORK_DECODE;
-      out->wait_ms = wait_at (x, out->work, 0, &load);
-      out->transfer_ms = transfer_ms (u, s->local_transfer_ms,
-                                      prefill_engine->domain, x->domain);
-      ms += out->transfer_ms + out->wait_ms;
-      cost += link_ms (u, s->local_transfer_ms, prefill_engine->domain,
-                       x->domain)
-              * LINK_COST;
-    }
+    estimate_decode (s, x, prefill_engine, &load, out, &l);
   else if (request->prompt)
-    {
-      out->tokens = tokens_to_prefill (x, request->prompt, rank == 0);
-      out->remote_prefill = x->info.role == UPSTREAM_PREFILL;
-      out->work = needs_long_prefill (request) ? UPSTREAM_WORK_PREFILL
-                                               : UPSTREAM_WORK_SHORT_PROMPT;
-      out->wait_ms = wait_at (x, out->work, out->tokens, &load);
-      out->compute_ms = engine_model_compute_ms (&x->prefill, out->tokens);
-      out->queue_ms
-          = out->wait_ms - out->compute_ms - x->prefill.rates.fixed_ms;
-      /* The permit takes a round trip of its own.  */
-      ms += x->rtt_ms + out->wait_ms;
-      if (out->remote_prefill)
-        {
-          ms += s->decode[x->domain].ms;
-          cost += s->decode[x->domain].cost - s->decode[x->domain].ms;
-        }
-      cost += engine_model_compute_ms (&x->prefill,
-                                       shared_tokens (request->prompt))
-              * spill_factor (s, rank);
-      if (needs_long_prefill (request))
-        cost += load.generating * out->compute_ms * INTERFERENCE_SHARE;
-      else if (x->info.role == UPSTREAM_DECODE)
-        cost += x->reserved ? 0 : UNRESERVED_COST_MS;
-    }
+    estimate_prompt (s, x, rank, &load, out, &l);
   else
-    {
-      double utilization
-          = (double)load.running / (double)MAX (x->info.slots, 1);
-      if (utilization < 1)
-        out->occupancy
-            = load.running > 0 ? UPSTREAM_HAS_FREE_SLOTS : UPSTREAM_IDLE;
-      ms += upstreams_service_ms (x, s->best_service_ms, s->now_ms)
-            * (1 + (utilization < 1 ? utilization / 8 : utilization));
-    }
+    estimate_plain (s, x, &load, out, &l);
   out->has_home_load = upstreams_has_home_load (x, s->now_ms);
+  out->running = load.running;
+  out->link_wait_ms = link_wait_ms (x, s->now_ms);
   out->residence_ms = x->residence_ms;
   out->kv_tokens = s->kv_tokens;
   const struct engine_model *model
@@ -497,10 +539,10 @@
   out->model_samples = model->rates.samples;
   out->model_age_ms
       = model->updated_ms != 0 ? s->now_ms - model->updated_ms : -1;
-  out->uncorrected_ms = ms;
+  out->uncorrected_ms = l.ms;
   out->expected_ms
-      = ms * (needs_long_prefill (request) ? u->latency_factor : 1);
-  return ms + cost;
+      = l.ms * (needs_long_prefill (request) ? u->latency_factor : 1);
+  return l.ms + l.cost;
 }
 
 /* Whether a request that would wait too long at its choice C is better placed
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -146,10 +146,16 @@
   double margin_ms;   /**< cost by which the next best upstream is worse */
   double transfer_ms; /**< part of uncorrected_ms: KV cache transfer before a
                            decode */
-  double rtt_ms;      /**< assumed round-trip time to it */
-  bool has_home_load; /**< its home VM has just reported its load; otherwise
-                           the load is a rough sum of what VMs report, which
-                           leaves out how far the engine is */
+  double link_ms;     /**< time for which that transfer, or after a remote
+                           prefill the transfer from it, occupies the link of
+                           the engine */
+  double link_wait_ms; /**< time until that link has done the transfers that
+                            wait for it */
+  double rtt_ms;       /**< assumed round-trip time to it */
+  bool has_home_load;  /**< its home VM has just reported its load; otherwise
+                            the load is a rough sum of what VMs report, which
+                            leaves out how far the engine is */
+  unsigned running;    /**< requests of all VMs there, as far as known */
   double residence_ms; /**< mean time that a request occupies a slot there */
   uint64_t kv_tokens;  /**< capacity of its KV cache; 0 if unknown */
   unsigned model_samples; /**< samples behind the estimates of its speed */
@@ -162,6 +168,9 @@
   unsigned candidates; /**< eligible upstreams that were compared */
 };
 
+/** Name of WORK for logs.  */
+const char *upstream_work_name (enum upstream_work_kind work);
+
 /** One request in flight to an upstream.  */
 struct upstream_work
 {
@@ -244,11 +253,13 @@
 /** Load on one upstream, from one VM or summed over several.  */
 struct upstream_load
 {
-  uint32_t running;    /**< requests in flight */
-  uint32_t generating; /**< of these, requests with a short prompt */
-  uint64_t tokens;     /**< prompt tokens sent and not yet prefilled */
-  uint32_t quiet_ms;   /**< time since the last byte of a response; means
-                            something only while running is above 0 */
+  uint32_t running;      /**< requests in flight */
+  uint32_t generating;   /**< of these, requests with a short prompt */
+  uint64_t tokens;       /**< prompt tokens sent and not yet prefilled */
+  uint32_t quiet_ms;     /**< time since the last byte of a response; means
+                              something only while running is above 0 */
+  uint32_t link_wait_ms; /**< time until the transfers on its link are done;
+                              only known of engines, from their home VM */
 };
 
 /** Calls VISIT for each upstream that has load from this VM.  */
--- a/src/decide/upstreams_outcomes.c
+++ b/src/decide/upstreams_outcomes.c
@@ -51,6 +51,17 @@
 /* The models of engines age in steps of at least this length.  */
 #define AGE_INTERVAL_MS 40
 
+const char *
+upstream_work_name (enum upstream_work_kind work)
+{
+  static const char *const names[]
+      = { [UPSTREAM_WORK_PLAIN] = "plain",
+          [UPSTREAM_WORK_PREFILL] = "prefill",
+          [UPSTREAM_WORK_SHORT_PROMPT] = "short_prompt",
+          [UPSTREAM_WORK_DECODE] = "decode" };
+  return names[work];
+}
+
 /* Decay of learned values.  */
 
 /* Returns the weight, 0 to 1, that a sample has left after AGE_MS.  */
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -51,15 +51,17 @@
 
     With --stage=prefill or --stage=decode it is an engine.  Its prefill
     rate is --speed, in tokens per millisecond; a decode engine prefills at
-    half that rate, as it also generates.  A generation sends 2 events.  A
-    remote prefill returns the handle ID-NUMBER of its KV cache, where ID is
-    the request ID.
+    half that rate, as it also generates.  A decode from the KV cache of
+    another engine fetches it in --kv-fetch-ms, one after the other.  A
+   generation sends 2 events.  A remote prefill returns the handle ID-NUMBER of
+   its KV cache, where ID is the request ID.
 
     It prints to standard error
       run=ID at_us=N                       a request that runs
       read=ID tokens=N queue_ms=N          a prompt to prefill
       order=STAGE holder=VM fence=N at_us=N
                                            an order, which applies at once
+      refused=ID                           a decode, because the link is busy
       mixed=ID                             a request that continues from the
                                            prefill of another request
 
@@ -87,7 +89,10 @@
 #include <sys/socket.h>
 
 #define DEFAULT_PREFILL_TOKENS_PER_MS 100.0
-#define KV_FETCH_MS 4 /* time to fetch the KV cache of a remote prefill */
+#define DEFAULT_KV_FETCH_MS 4 /* time to fetch a remote prefill's KV cache */
+/* An engine refuses to fetch a KV cache that would wait longer than this for
+   its link.  */
+#define LINK_WAIT_MAX_MS 2000.0
 /* An engine refuses a prompt that would wait longer than this.  */
 #define QUEUE_MAX_MS 2000.0
 #define US_PER_MS 1000.0
@@ -107,6 +112,8 @@
 static const char *stage; /* stage of the engine; NULL: not an engine */
 static struct prefill_model *prefill_model;
 static unsigned handle_count;
+static unsigned kv_fetch_ms = DEFAULT_KV_FETCH_MS;
+static double link_free_ms; /* when the link has done all fetches */
 
 /* Responds to a remote prefill with the handle of the prompt's KV cache.  */
 static void
@@ -211,18 +218,28 @@
   response_set_timer (c, (unsigned)t.done_ms + 1);
 }
 
-/* Fetches the KV cache that another engine prefilled, then generates.  SOURCE
-   is ADDRESS/HANDLE; the handle of another request is printed as "mixed".  */
+/* Fetches the KV cache that another engine prefilled, one after the other,
+   then generates.  SOURCE is ADDRESS/HANDLE; the handle of another request is
+   printed as "mixed".  */
 static void
 start_decode (struct conn *c, const char *source)
 {
   const char *handle = strchr (source, '/');
   if (handle == NULL || !g_str_has_prefix (handle + 1, c->id))
     (void)fprintf (stderr, "mixed=%s\n", c->id);
+  double now_ms = (double)g_get_monotonic_time () / US_PER_MS;
+  double start_ms = MAX (link_free_ms, now_ms);
+  if (start_ms - now_ms > LINK_WAIT_MAX_MS)
+    {
+      (void)fprintf (stderr, "refused=%s\n", c->id);
+      response_refuse (c, "503 Link busy");
+      return;
+    }
+  link_free_ms = start_ms + kv_fetch_ms;
   record_run (c->id);
   g_free (c->directive);
   c->directive = g_strdup ("generate");
-  response_set_timer (c, KV_FETCH_MS);
+  response_set_timer (c, (unsigned)(link_free_ms - now_ms) + 1);
 }
 
 /* Handles a model request at an engine.  Refuses it if it is for another
@@ -406,6 +423,9 @@
       stage = argv[i] + strlen ("--stage=");
     else if (g_str_has_prefix (argv[i], "--speed="))
       speed = g_ascii_strtod (argv[i] + strlen ("--speed="), NULL);
+    else if (g_str_has_prefix (argv[i], "--kv-fetch-ms="))
+      kv_fetch_ms = (unsigned)g_ascii_strtoull (
+          argv[i] + strlen ("--kv-fetch-ms="), NULL, 10);
     else if (g_str_has_prefix (argv[i], "--id="))
       instance = argv[i] + strlen ("--id=");
     else if (strcmp (argv[i], "--own-fields") == 0)
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -4,6 +4,9 @@
 #include <stdio.h>
 #include <string.h>
 
+#define KV_BYTES_PER_TOKEN 100000
+#define BITS_PER_BYTE 8
+#define BITS_PER_MS_PER_MBIT_PER_S 1000
 #define VM_IP "127.0.0.1"
 #define RESPONSE_TIMEOUT_MS 10000
 #define READY_TIMEOUT_MS 15000
@@ -75,14 +78,26 @@
   add_route (routes, "model", "streaming", true);
   if (extra)
     add_route (routes, extra, "safe", false);
+  json_t *engine
+      = json_pack ("{s:i, s:i}", "slots", 16, "kvCapacity", 1000000);
+  if (s->kv_fetch_ms > 0)
+    {
+      json_int_t bits
+          = (json_int_t)KV_FETCH_TOKENS * KV_BYTES_PER_TOKEN * BITS_PER_BYTE;
+      json_object_set_new (engine, "tokenKvBytes",
+                           json_integer (KV_BYTES_PER_TOKEN));
+      json_object_set_new (
+          engine, "linkMbps",
+          json_integer (bits / BITS_PER_MS_PER_MBIT_PER_S / s->kv_fetch_ms));
+    }
   json_t *root = json_pack (
-      "{s:i, s:o, s:[{s:s, s:s, s:i}, {s:s, s:s, s:i, s:{s:i, s:i}}], s:{s:i, "
+      "{s:i, s:o, s:[{s:s, s:s, s:i}, {s:s, s:s, s:i, s:o}], s:{s:i, "
       "s:i, s:i, s:i}}",
       "version", (int)version, "routes", routes, "services", "name", "s",
       "healthPath", "/health", "maxConns", 8000, "name", "m", "healthPath",
-      "/health", "maxConns", 800, "engine", "slots", 16, "kvCapacity", 1000000,
-      "limits", "maxHeaderBytes", 8192, "maxBodyBytes", 100000,
-      "headerTimeoutMs", 1000, "idleTimeoutMs", 4000);
+      "/health", "maxConns", 800, "engine", engine, "limits", "maxHeaderBytes",
+      8192, "maxBodyBytes", 100000, "headerTimeoutMs", 1000, "idleTimeoutMs",
+      4000);
   char *text = json_dumps (root, 0);
   json_decref (root);
   site_put (s, "op/config", text);
@@ -161,6 +176,9 @@
       g_ptr_array_add (flags, g_strdup_printf ("--stage=%s", s->stages[i]));
       g_ptr_array_add (flags,
                        g_strdup_printf ("--speed=%u", s->prefill_rates[i]));
+      if (s->kv_fetch_ms > 0)
+        g_ptr_array_add (flags,
+                         g_strdup_printf ("--kv-fetch-ms=%u", s->kv_fetch_ms));
     }
   return flags;
 }
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -17,6 +17,9 @@
 /** Latency objective of all routes, in milliseconds.  */
 #define SITE_TARGET_MS 200
 
+/** Prompt whose KV cache takes kv_fetch_ms, in tokens.  */
+#define KV_FETCH_TOKENS 9000
+
 /** A running site.  */
 struct site
 {
@@ -50,8 +53,10 @@
   unsigned leave_s;           /**< longest time that a VM may take to stop */
   unsigned upstream_leave_ms; /**< time after which a draining instance gets
                                  no more requests */
-  unsigned slots;             /**< request slots in the entries of instances */
-  bool quiet;                 /**< VMs log warnings only */
+  unsigned kv_fetch_ms; /**< time in which an engine fetches the KV cache of
+                           KV_FETCH_TOKENS tokens; 0: a few ms */
+  unsigned slots;       /**< request slots in the entries of instances */
+  bool quiet;           /**< VMs log warnings only */
 };
 
 /** Starts the store and UPSTREAMS instances "u0", "u1", ... of the service and
--- a/tests/process/test_response_ends.c
+++ b/tests/process/test_response_ends.c
@@ -8,7 +8,7 @@
 #include <string.h>
 
 #define TIMEOUT_MS 10000
-/* Time-out of all routes.  */
+/* Shortest time-out of the routes.  */
 #define ROUTE_TIMEOUT_MS 2000
 #define VMS 1
 #define UPSTREAMS 2
--- a/tests/unit/test_loads.c
+++ b/tests/unit/test_loads.c
@@ -15,8 +15,8 @@
 test_sums (void)
 {
   struct load_reports *l = load_reports_create (1000);
-  struct upstream_load a = { 1, 1, 100, 0 };
-  struct upstream_load b = { 2, 0, 50, 0 };
+  struct upstream_load a = { 1, 1, 100, 0, 0 };
+  struct upstream_load b = { 2, 0, 50, 0, 0 };
   load_reports_begin (l, "x", 0);
   load_reports_add (l, "x", "e1", &a);
   load_reports_begin (l, "y", 500);
--- a/tests/unit/test_permits.c
+++ b/tests/unit/test_permits.c
@@ -10,6 +10,9 @@
 #define PREFILL_TOKENS_PER_MS 100.0
 #define SLOTS 4
 #define LATENCY_OBJECTIVE_MS 200.0
+/* Longer than any permit without reports, and than the transfers of all.  */
+#define LONGEST_PERMIT_MS 70000
+#define LEAK_SEEDS 200
 
 static struct permit_request
 make_request (const char *vm, uint64_t seq, uint64_t tokens)
@@ -187,6 +190,122 @@
   permits_destroy (p);
 }
 
+static struct permit_request
+make_decode (uint64_t seq, double link_ms)
+{
+  struct permit_request q = make_request ("a", seq, 0);
+  q.work = UPSTREAM_WORK_DECODE;
+  q.link_ms = link_ms;
+  q.residence_ms = 10;
+  return q;
+}
+
+/* Transfers of KV caches wait for each other on the engine's link: one that
+   would wait past its limit is refused, until the link has caught up.  */
+static void
+test_link_queue (void)
+{
+  struct permits *p = permits_create ();
+  struct permit_request q = make_decode (1, 100);
+  for (q.seq = 1; q.seq <= 3; q.seq++)
+    g_assert_true (permits_request (p, &q, 1000).granted);
+  struct permit_decision d = permits_request (p, &q, 1000);
+  g_assert_false (d.granted);
+  g_assert_cmpuint (d.load.link_wait_ms, ==, 300);
+  g_assert_false (permits_request (p, &q, 1050).granted);
+  d = permits_request (p, &q, 1150);
+  g_assert_true (d.granted);
+  g_assert_cmpuint (d.load.link_wait_ms, ==, 250);
+  /* Without transfer, the link does not matter.  */
+  struct permit_request other = make_request ("a", 9, 100);
+  g_assert_true (permits_request (p, &other, 1150).granted);
+  permits_destroy (p);
+}
+
+/* A reservation that is given back before its transfer frees the link; one
+   that has decoded has used it.  */
+static void
+test_link_given_back (void)
+{
+  struct permits *p = permits_create ();
+  struct permit_request q = make_decode (1, 100);
+  for (q.seq = 1; q.seq <= 3; q.seq++)
+    g_assert_true (permits_request (p, &q, 1000).granted);
+  permits_request_prefilled (p, "a", 1, 5, 1000);
+  permits_request_ended (p, "a", 1, 1000);
+  g_assert_false (permits_request (p, &q, 1000).granted);
+  permits_request_ended (p, "a", 2, 1000);
+  g_assert_true (permits_request (p, &q, 1000).granted);
+  permits_destroy (p);
+}
+
+/* A reserved decode counts as running only once its prefill is expected to be
+   done; if its VM fails, nothing of it is left after the permit's time.  */
+static void
+test_reserved_decode (void)
+{
+  struct permits *p = permits_create ();
+  struct permit_request q = make_decode (1, 100);
+  q.delay_ms = 400;
+  g_assert_true (permits_request (p, &q, 1000).granted);
+  struct permit_request probe = make_request ("b", 1, 0);
+  g_assert_cmpuint (permits_request (p, &probe, 1399).load.running, ==, 0);
+  permits_request_ended (p, "b", 1, 1399);
+  g_assert_cmpuint (permits_request (p, &probe, 1400).load.running, ==, 1);
+  permits_request_ended (p, "b", 1, 1400);
+  q.seq = 2;
+  g_assert_true (permits_request (p, &q, 1400).granted);
+  permits_request_ended (p, "a", 2, 1500);
+  permits_expire (p, 10000);
+  g_assert_cmpuint (permits_open (p), ==, 0);
+  struct permit_decision d = permits_request (p, &probe, 10000);
+  g_assert_cmpuint (d.load.running, ==, 0);
+  g_assert_cmpuint (d.load.link_wait_ms, ==, 0);
+  permits_destroy (p);
+}
+
+/* Random requests of VMs that fail, end early or lose messages: after the
+   longest permit has expired, no load is left.  */
+static void
+test_nothing_leaks (void)
+{
+  for (guint32 seed = 1; seed <= LEAK_SEEDS; seed++)
+    {
+      g_autoptr (GRand) rand = g_rand_new_with_seed (seed);
+      struct permits *p = permits_create ();
+      int64_t now = 1000;
+      for (uint64_t seq = 1; seq <= 200; seq++)
+        {
+          struct permit_request q
+              = make_decode (seq, g_rand_double_range (rand, 0, 300));
+          q.work = (enum upstream_work_kind)g_rand_int_range (
+              rand, UPSTREAM_WORK_PREFILL, UPSTREAM_WORK_SHORT_PROMPT + 1);
+          q.tokens = q.work == UPSTREAM_WORK_DECODE
+                         ? 0
+                         : (uint64_t)g_rand_int_range (rand, 0, 9000);
+          q.delay_ms = g_rand_double_range (rand, 0, 500);
+          q.queue_limit_ms = q.wait_limit_ms = 2000;
+          (void)permits_request (p, &q, now);
+          uint64_t other = (uint64_t)g_rand_int_range (rand, 1, (int)seq + 1);
+          if (g_rand_boolean (rand))
+            permits_request_prefilled (p, "a", other, 10, now);
+          if (g_rand_boolean (rand))
+            permits_request_ended (p, "a", other, now);
+          now += g_rand_int_range (rand, 0, 60);
+        }
+      now += LONGEST_PERMIT_MS;
+      permits_expire (p, now);
+      struct permit_request probe = make_request ("b", 1, 0);
+      struct permit_decision d = permits_request (p, &probe, now);
+      g_assert_cmpuint (permits_open (p), ==, 1);
+      g_assert_cmpuint (d.load.running, ==, 0);
+      g_assert_cmpuint (d.load.generating, ==, 0);
+      g_assert_cmpuint (d.load.tokens, ==, 0);
+      g_assert_cmpuint (d.load.link_wait_ms, ==, 0);
+      permits_destroy (p);
+    }
+}
+
 /* A failed VM does not report the end of its requests, so its permits expire,
    first those whose requests were not reported as prefilled.  */
 static void
@@ -384,6 +503,10 @@
   g_test_add_func ("/permits/cache-of-all-vms", test_cache_of_all_vms);
   g_test_add_func ("/permits/backlog", test_backlog);
   g_test_add_func ("/permits/slots", test_slots);
+  g_test_add_func ("/permits/link-queue", test_link_queue);
+  g_test_add_func ("/permits/link-given-back", test_link_given_back);
+  g_test_add_func ("/permits/reserved-decode", test_reserved_decode);
+  g_test_add_func ("/permits/nothing-leaks", test_nothing_leaks);
   g_test_add_func ("/permits/permit-expiry", test_expiry);
   g_test_add_func ("/permits/vm-restart", test_vm_restart);
   g_test_add_func ("/permits/twice-the-load", test_double_load);
