--- a/src/daemon/exchange_decode.c
+++ b/src/daemon/exchange_decode.c
@@ -37,19 +37,6 @@
   exchange_attempt (e);
 }
 
-/* Whether the decode stage may bind for D after the remote prefill C: its
-   slots are taken, or its link or that of the engine that prefills has more to
-   transfer than is done during the prefill.  */
-static bool
-may_bind (const struct exchange *e, const struct upstream_choice *d,
-          const struct upstream_choice *c)
-{
-  const struct upstream_info *info
-      = upstreams_info (e->proxy->parts.upstreams, d->handle);
-  return (info && d->running >= MAX (info->slots, 1))
-         || MAX (d->link_wait_ms, c->link_wait_ms) > c->wait_ms;
-}
-
 /* Requests a permit for the decode at E->decode after the remote prefill C. */
 static enum permit_state
 request_permit (struct exchange *e, const struct upstream_choice *c,
@@ -84,7 +71,9 @@
           = placement_choose (e->proxy->parts.upstreams, &after, now);
       if (d.handle == 0)
         return DECODE_REFUSED;
-      if (!may_bind (e, &d, c))
+      const struct upstream_info *info
+          = upstreams_info (e->proxy->parts.upstreams, d.handle);
+      if (info == NULL || !load_shed_decode_may_bind (&d, info->slots, c))
         return DECODE_RESERVED;
       e->decode = d;
       e->decode_after = c->handle;
--- a/src/decide/load_shed.c
+++ b/src/decide/load_shed.c
@@ -57,6 +57,15 @@
   return wait_ms > limit_ms;
 }
 
+bool
+load_shed_decode_may_bind (const struct upstream_choice *decode,
+                           unsigned slots,
+                           const struct upstream_choice *prefill)
+{
+  double link_wait_ms = MAX (decode->link_wait_ms, prefill->link_wait_ms);
+  return decode->running >= MAX (slots, 1) || link_wait_ms > prefill->wait_ms;
+}
+
 unsigned
 load_shed_retry_after_ms (const char *id, double remaining_ms)
 {
--- a/src/decide/load_shed.h
+++ b/src/decide/load_shed.h
@@ -42,6 +42,15 @@
 bool load_shed_must_refuse (const struct upstream_choice *choice,
                             double limit_ms, double remaining_ms);
 
+/** Whether the decode stage may bind for a request that is to decode as
+   DECODE, at an engine with SLOTS slots, after the remote prefill PREFILL: the
+   slots are taken, or a link has more KV caches to transfer than it does
+   during the prefill.  The load is one of long prompts with engines that
+   prefill faster than others can fetch or decode.  */
+bool load_shed_decode_may_bind (const struct upstream_choice *decode,
+                                unsigned slots,
+                                const struct upstream_choice *prefill);
+
 /** Retry delay in ms for the refused request ID, whose caller would wait for
     REMAINING_MS more; from LOAD_SHED_RETRY_AFTER_MIN_MS to
     LOAD_SHED_RETRY_AFTER_MAX_MS.  */
--- a/tests/unit/test_permits.c
+++ b/tests/unit/test_permits.c
@@ -470,6 +470,26 @@
     }
 }
 
+/* The decode stage may bind once slots are taken, or once a link has more to
+   do than passes during the prefill.  */
+static void
+test_decode_may_bind (void)
+{
+  struct upstream_choice prefill = { .wait_ms = 100 };
+  struct upstream_choice decode = { .running = SLOTS - 1 };
+  g_assert_false (load_shed_decode_may_bind (&decode, SLOTS, &prefill));
+  decode.running = SLOTS;
+  g_assert_true (load_shed_decode_may_bind (&decode, SLOTS, &prefill));
+  decode.running = 0;
+  decode.link_wait_ms = 100;
+  g_assert_false (load_shed_decode_may_bind (&decode, SLOTS, &prefill));
+  decode.link_wait_ms = 101;
+  g_assert_true (load_shed_decode_may_bind (&decode, SLOTS, &prefill));
+  decode.link_wait_ms = 0;
+  prefill.link_wait_ms = 101;
+  g_assert_true (load_shed_decode_may_bind (&decode, SLOTS, &prefill));
+}
+
 static void
 test_retry_after (void)
 {
@@ -512,6 +532,7 @@
   g_test_add_func ("/permits/twice-the-load", test_double_load);
   g_test_add_func ("/load-shed/latency-limit", test_load_shed_limit);
   g_test_add_func ("/load-shed/size", test_load_shed_size);
+  g_test_add_func ("/load-shed/decode-may-bind", test_decode_may_bind);
   g_test_add_func ("/load-shed/retry-after", test_retry_after);
   return g_test_run ();
 }
