Failed attempts are logged with the shared parts of their prompt

No line told which prompt parts were at an engine when it ended, so a part that ends engines could not be told from other crashes. attempt_failed now has shared_parts and first_byte. request_end logged expected_ms=- if no upstream was found; -1 now. No decision changes.

--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -5,6 +5,7 @@
 #include "base/metrics.h"
 #include "decide/load_shed.h"
 
+#include <math.h>
 #include <string.h>
 
 /* Share of an upstream's connection limit that is divided among the known
@@ -98,15 +99,17 @@
 {
   int64_t now = clock_ms ();
   const struct attempt *a = e->current;
+  /* No upstream was found if it is not finite.  */
+  long long expected_ms
+      = isfinite (e->expected_ms) ? (long long)e->expected_ms : -1;
   log_event (
       LOG_INFO, "request_end", "request", e->facts.id, "route",
       e->route ? e->route->name : "", "service", e->service ? e->service : "",
       "upstream", a->upstream_id, "outcome", outcome, "status",
       log_num (status), "ms", log_num (now - e->since_ms), "first_ms",
       log_num (e->first_ms ? e->first_ms - e->since_ms : -1), "expected_ms",
-      log_num ((long long)e->expected_ms), "to_read",
-      log_num ((long long)a->choice.tokens), "queue_ms",
-      log_num ((long long)a->choice.queue_ms), "compute_ms",
+      log_num (expected_ms), "to_read", log_num ((long long)a->choice.tokens),
+      "queue_ms", log_num ((long long)a->choice.queue_ms), "compute_ms",
       log_num ((long long)a->choice.compute_ms), "preferred",
       a->choice.is_preferred ? "true" : "false", "model_samples",
       log_num (a->choice.model_samples), "model_age_ms",
@@ -229,6 +232,7 @@
              enum pool_outcome end, int64_t now)
 {
   const struct exchange *e = a->exchange;
+  g_autofree char *parts = prompt_shared_parts_text (&e->facts.prompt);
   log_event (
       LOG_INFO, "attempt_failed", "request", e->facts.id, "upstream",
       a->upstream_id, "outcome", attempt_outcome_name (outcome), "status",
@@ -239,7 +243,8 @@
       e->started ? "true" : "false", "other_attempt",
       e->silent ? "true" : "false", "framing",
       http_framing_name (a->upstream_framing), "partial_bytes",
-      log_num ((long long)sse_partial_bytes (&a->events)), NULL);
+      log_num ((long long)sse_partial_bytes (&a->events)), "first_byte",
+      a->first_byte ? "true" : "false", "shared_parts", parts, NULL);
 }
 
 /* Keeps the complete response of A, which reports a failure, in place of an
--- a/src/decide/prefix_index.c
+++ b/src/decide/prefix_index.c
@@ -1,5 +1,21 @@
 #include "decide/prefix_index.h"
 
+unsigned
+prompt_shared_parts (const struct prompt *p)
+{
+  return p->has_more_parts || p->n_parts == 0 ? p->n_parts : p->n_parts - 1;
+}
+
+char *
+prompt_shared_parts_text (const struct prompt *p)
+{
+  GString *text = g_string_new (NULL);
+  for (unsigned i = 0; i < prompt_shared_parts (p); i++)
+    g_string_append_printf (text, "%s%" G_GINT64_MODIFIER "x",
+                            i > 0 ? "," : "", p->parts[i].id);
+  return g_string_free (text, FALSE);
+}
+
 /* One prompt part in the index.  */
 struct entry
 {
--- a/src/decide/prefix_index.h
+++ b/src/decide/prefix_index.h
@@ -29,10 +29,19 @@
 {
   struct prompt_part parts[PROMPT_PARTS_MAX];
   unsigned n_parts;
+  bool has_more_parts; /**< the prompt has further parts, which are not kept */
   uint64_t tokens;     /**< of the whole prompt */
   uint64_t out_tokens; /**< maximum number of tokens to generate */
 };
 
+/** Returns how many of the parts of P, from the first one, may be shared with
+    other requests: all but the last part of the prompt.  */
+unsigned prompt_shared_parts (const struct prompt *p);
+
+/** Returns the ids of the shared parts of P in hexadecimal, separated by
+    commas.  The calling code frees the text.  */
+char *prompt_shared_parts_text (const struct prompt *p);
+
 struct prefix_index;
 
 /** Creates an index with a capacity of TOKENS tokens.  */
