--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -74,6 +74,12 @@
       mixed=ID                             a request that continues from the
                                            prefill of another request
 
+    With --crash-part=ID the process ends CRASH_AFTER_MS after it got a request
+    with that part in its prompt, other than a remote prefill: without a byte
+    of the response, or amid it if the directive starts with "stream".  Each
+    such request, remote prefills included, is printed as
+      crash_part=ID at_us=N                ID is the request's
+
     With --own-fields it uses the header fields for routes of the product's own
     file instead of the platform's.  They have no seal, so "unsigned" is then
     the same as "ok".  The name of the instance is then ID@IP:PORT.
@@ -94,8 +100,10 @@
 #include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #define DEFAULT_PREFILL_TOKENS_PER_MS 100.0
 #define DEFAULT_KV_FETCH_MS 4 /* time to fetch a remote prefill's KV cache */
@@ -105,6 +113,7 @@
 /* An engine refuses a prompt that would wait longer than this.  */
 #define QUEUE_MAX_MS 2000.0
 #define US_PER_MS 1000.0
+#define CRASH_AFTER_MS 30
 
 static const struct response_fields platform_fields
     = { "X-Request-Id", "X-Expect-Instance", "X-Not-Run", "X-Response-Seal" };
@@ -122,7 +131,8 @@
 static struct prefill_model *prefill_model;
 static unsigned handle_count;
 static unsigned kv_fetch_ms = DEFAULT_KV_FETCH_MS;
-static double link_free_ms; /* when the link has done all fetches */
+static double link_free_ms;    /* when the link has done all fetches */
+static const char *crash_part; /* see --crash-part; NULL for none */
 
 /* Responds to a remote prefill with the handle of the prompt's KV cache.  */
 static void
@@ -332,6 +342,38 @@
   c->close_after = true;
 }
 
+/* Whether the prompt of the request H has the part that ends the process.  */
+static bool
+has_crash_part (const struct http_head *h)
+{
+  const char *parts = http_head_get (h, "X-Prompt-Prefix");
+  if (crash_part == NULL || parts == NULL)
+    return false;
+  g_autofree char *list = g_strdup_printf (",%s", parts);
+  g_autofree char *entry = g_strdup_printf (",%s:", crash_part);
+  return strstr (list, entry) != NULL;
+}
+
+static void
+on_crash (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  (void)arg;
+  _exit (EXIT_FAILURE);
+}
+
+/* Handles a request that ends the process.  */
+static void
+handle_crashing_request (struct conn *c)
+{
+  static const struct timeval delay = { 0, CRASH_AFTER_MS * 1000 };
+  record_run (c->id);
+  event_base_once (base, -1, EV_TIMEOUT, on_crash, NULL, &delay);
+  if (g_str_has_prefix (c->directive, "stream"))
+    response_start (c);
+}
+
 static void
 handle_request (struct conn *c)
 {
@@ -352,6 +394,10 @@
     }
   c->directive = parse_directive (h->target);
   record_head (c);
+  bool crashing = has_crash_part (h);
+  if (crashing)
+    (void)fprintf (stderr, "crash_part=%s at_us=%" G_GINT64_FORMAT "\n", c->id,
+                   g_get_monotonic_time ());
   if (expected && strcmp (expected, instance) != 0)
     response_refuse (c, "421 Misdirected");
   else if (strcmp (c->directive, "not-run") == 0)
@@ -363,6 +409,8 @@
       response_send_ok (c);
       response_finish (c, false);
     }
+  else if (crashing && http_head_get (h, "X-Stage") == NULL)
+    handle_crashing_request (c);
   else if (stage && http_head_get (h, "X-Token-Counts"))
     handle_model_request (c);
   else
@@ -452,6 +500,8 @@
           argv[i] + strlen ("--kv-fetch-ms="), NULL, 10);
     else if (g_str_has_prefix (argv[i], "--id="))
       instance = argv[i] + strlen ("--id=");
+    else if (g_str_has_prefix (argv[i], "--crash-part="))
+      crash_part = argv[i] + strlen ("--crash-part=");
     else if (strcmp (argv[i], "--own-fields") == 0)
       fields = &own_fields;
     else if (g_str_has_prefix (argv[i], "--port="))
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -184,9 +184,31 @@
         g_ptr_array_add (flags,
                          g_strdup_printf ("--kv-fetch-ms=%u", s->kv_fetch_ms));
     }
+  if (s->crash_part)
+    g_ptr_array_add (flags,
+                     g_strdup_printf ("--crash-part=%s", s->crash_part));
   return flags;
 }
 
+/* Starts instance number I with the flags that it keeps, and writes its
+   entry.  */
+static void
+add_upstream (struct site *s, unsigned i)
+{
+  g_autoptr (GPtrArray) flags = upstream_flags (s, i);
+  g_ptr_array_add (flags, NULL);
+  start_upstream (s, i, (char **)flags->pdata);
+  s->upstream_configured_address[i] = g_strdup (s->upstream_addresses[i]);
+  site_set_upstream_state (s, i, "ready");
+}
+
+void
+site_add_instance (struct site *s)
+{
+  g_assert_cmpuint (s->n_upstreams, <, SITE_UPSTREAMS_MAX);
+  add_upstream (s, s->n_upstreams++);
+}
+
 void
 site_add_engine (struct site *s, const char *stage, unsigned prefill_rate)
 {
@@ -194,11 +216,7 @@
   g_assert_cmpuint (i, <, SITE_UPSTREAMS_MAX);
   s->stages[i] = stage;
   s->prefill_rates[i] = prefill_rate;
-  g_autoptr (GPtrArray) flags = upstream_flags (s, i);
-  g_ptr_array_add (flags, NULL);
-  start_upstream (s, i, (char **)flags->pdata);
-  s->upstream_configured_address[i] = g_strdup (s->upstream_addresses[i]);
-  site_set_upstream_state (s, i, "ready");
+  add_upstream (s, i);
 }
 
 void
@@ -243,11 +261,7 @@
   s->max_body_bytes = 100000;
   s->store = start_fake (s, "fake_store", "store", NULL, &s->store_address);
   for (unsigned i = 0; i < upstreams; i++)
-    {
-      start_upstream (s, i, NULL);
-      s->upstream_configured_address[i] = g_strdup (s->upstream_addresses[i]);
-      site_set_upstream_state (s, i, "ready");
-    }
+    add_upstream (s, i);
   site_write_routes (s, 1, NULL);
   return s;
 }
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -58,6 +58,8 @@
   unsigned timeout_ms;  /**< time-out of the routes except /stream/, /live/ */
   unsigned retry_slack; /**< retries per window that need no requests */
   unsigned max_body_bytes; /**< longest body of a request */
+  const char *crash_part;  /**< instances end when they run a request with this
+                              prompt part; NULL for none */
   unsigned slots;          /**< request slots in the entries of instances */
   bool quiet;              /**< VMs log warnings only */
 };
@@ -73,6 +75,9 @@
 void site_add_engine (struct site *s, const char *stage,
                       unsigned prefill_rate);
 
+/** Starts one more instance of the service and writes its entry.  */
+void site_add_instance (struct site *s);
+
 /** Restarts instance I at the same address; kills its process first if it
     runs.  */
 void site_restart_upstream (struct site *s, unsigned i);
