Prompt parts that end their upstreams are quarantined over the whole fleet

Cause: an end was charged to the engine alone. No VM remembered which requests were in flight there, so the next request with the part was placed at the next engine, best at the one that had just come back. Retries of repeatable requests added one end each. Ruled out: callers' repeats alone (most are first attempts of new requests); blocking on the caller or the first part (sound requests share both). Change: decide/crash_evidence keeps the parts in flight at each upstream that has crashed: connections broke, and it then refuses connections or its entry goes. A part that is answered in full leaves all earlier lists, at all VMs. One that stays in three, with no other part in all of them, or in five, is convicted; decide/quarantine refuses its requests as not run, lets one canary through after quarantine-s, and releases the part if that is answered. daemon/quarantine_link sends news to all VMs and repeats it to some. A request whose part is in two unanswered crashes is not tried again.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -51,6 +51,12 @@
   X (hedges_won_total, "Second attempts that delivered first")                \
   X (hedges_lost_total, "Silent attempts that delivered first")               \
   X (hedges_refused_total, "Second attempts that no rule allowed")            \
+  X (upstream_crashes_total,                                                  \
+     "Crashes of upstreams seen here, each change of their parts counted")    \
+  X (crashes_explained_total, "Crashes that a part in quarantine explains")   \
+  X (quarantine_refused_total,                                                \
+     "Requests refused as a part of their prompt is in quarantine")           \
+  X (quarantine_canaries_total, "Requests sent to try a part in quarantine")  \
   X (bad_requests_total, "Requests refused as malformed or too large")        \
   X (upstream_opened_total, "Connections opened to upstreams")                \
   X (upstream_reused_total, "Requests sent on a kept connection")             \
@@ -77,6 +83,9 @@
   X (behind, "1 where this VM knows that its file may be old")                \
   X (routed_open, "Routed requests under way")                                \
   X (permits_open, "Permits that this VM gave, not ended")                    \
+  X (parts_quarantined, "Prompt parts in quarantine")                         \
+  X (crashes_unexplained,                                                     \
+     "Crashes of upstreams that no part in quarantine explains")              \
   X (upstreams_known, "Instances of all services")                            \
   X (routes_version, "Version of the routes in force")
 
--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -138,7 +138,10 @@
   const struct upstream_info *info
       = upstreams_info (d->upstreams, upstreams_find (d->upstreams, id));
   if (info)
-    record_departure (d, info);
+    {
+      record_departure (d, info);
+      d->callbacks->on_upstream_ended (d->arg, info);
+    }
   if (!upstreams_remove (d->upstreams, id))
     return;
   log_event (LOG_INFO, "upstream_gone", "upstream", id, "why", why,
@@ -205,6 +208,10 @@
       return;
     }
   bool outdated = is_outdated (d, &info, revision);
+  const struct upstream_info *old
+      = upstreams_info (d->upstreams, upstreams_find (d->upstreams, id));
+  if (!outdated && old && old->start_wall_ms < info.start_wall_ms)
+    d->callbacks->on_upstream_ended (d->arg, old);
   if (info.leaving && !outdated)
     record_departure (d, &info);
   if (!outdated && upstreams_put (d->upstreams, &info))
--- a/src/daemon/discovery.h
+++ b/src/daemon/discovery.h
@@ -23,6 +23,9 @@
   /** Routes of a newer version are available.  The callee owns a reference to
       TABLE.  */
   void (*on_routes) (void *arg, struct route_table *table);
+  /** The entry of UPSTREAM is about to be removed, or replaced by one with a
+      later start.  */
+  void (*on_upstream_ended) (void *arg, const struct upstream_info *upstream);
   /** The instance ID was removed from the table of upstreams.  */
   void (*on_upstream_gone) (void *arg, const char *id);
 };
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -180,6 +180,9 @@
     e->no_retry = "deadline";
   else if (e->n_tried >= EXCHANGE_TRIED_MAX)
     e->no_retry = "upstreams_tried";
+  else if (e->is_canary
+           || quarantine_link_suspects (parts->quarantine, &e->facts.prompt))
+    e->no_retry = "suspect_part";
   else if (outcome != ATTEMPT_NOT_SENT
            && !retry_windows_withdraw (parts->retries, e->service,
                                        parts->count_vms (parts->arg), now))
@@ -247,6 +250,20 @@
       a->first_byte ? "true" : "false", "shared_parts", parts, NULL);
 }
 
+/* Records what the end of A tells about its upstream.  */
+static void
+record_evidence (const struct attempt *a, enum pool_outcome end)
+{
+  const struct exchange *e = a->exchange;
+  const struct proxy_parts *parts = &e->proxy->parts;
+  if (end == POOL_NOT_SENT)
+    quarantine_link_record_refused (parts->quarantine, a->upstream_id);
+  else if (end == POOL_DISCONNECTED)
+    quarantine_link_record_lost (
+        parts->quarantine, upstreams_info (parts->upstreams, a->work.handle),
+        &e->facts.prompt);
+}
+
 /* Keeps the complete response of A, which reports a failure, in place of an
    earlier one.  */
 static void
@@ -292,6 +309,7 @@
   struct exchange *e = a->exchange;
   int64_t now = clock_ms ();
   a->call = NULL;
+  record_evidence (a, end);
   if (a->prefilling)
     {
       exchange_prefill_ended (a, end);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -83,6 +83,8 @@
   struct request_info facts;
   struct route_table *table; /* current when the request arrived, or NULL */
   const struct route *route;
+  bool is_canary;      /* sent although a part of its prompt is in
+                          quarantine */
   const char *service; /* chosen among the route's targets */
   int64_t since_ms;    /* when the request's first byte arrived */
   int64_t until_ms;    /* deadline of the request */
@@ -180,6 +182,9 @@
 bool exchange_is_resumable (const struct exchange *e);
 /** Most connections that this VM may hold to one instance of E's service.  */
 unsigned exchange_connection_share (const struct exchange *e);
+/** Whether E must reach no upstream any more, as a part of its prompt is in
+    quarantine.  */
+bool exchange_is_quarantined (const struct exchange *e);
 /** Writes the request_end log line of E.  */
 void exchange_log_end (const struct exchange *e, const char *outcome,
                        unsigned status);
--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -144,6 +144,12 @@
       exchange_start_attempt (e);
       return;
     }
+  if (exchange_is_quarantined (e))
+    {
+      end_permit (a);
+      exchange_start_attempt (e);
+      return;
+    }
   if (state == PERMIT_GRANTED)
     a->choice.tokens = tokens;
   if (send_choice (e, &a->choice, clock_ms ()))
@@ -177,11 +183,20 @@
 
 /* Choice of an instance.  */
 
-/* No instance is left for E: waits for the silent attempt, or ends E.  */
+bool
+exchange_is_quarantined (const struct exchange *e)
+{
+  return !e->is_canary
+         && quarantine_link_blocks (e->proxy->parts.quarantine,
+                                    &e->facts.prompt);
+}
+
+/* E is sent to no further instance for the reason WHY: waits for the silent
+   attempt, or ends E.  */
 static void
-no_upstream (struct exchange *e)
+stop_attempts (struct exchange *e, const char *why)
 {
-  e->no_retry = "no_upstream";
+  e->no_retry = why;
   if (!exchange_wait_for_silent (e))
     exchange_give_up (e, ATTEMPT_NOT_SENT);
 }
@@ -228,7 +243,7 @@
   struct upstream_choice c = placement_choose (parts->upstreams, request, now);
   if (c.handle == 0 || e->n_tried >= EXCHANGE_TRIED_MAX)
     {
-      no_upstream (e);
+      stop_attempts (e, "no_upstream");
       return true;
     }
   e->expected_ms = c.expected_ms;
@@ -305,12 +320,17 @@
         exchange_give_up (e, ATTEMPT_NO_VALID_RESPONSE);
       return;
     }
+  if (exchange_is_quarantined (e))
+    {
+      stop_attempts (e, "quarantined");
+      return;
+    }
   if (e->prefill_handle && send_to_reserved (e))
     return;
   do
     {
       request.n_tried = e->n_tried;
-      request.exclude_prefill_engines = e->no_remote_prefill;
+      request.exclude_prefill_engines = e->no_remote_prefill || e->is_canary;
       request.prefill_engine = e->prefill_handle ? e->prefill_engine : 0;
     }
   while (!try_best_upstream (e, &request));
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -145,8 +145,16 @@
   pool_close_idle (g->pool, id);
 }
 
+static void
+on_upstream_ended (void *arg, const struct upstream_info *upstream)
+{
+  struct gateway *g = arg;
+  quarantine_link_record_gone (vm_registry_quarantine (g->vm_registry),
+                               upstream);
+}
+
 static const struct discovery_callbacks discovery_callbacks
-    = { on_routes, on_upstream_gone };
+    = { on_routes, on_upstream_ended, on_upstream_gone };
 
 /* Readiness, entry-address and operator requests.  */
 
@@ -304,6 +312,7 @@
   g->settings->entry_ttl_s = s->entry_ttl_s;
   g->settings->leave_deadline_s = s->leave_deadline_s;
   g->settings->upstream_leave_ms = s->upstream_leave_ms;
+  g->settings->quarantine_s = s->quarantine_s;
   g->settings->order_lease_ms = s->order_lease_ms;
   g_free (g->settings->log_level);
   g->settings->log_level = g_strdup (s->log_level);
@@ -311,6 +320,8 @@
   apply_settings (g);
   discovery_set_leave_ms (g->discovery,
                           (unsigned)g->settings->upstream_leave_ms);
+  quarantine_link_set_canary_s (vm_registry_quarantine (g->vm_registry),
+                                (unsigned)g->settings->quarantine_s);
   prefill_split_link_set_lease (g->prefill_split_link,
                                 (int64_t)g->settings->order_lease_ms);
   log_event (LOG_INFO, "reloaded", "why", why, "needs_restart",
@@ -478,6 +489,8 @@
           .on_peer_revisions = on_peer_revisions,
           .arg = g };
   g->vm_registry = vm_registry_create (&vm_registry);
+  quarantine_link_set_canary_s (vm_registry_quarantine (g->vm_registry),
+                                (unsigned)s->quarantine_s);
   g->prefill_split = prefill_split_create ();
   struct proxy_parts parts
       = { .base = g->base,
@@ -487,6 +500,7 @@
           .statements = vm_registry_statements (g->vm_registry),
           .retries = g->retries,
           .permits = vm_registry_permits (g->vm_registry),
+          .quarantine = vm_registry_quarantine (g->vm_registry),
           .prefill_split = g->prefill_split,
           .count_vms = count_vms,
           .arg = g };
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -81,6 +81,21 @@
          && e->until_ms > p->end_ms;
 }
 
+/* Refuses E if a part of its prompt is in quarantine.  Returns whether it
+   was.  */
+static bool
+refuse_quarantined (struct exchange *e)
+{
+  unsigned wait_ms = 0;
+  enum quarantine_verdict v = quarantine_link_check (
+      e->proxy->parts.quarantine, e->facts.id, &e->facts.prompt, &wait_ms);
+  e->is_canary = v == QUARANTINE_CANARY;
+  if (v != QUARANTINE_REFUSE)
+    return false;
+  exchange_refuse (e, "quarantined", wait_ms);
+  return true;
+}
+
 static void
 route_exchange (struct exchange *e, const struct http_head *head)
 {
@@ -98,6 +113,8 @@
           exchange_refuse (e, "stopping", LOAD_SHED_RETRY_AFTER_MIN_MS);
           return;
         }
+      if (refuse_quarantined (e))
+        return;
       e->attempts
           = attempts_init (route_repeatable (e->route), e->route->attempts);
       retry_windows_record_request (e->proxy->parts.retries, e->service,
--- a/src/daemon/proxy_parts.h
+++ b/src/daemon/proxy_parts.h
@@ -4,6 +4,7 @@
 #define DAEMON_PROXY_PARTS_H
 
 #include "daemon/permit_link.h"
+#include "daemon/quarantine_link.h"
 #include "decide/retry_window.h"
 #include "daemon/upstream_statements.h"
 #include "decide/prefill_split.h"
@@ -26,6 +27,7 @@
   struct upstream_statements *statements;
   struct retry_windows *retries;
   struct permit_link *permits;         /**< NULL without engines */
+  struct quarantine_link *quarantine;  /**< NULL: requests have no parts */
   struct prefill_split *prefill_split; /**< NULL without engines */
   /** Returns the number of VMs, this one included, that share the connection
       limits of upstreams and the retry budgets.  */
--- /dev/null
+++ b/src/daemon/quarantine_link.c
@@ -0,0 +1,487 @@
+#include "daemon/quarantine_link.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "decide/rank.h"
+#include "generated/messages.h"
+
+#include <string.h>
+
+#define TICK_MS 50
+#define MS_PER_S 1000
+/* Interval and number of receivers of the messages that make up for lost
+   ones.  */
+#define RESEND_MS 250
+#define RESEND_RECEIVERS 2
+/* A VM that knows nothing yet asks this many others, this often.  */
+#define WANTED_MS 300
+#define WANTED_RECEIVERS 3
+/* A longer gap between two ticks means that this process did not run.  */
+#define PAUSE_MIN_MS 1000
+/* Most of each kind in one message, which bounds its size.  */
+#define CRASHES_PER_MESSAGE 2
+#define ANSWERS_PER_MESSAGE 64
+#define STATES_PER_MESSAGE 32
+/* Most messages in response to one that asks.  */
+#define RESPONSE_MESSAGES_MAX 8
+#define PART_BYTES 8
+#define PART_TEXT_SIZE 20
+
+struct quarantine_link
+{
+  struct quarantine_link_parts parts;
+  struct quarantine *quarantine;
+  struct event *timer;
+  int64_t tick_ms;   /* when the timer last ran */
+  int64_t resend_ms; /* when this VM last resent */
+  int64_t wanted_ms; /* when this VM last asked */
+  bool is_informed;  /* another VM has told what it knows */
+};
+
+/* Messages.  */
+
+static void
+message_init (const struct quarantine_link *l, struct quarantine_report *m)
+{
+  memset (m, 0, sizeof *m);
+  record_init (&quarantine_report_record, m);
+  g_free (m->from);
+  m->from = g_strdup (l->parts.vm);
+}
+
+static bool
+message_is_empty (const struct quarantine_report *m)
+{
+  return m->crashes->len + m->answers->len + m->states->len == 0;
+}
+
+static uint64_t
+age_ms (int64_t at_ms, int64_t now)
+{
+  return (uint64_t)MAX (now - at_ms, 0);
+}
+
+static GBytes *
+pack_parts (const uint64_t *parts, unsigned n)
+{
+  GByteArray *out = g_byte_array_new ();
+  for (unsigned i = 0; i < n; i++)
+    {
+      uint64_t big_endian = GUINT64_TO_BE (parts[i]);
+      g_byte_array_append (out, (const guint8 *)&big_endian, PART_BYTES);
+    }
+  return g_byte_array_free_to_bytes (out);
+}
+
+/* Fills PARTS, of CRASH_EVIDENCE_PARTS_MAX, and returns their number.  */
+static unsigned
+unpack_parts (GBytes *bytes, uint64_t *parts)
+{
+  gsize size = 0;
+  const guint8 *data = g_bytes_get_data (bytes, &size);
+  unsigned n = (unsigned)MIN (size / PART_BYTES, CRASH_EVIDENCE_PARTS_MAX);
+  for (unsigned i = 0; i < n; i++)
+    {
+      uint64_t big_endian = 0;
+      memcpy (&big_endian, data + (size_t)i * PART_BYTES, PART_BYTES);
+      parts[i] = GUINT64_FROM_BE (big_endian);
+    }
+  return n;
+}
+
+static void
+add_crash (struct quarantine_report *m, const struct crash_report *r,
+           int64_t now)
+{
+  struct part_crash c = { .upstream = g_strdup (r->upstream),
+                          .started_ms = (uint64_t)r->started_ms,
+                          .age_ms = age_ms (r->at_ms, now),
+                          .parts = pack_parts (r->parts, r->n_parts) };
+  g_array_append_val (m->crashes, c);
+}
+
+static void
+add_state (struct quarantine_report *m, const struct quarantine_entry *e,
+           int64_t now)
+{
+  struct part_state s = { .part = e->part,
+                          .round = e->round,
+                          .released = e->released,
+                          .crashes = e->crashes,
+                          .age_ms = age_ms (e->convicted_ms, now),
+                          .canary_ms = age_ms (now, e->canary_ms),
+                          .interval_ms = (uint64_t)e->interval_ms };
+  g_array_append_val (m->states, s);
+}
+
+static void
+send_to (struct quarantine_link *l, const struct member *to,
+         const struct quarantine_report *m)
+{
+  l->parts.send (l->parts.arg, to, MESSAGE_QUARANTINE_REPORT, m);
+}
+
+/* Sends M to COUNT running VMs, chosen at random; to all if there are no
+   more.  */
+static void
+send_to_some (struct quarantine_link *l, const struct quarantine_report *m,
+              unsigned count)
+{
+  const GPtrArray *all = members_all (l->parts.members);
+  guint first
+      = all->len > 1 ? (guint)g_random_int_range (1, (gint)all->len) : 1;
+  for (guint i = 1; i < all->len && count > 0; i++)
+    {
+      guint at = 1 + (first - 1 + i - 1) % (all->len - 1);
+      const struct member *to = g_ptr_array_index (all, at);
+      if (!member_live (to))
+        continue;
+      send_to (l, to, m);
+      count--;
+    }
+}
+
+/* Log lines.  */
+
+static const char *
+part_text (uint64_t part, char *out)
+{
+  g_snprintf (out, PART_TEXT_SIZE, "%" G_GINT64_MODIFIER "x", part);
+  return out;
+}
+
+/* FROM is the VM that has decided it.  */
+static void
+log_state (const struct quarantine_entry *e, const char *from)
+{
+  char text[PART_TEXT_SIZE];
+  log_event (LOG_WARN, e->released ? "part_released" : "part_quarantined",
+             "part", part_text (e->part, text), "from", from, "round",
+             log_num ((long long)e->round), "crashes", log_num (e->crashes),
+             "next_canary_ms", log_num (e->canary_ms - clock_ms ()), NULL);
+}
+
+static void
+log_crash (const struct crash_report *r)
+{
+  GString *parts = g_string_new (NULL);
+  for (unsigned i = 0; i < r->n_parts; i++)
+    g_string_append_printf (parts, "%s%" G_GINT64_MODIFIER "x",
+                            i > 0 ? "," : "", r->parts[i]);
+  log_event (LOG_WARN, "upstream_crashed", "upstream", r->upstream, "age_ms",
+             log_num (clock_ms () - r->at_ms), "unanswered_parts", parts->str,
+             NULL);
+  g_string_free (parts, TRUE);
+}
+
+/* Sending.  */
+
+/* Sends what this VM has seen since the last call to all running VMs.  */
+static void
+send_news (struct quarantine_link *l, int64_t now)
+{
+  struct quarantine_report m;
+  struct crash_report crash;
+  struct quarantine_entry entry;
+  struct part_answer answer;
+  int64_t at_ms = 0;
+  message_init (l, &m);
+  while (m.crashes->len < CRASHES_PER_MESSAGE
+         && crash_evidence_next_unsent (quarantine_evidence (l->quarantine),
+                                        &crash))
+    {
+      log_crash (&crash);
+      metrics_add (METRIC_upstream_crashes_total, 1);
+      add_crash (&m, &crash, now);
+    }
+  while (m.answers->len < ANSWERS_PER_MESSAGE
+         && quarantine_next_answer (l->quarantine, &answer.part, &at_ms))
+    {
+      answer.age_ms = age_ms (at_ms, now);
+      g_array_append_val (m.answers, answer);
+    }
+  while (m.states->len < STATES_PER_MESSAGE
+         && quarantine_next_unsent (l->quarantine, &entry))
+    {
+      log_state (&entry, l->parts.vm);
+      add_state (&m, &entry, now);
+    }
+  if (!message_is_empty (&m))
+    send_to_some (l, &m, G_MAXUINT);
+  record_clear (&quarantine_report_record, &m);
+}
+
+/* Fills M with a part of what this VM knows, another one at each call.  */
+static void
+add_knowledge (struct quarantine_link *l, struct quarantine_report *m,
+               int64_t now)
+{
+  struct quarantine_entry entries[STATES_PER_MESSAGE];
+  struct crash_report crash;
+  unsigned n = quarantine_next (l->quarantine, entries, STATES_PER_MESSAGE);
+  for (unsigned i = 0; i < n; i++)
+    add_state (m, &entries[i], now);
+  if (crash_evidence_next (quarantine_evidence (l->quarantine), &crash))
+    add_crash (m, &crash, now);
+}
+
+static void
+resend (struct quarantine_link *l, int64_t now)
+{
+  struct quarantine_report m;
+  if (now - l->resend_ms < RESEND_MS)
+    return;
+  l->resend_ms = now;
+  message_init (l, &m);
+  add_knowledge (l, &m, now);
+  if (!message_is_empty (&m))
+    send_to_some (l, &m, RESEND_RECEIVERS);
+  record_clear (&quarantine_report_record, &m);
+}
+
+/* Asks other VMs for what they know until one has told it.  */
+static void
+ask (struct quarantine_link *l, int64_t now)
+{
+  struct quarantine_report m;
+  if (l->is_informed || now - l->wanted_ms < WANTED_MS
+      || members_count_live (l->parts.members) <= 1)
+    return;
+  l->wanted_ms = now;
+  message_init (l, &m);
+  m.wanted = true;
+  send_to_some (l, &m, WANTED_RECEIVERS);
+  record_clear (&quarantine_report_record, &m);
+}
+
+/* Sends TO what this VM knows; at least one message, which may be empty.  */
+static void
+respond (struct quarantine_link *l, const struct member *to)
+{
+  for (unsigned i = 0; i < RESPONSE_MESSAGES_MAX; i++)
+    {
+      struct quarantine_report m;
+      message_init (l, &m);
+      add_knowledge (l, &m, clock_ms ());
+      bool empty = message_is_empty (&m);
+      send_to (l, to, &m);
+      record_clear (&quarantine_report_record, &m);
+      if (empty)
+        return;
+    }
+}
+
+/* Receiving.  */
+
+static void
+merge_crash (struct quarantine_link *l, const struct part_crash *c,
+             int64_t now)
+{
+  uint64_t parts[CRASH_EVIDENCE_PARTS_MAX];
+  struct crash_report r = { .upstream = c->upstream,
+                            .started_ms = (int64_t)c->started_ms,
+                            .at_ms = now - (int64_t)c->age_ms,
+                            .parts = parts,
+                            .n_parts = unpack_parts (c->parts, parts) };
+  crash_evidence_merge (quarantine_evidence (l->quarantine), &r, now);
+}
+
+static void
+merge_state (struct quarantine_link *l, const struct part_state *s,
+             const char *from, int64_t now)
+{
+  struct quarantine_entry e = { .part = s->part,
+                                .round = s->round,
+                                .released = s->released,
+                                .crashes = (unsigned)s->crashes,
+                                .convicted_ms = now - (int64_t)s->age_ms,
+                                .canary_ms = now + (int64_t)s->canary_ms,
+                                .interval_ms = (int64_t)s->interval_ms };
+  if (quarantine_merge (l->quarantine, &e))
+    log_state (&e, from);
+}
+
+void
+quarantine_link_handle_frame (struct quarantine_link *l, const struct frame *f)
+{
+  if (f->type != MESSAGE_QUARANTINE_REPORT)
+    return;
+  const struct quarantine_report *m = f->message;
+  const struct member *from = members_find (l->parts.members, m->from);
+  int64_t now = clock_ms ();
+  for (guint i = 0; i < m->crashes->len; i++)
+    merge_crash (l, &g_array_index (m->crashes, struct part_crash, i), now);
+  for (guint i = 0; i < m->answers->len; i++)
+    {
+      const struct part_answer *a
+          = &g_array_index (m->answers, struct part_answer, i);
+      quarantine_merge_answer (l->quarantine, a->part,
+                               now - (int64_t)a->age_ms);
+    }
+  for (guint i = 0; i < m->states->len; i++)
+    merge_state (l, &g_array_index (m->states, struct part_state, i), m->from,
+                 now);
+  if (m->wanted && from && member_live (from))
+    respond (l, from);
+  l->is_informed |= !m->wanted;
+}
+
+/* What this VM sees, and decisions.  */
+
+void
+quarantine_link_record_lost (struct quarantine_link *l,
+                             const struct upstream_info *upstream,
+                             const struct prompt *prompt)
+{
+  if (l && upstream && !upstream->leaving)
+    quarantine_record_lost (l->quarantine, upstream->id,
+                            upstream->start_wall_ms, prompt, clock_ms ());
+}
+
+void
+quarantine_link_record_refused (struct quarantine_link *l, const char *id)
+{
+  if (l)
+    crash_evidence_record_refused (quarantine_evidence (l->quarantine), id,
+                                   clock_ms ());
+}
+
+void
+quarantine_link_record_response (struct quarantine_link *l, const char *id,
+                                 int64_t sent_ms)
+{
+  if (l)
+    crash_evidence_record_response (quarantine_evidence (l->quarantine), id,
+                                    sent_ms);
+}
+
+void
+quarantine_link_record_gone (struct quarantine_link *l,
+                             const struct upstream_info *upstream)
+{
+  if (l && !upstream->leaving)
+    crash_evidence_record_gone (quarantine_evidence (l->quarantine),
+                                upstream->id, clock_ms ());
+}
+
+void
+quarantine_link_record_answer (struct quarantine_link *l,
+                               const struct prompt *prompt)
+{
+  if (l)
+    quarantine_record_answer (l->quarantine, prompt, clock_ms ());
+}
+
+/* Whether this VM is the one that sends canaries for PART.  */
+static bool
+sends_canaries (void *arg, uint64_t part)
+{
+  const struct quarantine_link *l = arg;
+  char text[PART_TEXT_SIZE];
+  const struct member *self
+      = g_ptr_array_index (members_all (l->parts.members), 0);
+  return rank_engine_home (l->parts.members, part_text (part, text),
+                           self->info.region)
+         == self;
+}
+
+enum quarantine_verdict
+quarantine_link_check (struct quarantine_link *l, const char *id,
+                       const struct prompt *prompt, unsigned *wait_ms)
+{
+  if (l == NULL)
+    return QUARANTINE_PASS;
+  enum quarantine_verdict v = quarantine_check (
+      l->quarantine, prompt, sends_canaries, l, clock_ms (), wait_ms);
+  if (v == QUARANTINE_PASS)
+    return v;
+  bool refused = v == QUARANTINE_REFUSE;
+  g_autofree char *parts = prompt_shared_parts_text (prompt);
+  metrics_add (refused ? METRIC_quarantine_refused_total
+                       : METRIC_quarantine_canaries_total,
+               1);
+  log_event (LOG_INFO, refused ? "request_quarantined" : "canary_sent",
+             "request", id, "shared_parts", parts, "wait_ms",
+             log_num (refused ? *wait_ms : 0), NULL);
+  return v;
+}
+
+bool
+quarantine_link_blocks (const struct quarantine_link *l,
+                        const struct prompt *prompt)
+{
+  return l && quarantine_blocks (l->quarantine, prompt);
+}
+
+bool
+quarantine_link_suspects (const struct quarantine_link *l,
+                          const struct prompt *prompt)
+{
+  return l && quarantine_suspects (l->quarantine, prompt);
+}
+
+const struct quarantine *
+quarantine_link_state (const struct quarantine_link *l)
+{
+  return l->quarantine;
+}
+
+/* Timer, creation and destruction.  */
+
+static void
+update_metrics (struct quarantine_link *l)
+{
+  uint64_t explained = 0;
+  unsigned unexplained = 0;
+  crash_evidence_totals (quarantine_evidence (l->quarantine), &explained,
+                         &unexplained);
+  metrics_set (METRIC_parts_quarantined, quarantine_count (l->quarantine));
+  metrics_set (METRIC_crashes_unexplained, unexplained);
+  metrics_set_counter (METRIC_crashes_explained_total, explained);
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct quarantine_link *l = arg;
+  int64_t now = clock_ms ();
+  if (l->tick_ms > 0 && now - l->tick_ms > PAUSE_MIN_MS)
+    l->is_informed = false;
+  l->tick_ms = now;
+  quarantine_tick (l->quarantine, now);
+  send_news (l, now);
+  resend (l, now);
+  ask (l, now);
+  update_metrics (l);
+}
+
+struct quarantine_link *
+quarantine_link_create (const struct quarantine_link_parts *parts)
+{
+  static const struct timeval tick = { 0, TICK_MS * 1000 };
+  struct quarantine_link *l = g_new0 (struct quarantine_link, 1);
+  l->parts = *parts;
+  l->quarantine = quarantine_create ();
+  l->timer = event_new (parts->base, -1, EV_PERSIST, on_tick, l);
+  event_add (l->timer, &tick);
+  return l;
+}
+
+void
+quarantine_link_destroy (struct quarantine_link *l)
+{
+  if (l == NULL)
+    return;
+  event_free (l->timer);
+  quarantine_destroy (l->quarantine);
+  g_free (l);
+}
+
+void
+quarantine_link_set_canary_s (struct quarantine_link *l, unsigned s)
+{
+  quarantine_set_canary_ms (l->quarantine, (int64_t)s * MS_PER_S);
+}
--- /dev/null
+++ b/src/daemon/quarantine_link.h
@@ -0,0 +1,86 @@
+/** @file
+    Quarantine of prompt parts over all VMs: sends what this VM has seen of
+    crashes and answers to the others, and merges what they send.
+
+    News goes to all running VMs at once.  As datagrams may be lost, each VM
+    also sends part of what it knows to some others, a few times a second while
+    it knows anything.  A VM that has just joined, or was paused, asks for
+    it.  */
+#ifndef DAEMON_QUARANTINE_LINK_H
+#define DAEMON_QUARANTINE_LINK_H
+
+#include "decide/members.h"
+#include "decide/quarantine.h"
+#include "decide/upstreams.h"
+#include "links/frame.h"
+
+#include <event2/event.h>
+
+struct quarantine_link;
+
+/** Dependencies; all must outlive the object.  */
+struct quarantine_link_parts
+{
+  struct event_base *base;
+  const struct members *members;
+  const char *vm; /**< id of this VM */
+  /** Sends a message of TYPE to the member TO.  */
+  void (*send) (void *arg, const struct member *to, unsigned type,
+                const void *message);
+  void *arg;
+};
+
+/** Creates the quarantine of this VM, without entries.  */
+struct quarantine_link *
+quarantine_link_create (const struct quarantine_link_parts *parts);
+
+/** Frees L, which may be NULL.  */
+void quarantine_link_destroy (struct quarantine_link *l);
+
+/** Sets the time from a conviction to its first canary, in seconds.  */
+void quarantine_link_set_canary_s (struct quarantine_link *l, unsigned s);
+
+/** What this VM knows.  */
+const struct quarantine *
+quarantine_link_state (const struct quarantine_link *l);
+
+/* What this VM sees.  L may be NULL: then nothing is recorded.  */
+
+/** The connection to UPSTREAM, which may be NULL, broke off in a request with
+    PROMPT.  An upstream that is leaving is ignored.  */
+void quarantine_link_record_lost (struct quarantine_link *l,
+                                  const struct upstream_info *upstream,
+                                  const struct prompt *prompt);
+/** The upstream ID has refused a connection.  */
+void quarantine_link_record_refused (struct quarantine_link *l,
+                                     const char *id);
+/** The upstream ID has responded to a request sent at SENT_MS.  */
+void quarantine_link_record_response (struct quarantine_link *l,
+                                      const char *id, int64_t sent_ms);
+/** The entry of UPSTREAM was removed, or is replaced by a later start.  */
+void quarantine_link_record_gone (struct quarantine_link *l,
+                                  const struct upstream_info *upstream);
+/** A request with PROMPT was answered in full.  */
+void quarantine_link_record_answer (struct quarantine_link *l,
+                                    const struct prompt *prompt);
+
+/* Decisions.  Without L nothing is refused.  */
+
+/** Decides on the new request ID with PROMPT; logs it unless it passes.  Sets
+    WAIT_MS if it is refused.  */
+enum quarantine_verdict quarantine_link_check (struct quarantine_link *l,
+                                               const char *id,
+                                               const struct prompt *prompt,
+                                               unsigned *wait_ms);
+/** Whether a part of PROMPT is in quarantine.  */
+bool quarantine_link_blocks (const struct quarantine_link *l,
+                             const struct prompt *prompt);
+/** Whether a retry of a request with PROMPT may end one more upstream.  */
+bool quarantine_link_suspects (const struct quarantine_link *l,
+                               const struct prompt *prompt);
+
+/** Handles a frame from another VM; ignores other types.  */
+void quarantine_link_handle_frame (struct quarantine_link *l,
+                                   const struct frame *f);
+
+#endif
--- a/src/daemon/vm_registry.c
+++ b/src/daemon/vm_registry.c
@@ -58,6 +58,7 @@
   struct load_link *loads;
   struct permit_link *permits;
   struct upstream_statements *statements;
+  struct quarantine_link *quarantine;
   int64_t load_report_ms; /* when this VM last sent load reports */
   int64_t relisted_ms; /* when relist_if_isolated last listed the addresses */
 };
@@ -129,6 +130,7 @@
     {
       permit_link_handle_frame (r->permits, frame);
       upstream_statements_handle_frame (r->statements, frame);
+      quarantine_link_handle_frame (r->quarantine, frame);
     }
 }
 
@@ -453,6 +455,12 @@
   return r->statements;
 }
 
+struct quarantine_link *
+vm_registry_quarantine (const struct vm_registry *r)
+{
+  return r->quarantine;
+}
+
 unsigned
 vm_registry_count_live (const struct vm_registry *r)
 {
@@ -540,6 +548,12 @@
           .send = send_message,
           .arg = r };
   r->statements = upstream_statements_create (&statements);
+  struct quarantine_link_parts quarantine = { .base = parts->base,
+                                              .members = r->members,
+                                              .vm = parts->vm,
+                                              .send = send_message,
+                                              .arg = r };
+  r->quarantine = quarantine_link_create (&quarantine);
   r->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, r);
   event_add (r->timer, &tick);
   return r;
@@ -555,6 +569,7 @@
   load_link_destroy (r->loads);
   permit_link_destroy (r->permits);
   upstream_statements_destroy (r->statements);
+  quarantine_link_destroy (r->quarantine);
   members_destroy (r->members);
   g_ptr_array_unref (r->addresses);
   g_free (r->fleet_key);
--- a/src/daemon/vm_registry.h
+++ b/src/daemon/vm_registry.h
@@ -11,6 +11,7 @@
 
 #include "daemon/gossip_link.h"
 #include "daemon/permit_link.h"
+#include "daemon/quarantine_link.h"
 #include "daemon/upstream_statements.h"
 #include "decide/members.h"
 #include "decide/upstreams.h"
@@ -68,6 +69,9 @@
 struct upstream_statements *
 vm_registry_statements (const struct vm_registry *r);
 
+/** Prompt parts in quarantine, shared with the other VMs.  */
+struct quarantine_link *vm_registry_quarantine (const struct vm_registry *r);
+
 /** Number of running VMs, this one included: those that share upstreams and
     retry budgets.  At least 1.  */
 unsigned vm_registry_count_live (const struct vm_registry *r);
--- a/tests/process/test_crashing_requests.c
+++ b/tests/process/test_crashing_requests.c
@@ -18,8 +18,8 @@
 /* Sound requests alone, then all.  */
 #define SOUND_US (3 * US_PER_S)
 #define PLAY_US (16 * US_PER_S)
-/* Time after the fifth crash from which upstreams are protected, and how many
-   arrivals may follow.  */
+/* Time after the fifth crash, or the last if there are fewer, from which
+   upstreams are protected, and how many arrivals may follow.  */
 #define CRASHES_UNTIL_BOUND 5
 #define BOUND_US (4 * US_PER_S)
 #define LATE_ARRIVALS_MAX 3
@@ -72,7 +72,8 @@
   unsigned n_sent;
   gint64 down_us[UPSTREAMS]; /* when it was seen to be down; 0: up */
   unsigned crashes;
-  gint64 bound_us; /* BOUND_US after the fifth crash; 0 before that */
+  gint64 bound_us; /* BOUND_US after the fifth crash, the latest if there are
+                      fewer; 0 before the first */
   struct sound_count before;
   struct sound_count after; /* of those sent after bound_us */
   unsigned kills;
@@ -87,8 +88,11 @@
   if (r->down_us[i] == 0 && proc_wait (s->upstreams[i], 0))
     {
       r->down_us[i] = now;
-      if (++r->crashes == CRASHES_UNTIL_BOUND)
-        r->bound_us = now + BOUND_US;
+      if (++r->crashes <= CRASHES_UNTIL_BOUND)
+        {
+          r->bound_us = now + BOUND_US;
+          r->after = (struct sound_count){ 0 };
+        }
     }
   if (r->down_us[i] == 0 || now < r->down_us[i] + BACK_AFTER_US)
     return;
