Quarantine: parts that were answered before need more crashes; one for each service

Cause: in such a storm nothing is answered between two crashes, and the evidence knew nothing of answers before the first one. Change: answers are remembered, two generations of 4,096 parts. A part answered before counts only from five crashes, known for 1 s, that no other part explains; a conviction of another VM by fewer crashes ends where the part was answered. Evidence and convictions are kept for each service, as a part may end the engines of one model and be sound for another. The VM's status lists parts in quarantine.

--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -181,7 +181,8 @@
   else if (e->n_tried >= EXCHANGE_TRIED_MAX)
     e->no_retry = "upstreams_tried";
   else if (e->is_canary
-           || quarantine_link_suspects (parts->quarantine, &e->facts.prompt))
+           || quarantine_link_suspects (parts->quarantine, e->service,
+                                        &e->facts.prompt))
     e->no_retry = "suspect_part";
   else if (outcome != ATTEMPT_NOT_SENT
            && !retry_windows_withdraw (parts->retries, e->service,
@@ -257,7 +258,8 @@
   const struct exchange *e = a->exchange;
   const struct proxy_parts *parts = &e->proxy->parts;
   if (end == POOL_NOT_SENT)
-    quarantine_link_record_refused (parts->quarantine, a->upstream_id);
+    quarantine_link_record_refused (parts->quarantine, e->service,
+                                    a->upstream_id);
   else if (end == POOL_DISCONNECTED)
     quarantine_link_record_lost (
         parts->quarantine, upstreams_info (parts->upstreams, a->work.handle),
--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -187,7 +187,7 @@
 exchange_is_quarantined (const struct exchange *e)
 {
   return !e->is_canary
-         && quarantine_link_blocks (e->proxy->parts.quarantine,
+         && quarantine_link_blocks (e->proxy->parts.quarantine, e->service,
                                     &e->facts.prompt);
 }
 
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -163,8 +163,8 @@
   ops->read_response (head, &a->response_info);
   upstream_statements_record (e->proxy->parts.statements, a->work.handle,
                               &a->response_info, e->facts.id);
-  quarantine_link_record_response (e->proxy->parts.quarantine, a->upstream_id,
-                                   a->work.sent_ms);
+  quarantine_link_record_response (e->proxy->parts.quarantine, e->service,
+                                   a->upstream_id, a->work.sent_ms);
   http_head_destroy (a->answer);
   a->answer = http_head_copy (head);
   const char *type = http_head_get (head, "Content-Type");
@@ -217,7 +217,7 @@
                              evbuffer_pullup (a->held, -1), n);
     }
   if (is_trusted_success (a))
-    quarantine_link_record_answer (e->proxy->parts.quarantine,
+    quarantine_link_record_answer (e->proxy->parts.quarantine, e->service,
                                    &e->facts.prompt);
   metrics_add (METRIC_answered_total, 1);
   metrics_observe (METRIC_request_seconds,
--- a/src/daemon/inspect.c
+++ b/src/daemon/inspect.c
@@ -60,6 +60,22 @@
                     "connections", (int)pool_connections (p->pool, id));
 }
 
+static void
+add_quarantined (void *arg, const char *service,
+                 const struct quarantine_entry *entry)
+{
+  json_t *list = arg;
+  g_autofree char *part
+      = g_strdup_printf ("%" G_GINT64_MODIFIER "x", entry->part);
+  int64_t now = clock_ms ();
+  json_array_append_new (
+      list,
+      json_pack ("{s:s, s:s, s:i, s:I, s:I}", "part", part, "service", service,
+                 "crashes", (int)entry->crashes, "age_ms",
+                 (json_int_t)(now - entry->convicted_ms), "next_canary_ms",
+                 (json_int_t)(entry->canary_ms - now)));
+}
+
 static void
 reply_status (const struct inspect_parts *p, struct inbound_request *request)
 {
@@ -69,13 +85,17 @@
   for (guint i = 0; i < ids->len; i++)
     json_array_append_new (list,
                            upstream_json (p, g_ptr_array_index (ids, i)));
+  json_t *quarantined = json_array ();
+  quarantine_link_foreach (vm_registry_quarantine (p->vm_registry),
+                           add_quarantined, quarantined);
   json_t *root = json_pack (
-      "{s:s, s:b, s:I, s:I, s:i, s:i, s:o}", "vm", p->vm, "ready", p->ready,
-      "routes_version",
+      "{s:s, s:b, s:I, s:I, s:i, s:i, s:o, s:o}", "vm", p->vm, "ready",
+      p->ready, "routes_version",
       (json_int_t)(routes ? (int64_t)route_table_version (routes) : -1),
       "routes_age_ms", (json_int_t)discovery_routes_age_ms (p->discovery),
       "vms", (int)vm_registry_count_live (p->vm_registry), "open",
-      (int)proxy_open_requests (p->proxy), "upstreams", list);
+      (int)proxy_open_requests (p->proxy), "upstreams", list,
+      "quarantined_parts", quarantined);
   char *text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   inspect_reply (request, 200, "application/json", text);
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -87,8 +87,9 @@
 refuse_quarantined (struct exchange *e)
 {
   unsigned wait_ms = 0;
-  enum quarantine_verdict v = quarantine_link_check (
-      e->proxy->parts.quarantine, e->facts.id, &e->facts.prompt, &wait_ms);
+  enum quarantine_verdict v
+      = quarantine_link_check (e->proxy->parts.quarantine, e->service,
+                               e->facts.id, &e->facts.prompt, &wait_ms);
   e->is_canary = v == QUARANTINE_CANARY;
   if (v != QUARANTINE_REFUSE)
     return false;
--- a/src/daemon/quarantine_link.c
+++ b/src/daemon/quarantine_link.c
@@ -25,13 +25,16 @@
 #define STATES_PER_MESSAGE 32
 /* Most messages in response to one that asks.  */
 #define RESPONSE_MESSAGES_MAX 8
+/* Most services with a quarantine of their own; more have none.  */
+#define SERVICES_MAX 64
 #define PART_BYTES 8
 #define PART_TEXT_SIZE 20
 
 struct quarantine_link
 {
   struct quarantine_link_parts parts;
-  struct quarantine *quarantine;
+  GHashTable *services; /* name -> struct quarantine */
+  int64_t canary_ms;
   struct event *timer;
   int64_t tick_ms;   /* when the timer last ran */
   int64_t resend_ms; /* when this VM last resent */
@@ -39,15 +42,40 @@
   bool is_informed;  /* another VM has told what it knows */
 };
 
+/* Returns the quarantine of SERVICE, or NULL.  */
+static struct quarantine *
+find_quarantine (const struct quarantine_link *l, const char *service)
+{
+  return l && service ? g_hash_table_lookup (l->services, service) : NULL;
+}
+
+/* Returns the quarantine of SERVICE, a new one if there is none; NULL if there
+   are too many.  */
+static struct quarantine *
+get_quarantine (struct quarantine_link *l, const char *service)
+{
+  struct quarantine *q = find_quarantine (l, service);
+  if (q || l == NULL || service == NULL
+      || g_hash_table_size (l->services) >= SERVICES_MAX)
+    return q;
+  q = quarantine_create ();
+  quarantine_set_canary_ms (q, l->canary_ms);
+  g_hash_table_insert (l->services, g_strdup (service), q);
+  return q;
+}
+
 /* Messages.  */
 
 static void
-message_init (const struct quarantine_link *l, struct quarantine_report *m)
+message_init (const struct quarantine_link *l, const char *service,
+              struct quarantine_report *m)
 {
   memset (m, 0, sizeof *m);
   record_init (&quarantine_report_record, m);
   g_free (m->from);
+  g_free (m->service);
   m->from = g_strdup (l->parts.vm);
+  m->service = g_strdup (service);
 }
 
 static bool
@@ -153,13 +181,15 @@
 
 /* FROM is the VM that has decided it.  */
 static void
-log_state (const struct quarantine_entry *e, const char *from)
+log_state (const struct quarantine_entry *e, const char *service,
+           const char *from)
 {
   char text[PART_TEXT_SIZE];
   log_event (LOG_WARN, e->released ? "part_released" : "part_quarantined",
-             "part", part_text (e->part, text), "from", from, "round",
-             log_num ((long long)e->round), "crashes", log_num (e->crashes),
-             "next_canary_ms", log_num (e->canary_ms - clock_ms ()), NULL);
+             "part", part_text (e->part, text), "service", service, "from",
+             from, "round", log_num ((long long)e->round), "crashes",
+             log_num (e->crashes), "next_canary_ms",
+             log_num (e->canary_ms - clock_ms ()), NULL);
 }
 
 static void
@@ -179,32 +209,32 @@
 
 /* Sends what this VM has seen since the last call to all running VMs.  */
 static void
-send_news (struct quarantine_link *l, int64_t now)
+send_news (struct quarantine_link *l, const char *service,
+           struct quarantine *q, int64_t now)
 {
   struct quarantine_report m;
   struct crash_report crash;
   struct quarantine_entry entry;
   struct part_answer answer;
   int64_t at_ms = 0;
-  message_init (l, &m);
+  message_init (l, service, &m);
   while (m.crashes->len < CRASHES_PER_MESSAGE
-         && crash_evidence_next_unsent (quarantine_evidence (l->quarantine),
-                                        &crash))
+         && crash_evidence_next_unsent (quarantine_evidence (q), &crash))
     {
       log_crash (&crash);
       metrics_add (METRIC_upstream_crashes_total, 1);
       add_crash (&m, &crash, now);
     }
   while (m.answers->len < ANSWERS_PER_MESSAGE
-         && quarantine_next_answer (l->quarantine, &answer.part, &at_ms))
+         && quarantine_next_answer (q, &answer.part, &at_ms))
     {
       answer.age_ms = age_ms (at_ms, now);
       g_array_append_val (m.answers, answer);
     }
   while (m.states->len < STATES_PER_MESSAGE
-         && quarantine_next_unsent (l->quarantine, &entry))
+         && quarantine_next_unsent (q, &entry))
     {
-      log_state (&entry, l->parts.vm);
+      log_state (&entry, service, l->parts.vm);
       add_state (&m, &entry, now);
     }
   if (!message_is_empty (&m))
@@ -214,27 +244,24 @@
 
 /* Fills M with a part of what this VM knows, another one at each call.  */
 static void
-add_knowledge (struct quarantine_link *l, struct quarantine_report *m,
-               int64_t now)
+add_knowledge (struct quarantine *q, struct quarantine_report *m, int64_t now)
 {
   struct quarantine_entry entries[STATES_PER_MESSAGE];
   struct crash_report crash;
-  unsigned n = quarantine_next (l->quarantine, entries, STATES_PER_MESSAGE);
+  unsigned n = quarantine_next (q, entries, STATES_PER_MESSAGE);
   for (unsigned i = 0; i < n; i++)
     add_state (m, &entries[i], now);
-  if (crash_evidence_next (quarantine_evidence (l->quarantine), &crash))
+  if (crash_evidence_next (quarantine_evidence (q), &crash))
     add_crash (m, &crash, now);
 }
 
 static void
-resend (struct quarantine_link *l, int64_t now)
+resend (struct quarantine_link *l, const char *service, struct quarantine *q,
+        int64_t now)
 {
   struct quarantine_report m;
-  if (now - l->resend_ms < RESEND_MS)
-    return;
-  l->resend_ms = now;
-  message_init (l, &m);
-  add_knowledge (l, &m, now);
+  message_init (l, service, &m);
+  add_knowledge (q, &m, now);
   if (!message_is_empty (&m))
     send_to_some (l, &m, RESEND_RECEIVERS);
   record_clear (&quarantine_report_record, &m);
@@ -249,34 +276,52 @@
       || members_count_live (l->parts.members) <= 1)
     return;
   l->wanted_ms = now;
-  message_init (l, &m);
+  message_init (l, "", &m);
   m.wanted = true;
   send_to_some (l, &m, WANTED_RECEIVERS);
   record_clear (&quarantine_report_record, &m);
 }
 
-/* Sends TO what this VM knows; at least one message, which may be empty.  */
+/* Sends TO what this VM knows of SERVICE.  */
 static void
-respond (struct quarantine_link *l, const struct member *to)
+respond (struct quarantine_link *l, const char *service, struct quarantine *q,
+         const struct member *to)
 {
   for (unsigned i = 0; i < RESPONSE_MESSAGES_MAX; i++)
     {
       struct quarantine_report m;
-      message_init (l, &m);
-      add_knowledge (l, &m, clock_ms ());
+      message_init (l, service, &m);
+      add_knowledge (q, &m, clock_ms ());
       bool empty = message_is_empty (&m);
-      send_to (l, to, &m);
+      if (!empty)
+        send_to (l, to, &m);
       record_clear (&quarantine_report_record, &m);
       if (empty)
         return;
     }
 }
 
+/* Sends TO what this VM knows; one message more than that, so that TO is
+   informed if there is nothing.  */
+static void
+respond_all (struct quarantine_link *l, const struct member *to)
+{
+  GHashTableIter iter;
+  void *service = NULL;
+  void *q = NULL;
+  struct quarantine_report m;
+  g_hash_table_iter_init (&iter, l->services);
+  while (g_hash_table_iter_next (&iter, &service, &q))
+    respond (l, service, q, to);
+  message_init (l, "", &m);
+  send_to (l, to, &m);
+  record_clear (&quarantine_report_record, &m);
+}
+
 /* Receiving.  */
 
 static void
-merge_crash (struct quarantine_link *l, const struct part_crash *c,
-             int64_t now)
+merge_crash (struct quarantine *q, const struct part_crash *c, int64_t now)
 {
   uint64_t parts[CRASH_EVIDENCE_PARTS_MAX];
   struct crash_report r = { .upstream = c->upstream,
@@ -284,12 +329,12 @@
                             .at_ms = now - (int64_t)c->age_ms,
                             .parts = parts,
                             .n_parts = unpack_parts (c->parts, parts) };
-  crash_evidence_merge (quarantine_evidence (l->quarantine), &r, now);
+  crash_evidence_merge (quarantine_evidence (q), &r, now);
 }
 
 static void
-merge_state (struct quarantine_link *l, const struct part_state *s,
-             const char *from, int64_t now)
+merge_state (struct quarantine *q, const struct part_state *s,
+             const struct quarantine_report *m, int64_t now)
 {
   struct quarantine_entry e = { .part = s->part,
                                 .round = s->round,
@@ -298,32 +343,39 @@
                                 .convicted_ms = now - (int64_t)s->age_ms,
                                 .canary_ms = now + (int64_t)s->canary_ms,
                                 .interval_ms = (int64_t)s->interval_ms };
-  if (quarantine_merge (l->quarantine, &e))
-    log_state (&e, from);
+  if (quarantine_merge (q, &e, now))
+    log_state (&e, m->service, m->from);
 }
 
-void
-quarantine_link_handle_frame (struct quarantine_link *l, const struct frame *f)
+/* Merges what M tells of its service into Q.  */
+static void
+merge (struct quarantine *q, const struct quarantine_report *m, int64_t now)
 {
-  if (f->type != MESSAGE_QUARANTINE_REPORT)
-    return;
-  const struct quarantine_report *m = f->message;
-  const struct member *from = members_find (l->parts.members, m->from);
-  int64_t now = clock_ms ();
   for (guint i = 0; i < m->crashes->len; i++)
-    merge_crash (l, &g_array_index (m->crashes, struct part_crash, i), now);
+    merge_crash (q, &g_array_index (m->crashes, struct part_crash, i), now);
   for (guint i = 0; i < m->answers->len; i++)
     {
       const struct part_answer *a
           = &g_array_index (m->answers, struct part_answer, i);
-      quarantine_merge_answer (l->quarantine, a->part,
-                               now - (int64_t)a->age_ms);
+      quarantine_merge_answer (q, a->part, now - (int64_t)a->age_ms);
     }
   for (guint i = 0; i < m->states->len; i++)
-    merge_state (l, &g_array_index (m->states, struct part_state, i), m->from,
-                 now);
+    merge_state (q, &g_array_index (m->states, struct part_state, i), m, now);
+}
+
+void
+quarantine_link_handle_frame (struct quarantine_link *l, const struct frame *f)
+{
+  if (f->type != MESSAGE_QUARANTINE_REPORT)
+    return;
+  const struct quarantine_report *m = f->message;
+  const struct member *from = members_find (l->parts.members, m->from);
+  struct quarantine *q
+      = message_is_empty (m) ? NULL : get_quarantine (l, m->service);
+  if (q)
+    merge (q, m, clock_ms ());
   if (m->wanted && from && member_live (from))
-    respond (l, from);
+    respond_all (l, from);
   l->is_informed |= !m->wanted;
 }
 
@@ -334,43 +386,53 @@
                              const struct upstream_info *upstream,
                              const struct prompt *prompt)
 {
-  if (l && upstream && !upstream->leaving)
-    quarantine_record_lost (l->quarantine, upstream->id,
-                            upstream->start_wall_ms, prompt, clock_ms ());
+  if (upstream == NULL || upstream->leaving
+      || prompt_shared_parts (prompt) == 0)
+    return;
+  struct quarantine *q = get_quarantine (l, upstream->service);
+  if (q)
+    quarantine_record_lost (q, upstream->id, upstream->start_wall_ms, prompt,
+                            clock_ms ());
 }
 
 void
-quarantine_link_record_refused (struct quarantine_link *l, const char *id)
+quarantine_link_record_refused (struct quarantine_link *l, const char *service,
+                                const char *id)
 {
-  if (l)
-    crash_evidence_record_refused (quarantine_evidence (l->quarantine), id,
-                                   clock_ms ());
+  struct quarantine *q = find_quarantine (l, service);
+  if (q)
+    crash_evidence_record_refused (quarantine_evidence (q), id, clock_ms ());
 }
 
 void
-quarantine_link_record_response (struct quarantine_link *l, const char *id,
+quarantine_link_record_response (struct quarantine_link *l,
+                                 const char *service, const char *id,
                                  int64_t sent_ms)
 {
-  if (l)
-    crash_evidence_record_response (quarantine_evidence (l->quarantine), id,
-                                    sent_ms);
+  struct quarantine *q = find_quarantine (l, service);
+  if (q)
+    crash_evidence_record_response (quarantine_evidence (q), id, sent_ms);
 }
 
 void
 quarantine_link_record_gone (struct quarantine_link *l,
                              const struct upstream_info *upstream)
 {
-  if (l && !upstream->leaving)
-    crash_evidence_record_gone (quarantine_evidence (l->quarantine),
-                                upstream->id, clock_ms ());
+  struct quarantine *q = find_quarantine (l, upstream->service);
+  if (q && !upstream->leaving)
+    crash_evidence_record_gone (quarantine_evidence (q), upstream->id,
+                                clock_ms ());
 }
 
 void
-quarantine_link_record_answer (struct quarantine_link *l,
+quarantine_link_record_answer (struct quarantine_link *l, const char *service,
                                const struct prompt *prompt)
 {
-  if (l)
-    quarantine_record_answer (l->quarantine, prompt, clock_ms ());
+  if (prompt_shared_parts (prompt) == 0)
+    return;
+  struct quarantine *q = get_quarantine (l, service);
+  if (q)
+    quarantine_record_answer (q, prompt, clock_ms ());
 }
 
 /* Whether this VM is the one that sends canaries for PART.  */
@@ -387,13 +449,15 @@
 }
 
 enum quarantine_verdict
-quarantine_link_check (struct quarantine_link *l, const char *id,
-                       const struct prompt *prompt, unsigned *wait_ms)
+quarantine_link_check (struct quarantine_link *l, const char *service,
+                       const char *id, const struct prompt *prompt,
+                       unsigned *wait_ms)
 {
-  if (l == NULL)
+  struct quarantine *q = find_quarantine (l, service);
+  if (q == NULL)
     return QUARANTINE_PASS;
-  enum quarantine_verdict v = quarantine_check (
-      l->quarantine, prompt, sends_canaries, l, clock_ms (), wait_ms);
+  enum quarantine_verdict v
+      = quarantine_check (q, prompt, sends_canaries, l, clock_ms (), wait_ms);
   if (v == QUARANTINE_PASS)
     return v;
   bool refused = v == QUARANTINE_REFUSE;
@@ -402,43 +466,78 @@
                        : METRIC_quarantine_canaries_total,
                1);
   log_event (LOG_INFO, refused ? "request_quarantined" : "canary_sent",
-             "request", id, "shared_parts", parts, "wait_ms",
-             log_num (refused ? *wait_ms : 0), NULL);
+             "request", id, "service", service, "shared_parts", parts,
+             "wait_ms", log_num (refused ? *wait_ms : 0), NULL);
   return v;
 }
 
 bool
-quarantine_link_blocks (const struct quarantine_link *l,
+quarantine_link_blocks (const struct quarantine_link *l, const char *service,
                         const struct prompt *prompt)
 {
-  return l && quarantine_blocks (l->quarantine, prompt);
+  const struct quarantine *q = find_quarantine (l, service);
+  return q && quarantine_blocks (q, prompt);
 }
 
 bool
-quarantine_link_suspects (const struct quarantine_link *l,
+quarantine_link_suspects (const struct quarantine_link *l, const char *service,
                           const struct prompt *prompt)
 {
-  return l && quarantine_suspects (l->quarantine, prompt);
+  const struct quarantine *q = find_quarantine (l, service);
+  return q && quarantine_suspects (q, prompt);
 }
 
-const struct quarantine *
-quarantine_link_state (const struct quarantine_link *l)
+/* Argument of visit_entry.  */
+struct service_visit
 {
-  return l->quarantine;
+  const char *service;
+  quarantine_link_visit *visit;
+  void *arg;
+};
+
+static void
+visit_entry (void *arg, const struct quarantine_entry *entry)
+{
+  const struct service_visit *v = arg;
+  v->visit (v->arg, v->service, entry);
+}
+
+void
+quarantine_link_foreach (const struct quarantine_link *l,
+                         quarantine_link_visit *visit, void *arg)
+{
+  GHashTableIter iter;
+  void *service = NULL;
+  void *q = NULL;
+  struct service_visit v = { .visit = visit, .arg = arg };
+  g_hash_table_iter_init (&iter, l->services);
+  while (g_hash_table_iter_next (&iter, &service, &q))
+    {
+      v.service = service;
+      quarantine_foreach (q, visit_entry, &v);
+    }
 }
 
 /* Timer, creation and destruction.  */
 
+/* Totals over all services.  */
+struct totals
+{
+  unsigned parts;
+  unsigned unexplained;
+  uint64_t explained;
+};
+
 static void
-update_metrics (struct quarantine_link *l)
+add_totals (const struct quarantine *q, struct totals *t)
 {
   uint64_t explained = 0;
   unsigned unexplained = 0;
-  crash_evidence_totals (quarantine_evidence (l->quarantine), &explained,
-                         &unexplained);
-  metrics_set (METRIC_parts_quarantined, quarantine_count (l->quarantine));
-  metrics_set (METRIC_crashes_unexplained, unexplained);
-  metrics_set_counter (METRIC_crashes_explained_total, explained);
+  crash_evidence_totals (quarantine_evidence ((struct quarantine *)q),
+                         &explained, &unexplained);
+  t->parts += quarantine_count (q);
+  t->explained += explained;
+  t->unexplained += unexplained;
 }
 
 static void
@@ -447,15 +546,36 @@
   (void)fd;
   (void)what;
   struct quarantine_link *l = arg;
+  struct totals t = { 0 };
   int64_t now = clock_ms ();
+  bool resends = now - l->resend_ms >= RESEND_MS;
+  GHashTableIter iter;
+  void *service = NULL;
+  void *q = NULL;
   if (l->tick_ms > 0 && now - l->tick_ms > PAUSE_MIN_MS)
     l->is_informed = false;
   l->tick_ms = now;
-  quarantine_tick (l->quarantine, now);
-  send_news (l, now);
-  resend (l, now);
+  g_hash_table_iter_init (&iter, l->services);
+  while (g_hash_table_iter_next (&iter, &service, &q))
+    {
+      quarantine_tick (q, now);
+      send_news (l, service, q, now);
+      if (resends)
+        resend (l, service, q, now);
+      add_totals (q, &t);
+    }
+  if (resends)
+    l->resend_ms = now;
   ask (l, now);
-  update_metrics (l);
+  metrics_set (METRIC_parts_quarantined, t.parts);
+  metrics_set (METRIC_crashes_unexplained, t.unexplained);
+  metrics_set_counter (METRIC_crashes_explained_total, t.explained);
+}
+
+static void
+destroy_quarantine (void *q)
+{
+  quarantine_destroy (q);
 }
 
 struct quarantine_link *
@@ -464,7 +584,9 @@
   static const struct timeval tick = { 0, TICK_MS * 1000 };
   struct quarantine_link *l = g_new0 (struct quarantine_link, 1);
   l->parts = *parts;
-  l->quarantine = quarantine_create ();
+  l->canary_ms = QUARANTINE_CANARY_MS;
+  l->services = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                       destroy_quarantine);
   l->timer = event_new (parts->base, -1, EV_PERSIST, on_tick, l);
   event_add (l->timer, &tick);
   return l;
@@ -476,12 +598,17 @@
   if (l == NULL)
     return;
   event_free (l->timer);
-  quarantine_destroy (l->quarantine);
+  g_hash_table_destroy (l->services);
   g_free (l);
 }
 
 void
 quarantine_link_set_canary_s (struct quarantine_link *l, unsigned s)
 {
-  quarantine_set_canary_ms (l->quarantine, (int64_t)s * MS_PER_S);
+  GHashTableIter iter;
+  void *q = NULL;
+  l->canary_ms = (int64_t)s * MS_PER_S;
+  g_hash_table_iter_init (&iter, l->services);
+  while (g_hash_table_iter_next (&iter, NULL, &q))
+    quarantine_set_canary_ms (q, l->canary_ms);
 }
--- a/src/daemon/quarantine_link.h
+++ b/src/daemon/quarantine_link.h
@@ -5,7 +5,10 @@
     News goes to all running VMs at once.  As datagrams may be lost, each VM
     also sends part of what it knows to some others, a few times a second while
     it knows anything.  A VM that has just joined, or was paused, asks for
-    it.  */
+    it.
+
+    Each service has a quarantine of its own: a part that ends the engines of
+    one model may be sound for another.  */
 #ifndef DAEMON_QUARANTINE_LINK_H
 #define DAEMON_QUARANTINE_LINK_H
 
@@ -40,9 +43,13 @@
 /** Sets the time from a conviction to its first canary, in seconds.  */
 void quarantine_link_set_canary_s (struct quarantine_link *l, unsigned s);
 
-/** What this VM knows.  */
-const struct quarantine *
-quarantine_link_state (const struct quarantine_link *l);
+/** Called with a part that is in quarantine for SERVICE.  */
+typedef void quarantine_link_visit (void *arg, const char *service,
+                                    const struct quarantine_entry *entry);
+
+/** Calls VISIT for each part in quarantine.  */
+void quarantine_link_foreach (const struct quarantine_link *l,
+                              quarantine_link_visit *visit, void *arg);
 
 /* What this VM sees.  L may be NULL: then nothing is recorded.  */
 
@@ -51,32 +58,37 @@
 void quarantine_link_record_lost (struct quarantine_link *l,
                                   const struct upstream_info *upstream,
                                   const struct prompt *prompt);
-/** The upstream ID has refused a connection.  */
+/** The upstream ID of SERVICE has refused a connection.  */
 void quarantine_link_record_refused (struct quarantine_link *l,
-                                     const char *id);
-/** The upstream ID has responded to a request sent at SENT_MS.  */
+                                     const char *service, const char *id);
+/** The upstream ID of SERVICE has responded to a request sent at SENT_MS.  */
 void quarantine_link_record_response (struct quarantine_link *l,
-                                      const char *id, int64_t sent_ms);
+                                      const char *service, const char *id,
+                                      int64_t sent_ms);
 /** The entry of UPSTREAM was removed, or is replaced by a later start.  */
 void quarantine_link_record_gone (struct quarantine_link *l,
                                   const struct upstream_info *upstream);
-/** A request with PROMPT was answered in full.  */
+/** SERVICE has answered a request with PROMPT in full.  */
 void quarantine_link_record_answer (struct quarantine_link *l,
+                                    const char *service,
                                     const struct prompt *prompt);
 
 /* Decisions.  Without L nothing is refused.  */
 
-/** Decides on the new request ID with PROMPT; logs it unless it passes.  Sets
-    WAIT_MS if it is refused.  */
+/** Decides on the new request ID to SERVICE with PROMPT; logs it unless it
+    passes.  Sets WAIT_MS if it is refused.  */
 enum quarantine_verdict quarantine_link_check (struct quarantine_link *l,
+                                               const char *service,
                                                const char *id,
                                                const struct prompt *prompt,
                                                unsigned *wait_ms);
-/** Whether a part of PROMPT is in quarantine.  */
+/** Whether a part of PROMPT is in quarantine for SERVICE.  */
 bool quarantine_link_blocks (const struct quarantine_link *l,
-                             const struct prompt *prompt);
-/** Whether a retry of a request with PROMPT may end one more upstream.  */
+                             const char *service, const struct prompt *prompt);
+/** Whether a retry of a request to SERVICE with PROMPT may end one more
+    upstream.  */
 bool quarantine_link_suspects (const struct quarantine_link *l,
+                               const char *service,
                                const struct prompt *prompt);
 
 /** Handles a frame from another VM; ignores other types.  */
--- a/src/decide/crash_evidence.c
+++ b/src/decide/crash_evidence.c
@@ -4,7 +4,7 @@
 
 #define CRASHES_MAX 128
 #define MASK_WORDS (CRASHES_MAX / 64)
-/* Answered parts that are remembered.  */
+/* Answered parts that are remembered, in each of two generations.  */
 #define ANSWERS_MAX 4096
 /* Crashes that follow each other within this time count as one: what ends
    several upstreams at once is not a request.  */
@@ -12,6 +12,9 @@
 /* A crash counts once it has been known for this time, in which answers that
    other VMs have seen arrive.  */
 #define ANSWERS_WAIT_MS 300
+/* The same for a part that was answered before the crashes: the culprit is
+   more likely another one, which may need some more crashes to be found.  */
+#define ANSWERED_PART_WAIT_MS 1000
 /* Broken connections whose upstream is not known to have crashed within this
    time are forgotten.  */
 #define CONFIRM_MS 8000
@@ -41,13 +44,18 @@
   int64_t at_ms;
 };
 
+/* Answers since some time, and in the time before that.  */
+struct answers
+{
+  GHashTable *recent; /* part -> struct answer */
+  GHashTable *older;
+};
+
 struct crash_evidence
 {
   struct crash crashes[CRASHES_MAX];
-  GHashTable *listed;  /* part -> number of crashes whose list has it */
-  GHashTable *answers; /* part -> its entry in ANSWER_RING */
-  struct answer answer_ring[ANSWERS_MAX];
-  unsigned next_answer;
+  GHashTable *listed; /* part -> number of crashes whose list has it */
+  struct answers answers;
   unsigned next_visit; /* for crash_evidence_next */
   uint64_t explained;
 };
@@ -61,13 +69,20 @@
   int64_t last_ms; /* time of the latest moment counted */
 };
 
+static GHashTable *
+answer_table_create (void)
+{
+  return g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
+}
+
 struct crash_evidence *
 crash_evidence_create (void)
 {
   struct crash_evidence *e = g_new0 (struct crash_evidence, 1);
   e->listed
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  e->answers = g_hash_table_new (g_int64_hash, g_int64_equal);
+  e->answers.recent = answer_table_create ();
+  e->answers.older = answer_table_create ();
   return e;
 }
 
@@ -98,14 +113,28 @@
                           GUINT_TO_POINTER (n));
 }
 
+/* Returns the latest answer to PART that is remembered, or NULL.  */
+static struct answer *
+find_answer (const struct crash_evidence *e, uint64_t part)
+{
+  struct answer *a = g_hash_table_lookup (e->answers.recent, &part);
+  return a ? a : g_hash_table_lookup (e->answers.older, &part);
+}
+
 /* Whether PART was answered at or after AT_MS.  */
 static bool
 answered_since (const struct crash_evidence *e, uint64_t part, int64_t at_ms)
 {
-  const struct answer *a = g_hash_table_lookup (e->answers, &part);
+  const struct answer *a = find_answer (e, part);
   return a && a->at_ms >= at_ms;
 }
 
+bool
+crash_evidence_was_answered (const struct crash_evidence *e, uint64_t part)
+{
+  return find_answer (e, part) != NULL;
+}
+
 /* Adds PART to the list of C.  Returns whether that changed it.  */
 static bool
 add_part (struct crash_evidence *e, struct crash *c, uint64_t part)
@@ -161,7 +190,8 @@
   for (unsigned i = 0; i < CRASHES_MAX; i++)
     drop_crash (e, &e->crashes[i]);
   g_hash_table_destroy (e->listed);
-  g_hash_table_destroy (e->answers);
+  g_hash_table_destroy (e->answers.recent);
+  g_hash_table_destroy (e->answers.older);
   g_free (e);
 }
 
@@ -304,18 +334,22 @@
 static void
 remember_answer (struct crash_evidence *e, uint64_t part, int64_t at_ms)
 {
-  struct answer *a = g_hash_table_lookup (e->answers, &part);
+  struct answers *x = &e->answers;
+  struct answer *a = g_hash_table_lookup (x->recent, &part);
   if (a)
     {
       a->at_ms = MAX (a->at_ms, at_ms);
       return;
     }
-  a = &e->answer_ring[e->next_answer];
-  e->next_answer = (e->next_answer + 1) % ANSWERS_MAX;
-  if (g_hash_table_lookup (e->answers, &a->part) == a)
-    g_hash_table_remove (e->answers, &a->part);
+  if (g_hash_table_size (x->recent) >= ANSWERS_MAX)
+    {
+      g_hash_table_destroy (x->older);
+      x->older = x->recent;
+      x->recent = answer_table_create ();
+    }
+  a = g_new (struct answer, 1);
   *a = (struct answer){ part, at_ms };
-  g_hash_table_insert (e->answers, &a->part, a);
+  g_hash_table_insert (x->recent, &a->part, a);
 }
 
 bool
@@ -323,6 +357,8 @@
 {
   bool cleared = false;
   remember_answer (e, part, at_ms);
+  if (!crash_evidence_lists (e, part))
+    return false;
   for (unsigned i = 0; i < CRASHES_MAX; i++)
     {
       struct crash *c = &e->crashes[i];
@@ -401,16 +437,16 @@
   return ((*x)->at_ms > (*y)->at_ms) - ((*x)->at_ms < (*y)->at_ms);
 }
 
-/* Returns the crashes that count at NOW_MS, the earliest first.  */
+/* Returns the crashes known for WAIT_MS, the earliest first.  */
 static GPtrArray *
-counting_crashes (struct crash_evidence *e, int64_t now_ms)
+crashes_known_for (struct crash_evidence *e, int64_t wait_ms, int64_t now_ms)
 {
   GPtrArray *all = g_ptr_array_new ();
   for (unsigned i = 0; i < CRASHES_MAX; i++)
     {
       struct crash *c = &e->crashes[i];
       if (c->used && c->confirmed && c->parts->len > 0
-          && now_ms - c->known_ms >= ANSWERS_WAIT_MS)
+          && now_ms - c->known_ms >= wait_ms)
         g_ptr_array_add (all, c);
     }
   g_ptr_array_sort (all, compare_times);
@@ -463,9 +499,10 @@
 }
 
 /* Whether the part of T is a culprit: it was in flight at enough crashes, and
-   no other part at all of them.  */
+   no other part that was never answered at all of them.  */
 static bool
-is_culprit (GHashTable *tallies, const struct tally *t)
+is_culprit (const struct crash_evidence *e, GHashTable *tallies,
+            const struct tally *t)
 {
   GHashTableIter iter;
   void *value = NULL;
@@ -475,14 +512,21 @@
     return true;
   g_hash_table_iter_init (&iter, tallies);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (value != t && covers (value, t))
-      return false;
+    {
+      const struct tally *other = value;
+      if (other != t && covers (other, t)
+          && !crash_evidence_was_answered (e, other->part))
+        return false;
+    }
   return true;
 }
 
-/* Returns the culprit with the most crashes, or NULL.  */
+/* Returns the culprit with the most crashes, or NULL.  ANSWERED: among the
+   parts that were answered before the crashes, which need more of them; else
+   among the others.  */
 static const struct tally *
-worst_culprit (GHashTable *tallies)
+worst_culprit (const struct crash_evidence *e, GHashTable *tallies,
+               bool answered)
 {
   GHashTableIter iter;
   void *value = NULL;
@@ -491,8 +535,10 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
       const struct tally *t = value;
-      if ((worst == NULL || t->moments > worst->moments)
-          && is_culprit (tallies, t))
+      if (crash_evidence_was_answered (e, t->part) == answered
+          && (!answered || t->moments >= CRASH_EVIDENCE_CULPRIT_TIED)
+          && (worst == NULL || t->moments > worst->moments)
+          && is_culprit (e, tallies, t))
         worst = t;
     }
   return worst;
@@ -518,15 +564,16 @@
     remove_part (e, &e->crashes[i], part);
 }
 
-bool
-crash_evidence_find_culprit (struct crash_evidence *e, int64_t now_ms,
-                             struct crash_culprit *out)
+/* Finds a culprit as worst_culprit, among crashes known for WAIT_MS.  */
+static bool
+find_culprit (struct crash_evidence *e, bool answered, int64_t wait_ms,
+              int64_t now_ms, struct crash_culprit *out)
 {
-  g_autoptr (GPtrArray) crashes = counting_crashes (e, now_ms);
+  g_autoptr (GPtrArray) crashes = crashes_known_for (e, wait_ms, now_ms);
   if (crashes->len < CRASH_EVIDENCE_CULPRIT)
     return false;
   g_autoptr (GHashTable) tallies = tally_parts (e, crashes);
-  const struct tally *worst = worst_culprit (tallies);
+  const struct tally *worst = worst_culprit (e, tallies, answered);
   if (worst == NULL)
     return false;
   *out = (struct crash_culprit){ worst->part, worst->moments };
@@ -538,6 +585,14 @@
   return true;
 }
 
+bool
+crash_evidence_find_culprit (struct crash_evidence *e, int64_t now_ms,
+                             struct crash_culprit *out)
+{
+  return find_culprit (e, false, ANSWERS_WAIT_MS, now_ms, out)
+         || find_culprit (e, true, ANSWERED_PART_WAIT_MS, now_ms, out);
+}
+
 void
 crash_evidence_explain (struct crash_evidence *e, uint64_t part)
 {
--- a/src/decide/crash_evidence.h
+++ b/src/decide/crash_evidence.h
@@ -19,10 +19,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Crashes that make a part a culprit.  */
+/** Crashes that make a part a culprit that was not answered before them.  */
 #define CRASH_EVIDENCE_CULPRIT 3
-/** The same if another part was in flight at all of these crashes, too: one
-    of the two may be innocent.  */
+/** The same if another part was in flight at all of these crashes, too, as one
+    of the two may be innocent; and for a part that was answered before.  */
 #define CRASH_EVIDENCE_CULPRIT_TIED 5
 /** Most parts kept of one crash.  */
 #define CRASH_EVIDENCE_PARTS_MAX 256
@@ -92,6 +92,10 @@
 /** Whether PART is in the list of a crash or of broken connections that may
     be one.  */
 bool crash_evidence_lists (const struct crash_evidence *e, uint64_t part);
+/** Whether an answer to a request with PART is remembered, before or after a
+    crash.  */
+bool crash_evidence_was_answered (const struct crash_evidence *e,
+                                  uint64_t part);
 /** Number of crashes whose list has PART.  */
 unsigned crash_evidence_count (const struct crash_evidence *e, uint64_t part);
 /** Finds a culprit.  The crashes that it explains no longer count for other
--- a/src/decide/quarantine.c
+++ b/src/decide/quarantine.c
@@ -95,12 +95,10 @@
   g_hash_table_remove (q->entries, &e->shared.part);
 }
 
-/* Whether A is to be replaced before B, which may be NULL.  */
+/* Whether A is to be replaced before B.  */
 static bool
 replaced_before (const struct entry *a, const struct entry *b)
 {
-  if (b == NULL)
-    return true;
   if (a->shared.released != b->shared.released)
     return a->shared.released;
   return a->shared.convicted_ms < b->shared.convicted_ms;
@@ -116,9 +114,10 @@
     return;
   g_hash_table_iter_init (&iter, q->entries);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (replaced_before (value, first))
+    if (first == NULL || replaced_before (value, first))
       first = value;
-  drop_entry (q, first);
+  if (first)
+    drop_entry (q, first);
 }
 
 /* Replaces the entry of a part by STATE.  */
@@ -206,8 +205,7 @@
       struct entry *e = find_convicted (q, part);
       if (e)
         release (q, e);
-      if ((e || crash_evidence_lists (q->evidence, part))
-          && crash_evidence_clear (q->evidence, part, now_ms))
+      if (crash_evidence_clear (q->evidence, part, now_ms))
         announce_answer (q, part, now_ms);
     }
 }
@@ -344,15 +342,31 @@
   return false;
 }
 
+/* Whether ENTRY, a conviction by another VM, is contradicted by an answer that
+   this VM has seen and the other one has not.  */
+static bool
+is_contradicted (const struct quarantine *q,
+                 const struct quarantine_entry *entry)
+{
+  return !entry->released && entry->crashes < CRASH_EVIDENCE_CULPRIT_TIED
+         && crash_evidence_was_answered (q->evidence, entry->part);
+}
+
 bool
-quarantine_merge (struct quarantine *q, const struct quarantine_entry *entry)
+quarantine_merge (struct quarantine *q, const struct quarantine_entry *entry,
+                  int64_t now_ms)
 {
   struct entry *e = find_entry (q, entry->part);
+  if (entry->released)
+    (void)crash_evidence_clear (q->evidence, entry->part, now_ms);
   if (e && e->shared.round == entry->round)
     return merge_round (q, e, entry);
   if (e && e->shared.round > entry->round)
     return false;
-  put_entry (q, entry);
+  bool contradicted = is_contradicted (q, entry);
+  e = put_entry (q, entry);
+  if (contradicted)
+    release (q, e);
   return true;
 }
 
--- a/src/decide/quarantine.h
+++ b/src/decide/quarantine.h
@@ -90,9 +90,10 @@
 
 /* Entries and answers exchanged between VMs.  */
 
-/** Merges an entry of another VM.  Returns whether that changed Q's.  */
+/** Merges an entry of another VM.  A conviction by few crashes ends at once if
+    this VM has seen the part answered.  Returns whether Q's entry changed.  */
 bool quarantine_merge (struct quarantine *q,
-                       const struct quarantine_entry *entry);
+                       const struct quarantine_entry *entry, int64_t now_ms);
 /** Merges that another VM has seen a request with PART answered at AT_MS.  */
 void quarantine_merge_answer (struct quarantine *q, uint64_t part,
                               int64_t at_ms);
