Retry budget: a further remote prefill of a request is charged

Cause: a retry was charged once. If its prompt is prefilled again, it reaches two engines, of which only the first accepted prefill of a request costs nothing. A refused prefill after which no attempt followed was not charged at all. Change: a prefill after an accepted one takes budget when it is sent; without any, the engine that decodes prefills the prompt itself. A refused prefill that reached its engine is charged in all cases.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -117,6 +117,8 @@
   unsigned decodes_asked;        /* engines asked to decode */
   upstream_handle decode_refused[EXCHANGE_DECODES_ASKED_MAX];
   unsigned n_decode_refused;
+  bool was_prefilled;     /* an engine has prefilled the prompt; one more
+                             remote prefill costs retry budget */
   bool no_remote_prefill; /* no engine accepts the decode after one */
 
   upstream_handle prefill_engine; /* holds the prefilled KV cache */
--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -64,9 +64,25 @@
   return call;
 }
 
+/* Takes the retry budget of C, if it is a further remote prefill of E.  A
+   retry is charged for the engine that runs it, not for this one.  */
+static bool
+pay_for_prefill (struct exchange *e, const struct upstream_choice *c,
+                 int64_t now)
+{
+  const struct proxy_parts *parts = &e->proxy->parts;
+  if (!c->remote_prefill || !e->was_prefilled)
+    return true;
+  if (retry_windows_withdraw (parts->retries, e->service,
+                              parts->count_vms (parts->arg), now))
+    return true;
+  e->no_remote_prefill = true;
+  return false;
+}
+
 /* Sends the current attempt of E to the instance of C, as a remote prefill if
    C is one.  Returns false if the instance is gone, accepts no requests any
-   more or no connection may be opened.  */
+   more, no connection may be opened or a prefill exceeds the retry budget.  */
 static bool
 send_choice (struct exchange *e, const struct upstream_choice *c, int64_t now)
 {
@@ -75,13 +91,18 @@
   const struct prompt *prompt = e->facts.has_prompt ? &e->facts.prompt : NULL;
   const struct upstream_info *info
       = upstreams_info (parts->upstreams, c->handle);
-  if (info == NULL || !upstreams_accepts (parts->upstreams, c->handle, now))
+  if (info == NULL || !upstreams_accepts (parts->upstreams, c->handle, now)
+      || !pay_for_prefill (e, c, now))
     return false;
   e->tried[e->n_tried++] = c->handle;
   a->prefilling = c->remote_prefill;
   a->call = send_to (a, info, now);
   if (a->call == NULL)
-    return false;
+    {
+      if (c->remote_prefill && e->was_prefilled)
+        retry_windows_refund (parts->retries, e->service, now);
+      return false;
+    }
   if (!a->prefilling)
     {
       e->tries++;
--- a/src/daemon/exchange_prefill.c
+++ b/src/daemon/exchange_prefill.c
@@ -125,14 +125,16 @@
     }
   exchange_prefer (a);
   attempt_reset (a);
+  e->was_prefilled = true;
   e->prefill_engine = engine;
   e->prefill_handle = handle;
   exchange_start_attempt (e);
 }
 
 /* The call did not run the request, so another attempt is safe: at an engine
-   that fetches the KV cache, or after a failed prefill at any engine.  Only an
-   attempt after a failed prefill is charged to the retry budget.  */
+   that fetches the KV cache, or after a failed prefill at any engine.  A
+   failed prefill that has reached its engine is charged to the retry budget.
+ */
 void
 exchange_prefill_ended (struct attempt *a, enum pool_outcome end)
 {
@@ -156,13 +158,19 @@
   e->permit_requests = 0;
   if (handle)
     {
+      e->was_prefilled = true;
       e->prefill_engine = engine;
       e->prefill_handle = handle;
       if (e->silent && e->silent->prefilling)
         exchange_prefer (a);
     }
   if (handle || exchange_retry_allowed (e, outcome, now))
-    exchange_start_attempt (e);
-  else if (!exchange_wait_for_silent (e))
+    {
+      exchange_start_attempt (e);
+      return;
+    }
+  if (outcome != ATTEMPT_NOT_SENT)
+    retry_windows_charge (parts->retries, e->service, now);
+  if (!exchange_wait_for_silent (e))
     exchange_give_up (e, outcome);
 }
--- a/src/decide/retry_window.c
+++ b/src/decide/retry_window.c
@@ -109,6 +109,13 @@
   return true;
 }
 
+void
+retry_windows_charge (struct retry_windows *w, const char *service,
+                      int64_t now_ms)
+{
+  bucket_at (w, window_get (w, service), now_ms)->retries++;
+}
+
 void
 retry_windows_refund (struct retry_windows *w, const char *service,
                       int64_t now_ms)
--- a/src/decide/retry_window.h
+++ b/src/decide/retry_window.h
@@ -41,6 +41,11 @@
 bool retry_windows_withdraw (struct retry_windows *w, const char *service,
                              unsigned vms, int64_t now_ms);
 
+/** Counts a retry to SERVICE that was not taken before it reached an
+    upstream.  */
+void retry_windows_charge (struct retry_windows *w, const char *service,
+                           int64_t now_ms);
+
 /** Gives back a retry that was taken and not sent.  */
 void retry_windows_refund (struct retry_windows *w, const char *service,
                            int64_t now_ms);
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -17,6 +17,8 @@
       reset          runs the request, then resets the connection
       silent         runs the request and never responds
       not-run        503 with the header field for "not run"
+      not-decoded    the same from an engine that is to decode; other engines
+                     prefill
       pause          the same with "Retry-After: 2"
       leaving        as "ok", with "Server-Leaving: 1"
       early          as "not-run", sent before the body has arrived; the body
@@ -67,6 +69,8 @@
 
     It prints to standard error
       run=ID at_us=N                       a request that runs
+      arrived=ID                           a request or remote prefill that has
+                                           reached an engine
       read=ID tokens=N queue_ms=N          a prompt to prefill
       order=STAGE holder=VM fence=N at_us=N
                                            an order, which applies at once
@@ -286,6 +290,8 @@
   bool prefill_only = http_head_get (h, "X-Stage") != NULL;
   if (prefill_only != (strcmp (stage, "prefill") == 0))
     response_refuse (c, "421 Wrong stage");
+  else if (!prefill_only && strcmp (c->directive, "not-decoded") == 0)
+    response_refuse (c, "503 Full");
   else if (prefill_only)
     start_prefill (c, "read");
   else if (source)
@@ -394,6 +400,8 @@
     }
   c->directive = parse_directive (h->target);
   record_head (c);
+  if (stage && strcmp (h->method, "DELETE") != 0)
+    (void)fprintf (stderr, "arrived=%s\n", c->id);
   bool crashing = has_crash_part (h);
   if (crashing)
     (void)fprintf (stderr, "crash_part=%s at_us=%" G_GINT64_FORMAT "\n", c->id,
