--- a/src/decide/crash_evidence.c
+++ b/src/decide/crash_evidence.c
@@ -15,6 +15,8 @@
 /* The same for a part that was answered before the crashes: the culprit is
    more likely another one, which may need some more crashes to be found.  */
 #define ANSWERED_PART_WAIT_MS 1000
+/* After a change, culprits are sought for this time.  */
+#define EVALUATE_MS (2 * ANSWERED_PART_WAIT_MS)
 /* Broken connections whose upstream is not known to have crashed within this
    time are forgotten.  */
 #define CONFIRM_MS 8000
@@ -57,6 +59,7 @@
   GHashTable *listed; /* part -> number of crashes whose list has it */
   struct answers answers;
   unsigned next_visit; /* for crash_evidence_next */
+  int64_t change_ms;   /* when a list or a crash last changed */
   uint64_t explained;
 };
 
@@ -253,10 +256,11 @@
 }
 
 static void
-confirm (struct crash *c, int64_t now_ms)
+confirm (struct crash_evidence *e, struct crash *c, int64_t now_ms)
 {
   if (c->confirmed)
     return;
+  e->change_ms = MAX (e->change_ms, now_ms);
   c->confirmed = true;
   c->known_ms = now_ms;
   c->unsent = c->seen_here;
@@ -270,6 +274,7 @@
 {
   struct crash *c = get_crash (e, lost);
   c->seen_here = true;
+  e->change_ms = MAX (e->change_ms, lost->at_ms);
   if (!add_parts (e, c, lost) || !c->confirmed)
     return;
   c->known_ms = MAX (c->known_ms, lost->at_ms);
@@ -301,7 +306,7 @@
       if (c->used && !(if_silent && c->responded)
           && now_ms - c->at_ms <= CONFIRM_MS
           && strcmp (c->upstream, upstream) == 0)
-        confirm (c, now_ms);
+        confirm (e, c, now_ms);
     }
 }
 
@@ -326,9 +331,11 @@
                       const struct crash_report *report, int64_t now_ms)
 {
   struct crash *c = get_crash (e, report);
-  confirm (c, now_ms);
-  if (add_parts (e, c, report))
-    c->known_ms = now_ms;
+  confirm (e, c, now_ms);
+  if (!add_parts (e, c, report))
+    return;
+  c->known_ms = now_ms;
+  e->change_ms = MAX (e->change_ms, now_ms);
 }
 
 static void
@@ -366,6 +373,7 @@
         continue;
       remove_part (e, c, part);
       cleared |= c->confirmed;
+      e->change_ms = MAX (e->change_ms, at_ms);
     }
   return cleared;
 }
@@ -463,7 +471,7 @@
   t->last_ms = at_ms;
 }
 
-/* Returns struct tally by part.  */
+/* Returns struct tally by part, of the parts that may be culprits.  */
 static GHashTable *
 tally_parts (const struct crash_evidence *e, const GPtrArray *crashes)
 {
@@ -475,6 +483,8 @@
       for (guint j = 0; j < c->parts->len; j++)
         {
           uint64_t part = g_array_index (c->parts, uint64_t, j);
+          if (listed_count (e, part) < CRASH_EVIDENCE_CULPRIT)
+            continue;
           struct tally *t = g_hash_table_lookup (tallies, &part);
           if (t == NULL)
             {
@@ -589,6 +599,8 @@
 crash_evidence_find_culprit (struct crash_evidence *e, int64_t now_ms,
                              struct crash_culprit *out)
 {
+  if (now_ms - e->change_ms > EVALUATE_MS)
+    return false;
   return find_culprit (e, false, ANSWERS_WAIT_MS, now_ms, out)
          || find_culprit (e, true, ANSWERED_PART_WAIT_MS, now_ms, out);
 }
