--- a/tests/process/test_crashing_requests.c
+++ b/tests/process/test_crashing_requests.c
@@ -32,6 +32,10 @@
 #define TICK_US 2000
 #define OPEN_MAX 512
 #define SLOTS 64
+#define PREFILL_TOKENS_PER_MS 500
+/* A long prompt is prefilled at another engine than the one that decodes.  */
+#define PROMPT_TOKENS 1460
+#define LONG_PROMPT_TOKENS 3000
 /* Parts that sound requests share, beside the first one.  */
 #define MIDDLE_PARTS 20
 #define CRASH_PART "bad"
@@ -44,6 +48,8 @@
   const char *parts;      /* prompt with the crashing part; NULL: none is sent,
                              and upstreams are killed instead */
   int restarted_vm;       /* VM that is killed and started midway, or -1 */
+  bool engines;           /* the upstreams are engines, half of which only
+                             prefill */
 };
 
 /* A request in progress.  */
@@ -123,10 +129,10 @@
       = sound ? g_strdup_printf ("aa:800,%x:410,%x:250",
                                  0x100 + n % MIDDLE_PARTS, 0x10000 + n)
               : g_strdup_printf ("%s,%x:250", p->parts, 0x10000 + n);
-  g_autofree char *headers
-      = g_strdup_printf ("X-Token-Counts: 1460,2\r\nX-Prompt-Prefix: %s\r\n"
-                         "X-Deadline-Ms: 2000\r\n",
-                         parts);
+  g_autofree char *headers = g_strdup_printf (
+      "X-Token-Counts: %u,2\r\nX-Prompt-Prefix: %s\r\n"
+      "X-Deadline-Ms: 2000\r\n",
+      p->engines ? LONG_PROMPT_TOKENS : PROMPT_TOKENS, parts);
   g_assert_cmpuint (r->n_open, <, OPEN_MAX);
   r->open[r->n_open++] = (struct open_request){
     .w
@@ -240,7 +246,11 @@
   r.site->slots = SLOTS;
   r.site->crash_part = p->parts ? CRASH_PART : NULL;
   for (unsigned i = 0; i < UPSTREAMS; i++)
-    site_add_instance (r.site);
+    if (p->engines)
+      site_add_engine (r.site, i % 2 == 0 ? "prefill" : "decode",
+                       PREFILL_TOKENS_PER_MS);
+    else
+      site_add_instance (r.site);
   site_start (r.site);
   r.start_us = g_get_monotonic_time ();
   gint64 now = r.start_us;
@@ -271,42 +281,64 @@
 static void
 test_part_in_the_middle_ends_few_upstreams (void)
 {
-  play (&(struct play){ "/safe/ok", "/safe/slow", "aa:800," CRASH_PART ":410",
-                        -1 });
+  play (&(struct play){ .path = "/safe/ok",
+                        .sound_path = "/safe/slow",
+                        .parts = "aa:800," CRASH_PART ":410",
+                        .restarted_vm = -1 });
 }
 
 static void
 test_first_part_ends_few_upstreams (void)
 {
-  play (&(struct play){ "/safe/ok", "/safe/slow", CRASH_PART ":800,101:410",
-                        -1 });
+  play (&(struct play){ .path = "/safe/ok",
+                        .sound_path = "/safe/slow",
+                        .parts = CRASH_PART ":800,101:410",
+                        .restarted_vm = -1 });
 }
 
 static void
 test_request_that_may_run_once_ends_few_upstreams (void)
 {
-  play (&(struct play){ "/once/ok", "/safe/slow", "aa:800," CRASH_PART ":410",
-                        -1 });
+  play (&(struct play){ .path = "/once/ok",
+                        .sound_path = "/safe/slow",
+                        .parts = "aa:800," CRASH_PART ":410",
+                        .restarted_vm = -1 });
 }
 
 static void
 test_stream_that_crashes_after_an_event_ends_few_upstreams (void)
 {
-  play (&(struct play){ "/stream/stream", "/stream/stream",
-                        "aa:800," CRASH_PART ":410", -1 });
+  play (&(struct play){ .path = "/stream/stream",
+                        .sound_path = "/stream/stream",
+                        .parts = "aa:800," CRASH_PART ":410",
+                        .restarted_vm = -1 });
 }
 
 static void
 test_restarted_vm_sends_no_crashing_request (void)
 {
-  play (&(struct play){ "/safe/ok", "/safe/slow", "aa:800," CRASH_PART ":410",
-                        1 });
+  play (&(struct play){ .path = "/safe/ok",
+                        .sound_path = "/safe/slow",
+                        .parts = "aa:800," CRASH_PART ":410",
+                        .restarted_vm = 1 });
+}
+
+/* Half of the engines prefill; those that decode crash.  */
+static void
+test_prefilled_request_ends_few_engines (void)
+{
+  play (&(struct play){ .path = "/model/stream",
+                        .sound_path = "/model/stream",
+                        .parts = "aa:800," CRASH_PART ":410",
+                        .restarted_vm = -1,
+                        .engines = true });
 }
 
 static void
 test_unrelated_crashes_block_no_request (void)
 {
-  play (&(struct play){ "/safe/ok", "/safe/slow", NULL, -1 });
+  play (&(struct play){
+      .path = "/safe/ok", .sound_path = "/safe/slow", .restarted_vm = -1 });
 }
 
 int
@@ -325,6 +357,8 @@
                    test_stream_that_crashes_after_an_event_ends_few_upstreams);
   g_test_add_func ("/crashing-requests/restarted-vm",
                    test_restarted_vm_sends_no_crashing_request);
+  g_test_add_func ("/crashing-requests/prefilled-elsewhere",
+                   test_prefilled_request_ends_few_engines);
   g_test_add_func ("/crashing-requests/unrelated-crashes",
                    test_unrelated_crashes_block_no_request);
   return g_test_run ();
