--- a/src/daemon/quarantine_link.c
+++ b/src/daemon/quarantine_link.c
@@ -26,7 +26,7 @@
 /* Most messages in response to one that asks.  */
 #define RESPONSE_MESSAGES_MAX 8
 /* Most services with a quarantine of their own; more have none.  */
-#define SERVICES_MAX 64
+#define SERVICES_MAX 32
 #define PART_BYTES 8
 #define PART_TEXT_SIZE 20
 
