Quarantine: answered parts and messages are modules of their own; one counter of log lines

The lines that tests count in the logs of engines stood twice. No change of behaviour: test_quarantine, test_retry_arrivals, test_decode_stage as before.

--- a/src/daemon/quarantine_link.c
+++ b/src/daemon/quarantine_link.c
@@ -3,10 +3,8 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "daemon/quarantine_messages.h"
 #include "decide/rank.h"
-#include "generated/messages.h"
-
-#include <string.h>
 
 #define TICK_MS 50
 #define MS_PER_S 1000
@@ -27,7 +25,6 @@
 #define RESPONSE_MESSAGES_MAX 8
 /* Most services with a quarantine of their own; more have none.  */
 #define SERVICES_MAX 32
-#define PART_BYTES 8
 #define PART_TEXT_SIZE 20
 
 struct quarantine_link
@@ -64,84 +61,7 @@
   return q;
 }
 
-/* Messages.  */
-
-static void
-message_init (const struct quarantine_link *l, const char *service,
-              struct quarantine_report *m)
-{
-  memset (m, 0, sizeof *m);
-  record_init (&quarantine_report_record, m);
-  g_free (m->from);
-  g_free (m->service);
-  m->from = g_strdup (l->parts.vm);
-  m->service = g_strdup (service);
-}
-
-static bool
-message_is_empty (const struct quarantine_report *m)
-{
-  return m->crashes->len + m->answers->len + m->states->len == 0;
-}
-
-static uint64_t
-age_ms (int64_t at_ms, int64_t now)
-{
-  return (uint64_t)MAX (now - at_ms, 0);
-}
-
-static GBytes *
-pack_parts (const uint64_t *parts, unsigned n)
-{
-  GByteArray *out = g_byte_array_new ();
-  for (unsigned i = 0; i < n; i++)
-    {
-      uint64_t big_endian = GUINT64_TO_BE (parts[i]);
-      g_byte_array_append (out, (const guint8 *)&big_endian, PART_BYTES);
-    }
-  return g_byte_array_free_to_bytes (out);
-}
-
-/* Fills PARTS, of CRASH_EVIDENCE_PARTS_MAX, and returns their number.  */
-static unsigned
-unpack_parts (GBytes *bytes, uint64_t *parts)
-{
-  gsize size = 0;
-  const guint8 *data = g_bytes_get_data (bytes, &size);
-  unsigned n = (unsigned)MIN (size / PART_BYTES, CRASH_EVIDENCE_PARTS_MAX);
-  for (unsigned i = 0; i < n; i++)
-    {
-      uint64_t big_endian = 0;
-      memcpy (&big_endian, data + (size_t)i * PART_BYTES, PART_BYTES);
-      parts[i] = GUINT64_FROM_BE (big_endian);
-    }
-  return n;
-}
-
-static void
-add_crash (struct quarantine_report *m, const struct crash_report *r,
-           int64_t now)
-{
-  struct part_crash c = { .upstream = g_strdup (r->upstream),
-                          .started_ms = (uint64_t)r->started_ms,
-                          .age_ms = age_ms (r->at_ms, now),
-                          .parts = pack_parts (r->parts, r->n_parts) };
-  g_array_append_val (m->crashes, c);
-}
-
-static void
-add_state (struct quarantine_report *m, const struct quarantine_entry *e,
-           int64_t now)
-{
-  struct part_state s = { .part = e->part,
-                          .round = e->round,
-                          .released = e->released,
-                          .crashes = e->crashes,
-                          .age_ms = age_ms (e->convicted_ms, now),
-                          .canary_ms = age_ms (now, e->canary_ms),
-                          .interval_ms = (uint64_t)e->interval_ms };
-  g_array_append_val (m->states, s);
-}
+/* Sending to other VMs.  */
 
 static void
 send_to (struct quarantine_link *l, const struct member *to,
@@ -217,27 +137,27 @@
   struct quarantine_entry entry;
   struct part_answer answer;
   int64_t at_ms = 0;
-  message_init (l, service, &m);
+  quarantine_message_init (&m, l->parts.vm, service);
   while (m.crashes->len < CRASHES_PER_MESSAGE
          && crash_evidence_next_unsent (quarantine_evidence (q), &crash))
     {
       log_crash (&crash);
       metrics_add (METRIC_upstream_crashes_total, 1);
-      add_crash (&m, &crash, now);
+      quarantine_message_add_crash (&m, &crash, now);
     }
   while (m.answers->len < ANSWERS_PER_MESSAGE
          && quarantine_next_answer (q, &answer.part, &at_ms))
     {
-      answer.age_ms = age_ms (at_ms, now);
+      answer.age_ms = quarantine_message_age_ms (at_ms, now);
       g_array_append_val (m.answers, answer);
     }
   while (m.states->len < STATES_PER_MESSAGE
          && quarantine_next_unsent (q, &entry))
     {
       log_state (&entry, service, l->parts.vm);
-      add_state (&m, &entry, now);
+      quarantine_message_add_state (&m, &entry, now);
     }
-  if (!message_is_empty (&m))
+  if (!quarantine_message_is_empty (&m))
     send_to_some (l, &m, G_MAXUINT);
   record_clear (&quarantine_report_record, &m);
 }
@@ -250,9 +170,9 @@
   struct crash_report crash;
   unsigned n = quarantine_next (q, entries, STATES_PER_MESSAGE);
   for (unsigned i = 0; i < n; i++)
-    add_state (m, &entries[i], now);
+    quarantine_message_add_state (m, &entries[i], now);
   if (crash_evidence_next (quarantine_evidence (q), &crash))
-    add_crash (m, &crash, now);
+    quarantine_message_add_crash (m, &crash, now);
 }
 
 static void
@@ -260,9 +180,9 @@
         int64_t now)
 {
   struct quarantine_report m;
-  message_init (l, service, &m);
+  quarantine_message_init (&m, l->parts.vm, service);
   add_knowledge (q, &m, now);
-  if (!message_is_empty (&m))
+  if (!quarantine_message_is_empty (&m))
     send_to_some (l, &m, RESEND_RECEIVERS);
   record_clear (&quarantine_report_record, &m);
 }
@@ -276,7 +196,7 @@
       || members_count_live (l->parts.members) <= 1)
     return;
   l->wanted_ms = now;
-  message_init (l, "", &m);
+  quarantine_message_init (&m, l->parts.vm, "");
   m.wanted = true;
   send_to_some (l, &m, WANTED_RECEIVERS);
   record_clear (&quarantine_report_record, &m);
@@ -290,9 +210,9 @@
   for (unsigned i = 0; i < RESPONSE_MESSAGES_MAX; i++)
     {
       struct quarantine_report m;
-      message_init (l, service, &m);
+      quarantine_message_init (&m, l->parts.vm, service);
       add_knowledge (q, &m, clock_ms ());
-      bool empty = message_is_empty (&m);
+      bool empty = quarantine_message_is_empty (&m);
       if (!empty)
         send_to (l, to, &m);
       record_clear (&quarantine_report_record, &m);
@@ -313,7 +233,7 @@
   g_hash_table_iter_init (&iter, l->services);
   while (g_hash_table_iter_next (&iter, &service, &q))
     respond (l, service, q, to);
-  message_init (l, "", &m);
+  quarantine_message_init (&m, l->parts.vm, "");
   send_to (l, to, &m);
   record_clear (&quarantine_report_record, &m);
 }
@@ -324,11 +244,12 @@
 merge_crash (struct quarantine *q, const struct part_crash *c, int64_t now)
 {
   uint64_t parts[CRASH_EVIDENCE_PARTS_MAX];
-  struct crash_report r = { .upstream = c->upstream,
-                            .started_ms = (int64_t)c->started_ms,
-                            .at_ms = now - (int64_t)c->age_ms,
-                            .parts = parts,
-                            .n_parts = unpack_parts (c->parts, parts) };
+  struct crash_report r
+      = { .upstream = c->upstream,
+          .started_ms = (int64_t)c->started_ms,
+          .at_ms = now - (int64_t)c->age_ms,
+          .parts = parts,
+          .n_parts = quarantine_message_parts (c->parts, parts) };
   crash_evidence_merge (quarantine_evidence (q), &r, now);
 }
 
@@ -370,8 +291,9 @@
     return;
   const struct quarantine_report *m = f->message;
   const struct member *from = members_find (l->parts.members, m->from);
-  struct quarantine *q
-      = message_is_empty (m) ? NULL : get_quarantine (l, m->service);
+  struct quarantine *q = quarantine_message_is_empty (m)
+                             ? NULL
+                             : get_quarantine (l, m->service);
   if (q)
     merge (q, m, clock_ms ());
   if (m->wanted && from && member_live (from))
--- a/src/decide/crash_evidence.c
+++ b/src/decide/crash_evidence.c
@@ -1,11 +1,11 @@
 #include "decide/crash_evidence.h"
 
+#include "decide/answered_parts.h"
+
 #include <string.h>
 
 #define CRASHES_MAX 128
 #define MASK_WORDS (CRASHES_MAX / 64)
-/* Answered parts that are remembered, in each of two generations.  */
-#define ANSWERS_MAX 4096
 /* Crashes that follow each other within this time count as one: what ends
    several upstreams at once is not a request.  */
 #define MOMENT_MS 50
@@ -39,25 +39,11 @@
   GArray *parts;    /* uint64_t */
 };
 
-/* When a part was last answered in full.  */
-struct answer
-{
-  uint64_t part;
-  int64_t at_ms;
-};
-
-/* Answers since some time, and in the time before that.  */
-struct answers
-{
-  GHashTable *recent; /* part -> struct answer */
-  GHashTable *older;
-};
-
 struct crash_evidence
 {
   struct crash crashes[CRASHES_MAX];
   GHashTable *listed; /* part -> number of crashes whose list has it */
-  struct answers answers;
+  struct answered_parts *answered;
   unsigned next_visit; /* for crash_evidence_next */
   int64_t change_ms;   /* when a list or a crash last changed */
   uint64_t explained;
@@ -72,20 +58,13 @@
   int64_t last_ms; /* time of the latest moment counted */
 };
 
-static GHashTable *
-answer_table_create (void)
-{
-  return g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
-}
-
 struct crash_evidence *
 crash_evidence_create (void)
 {
   struct crash_evidence *e = g_new0 (struct crash_evidence, 1);
   e->listed
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, NULL);
-  e->answers.recent = answer_table_create ();
-  e->answers.older = answer_table_create ();
+  e->answered = answered_parts_create ();
   return e;
 }
 
@@ -116,26 +95,10 @@
                           GUINT_TO_POINTER (n));
 }
 
-/* Returns the latest answer to PART that is remembered, or NULL.  */
-static struct answer *
-find_answer (const struct crash_evidence *e, uint64_t part)
-{
-  struct answer *a = g_hash_table_lookup (e->answers.recent, &part);
-  return a ? a : g_hash_table_lookup (e->answers.older, &part);
-}
-
-/* Whether PART was answered at or after AT_MS.  */
-static bool
-answered_since (const struct crash_evidence *e, uint64_t part, int64_t at_ms)
-{
-  const struct answer *a = find_answer (e, part);
-  return a && a->at_ms >= at_ms;
-}
-
 bool
 crash_evidence_was_answered (const struct crash_evidence *e, uint64_t part)
 {
-  return find_answer (e, part) != NULL;
+  return answered_parts_knows (e->answered, part);
 }
 
 /* Adds PART to the list of C.  Returns whether that changed it.  */
@@ -143,7 +106,8 @@
 add_part (struct crash_evidence *e, struct crash *c, uint64_t part)
 {
   if (c->explained || c->parts->len >= CRASH_EVIDENCE_PARTS_MAX
-      || list_has (c, part) || answered_since (e, part, c->at_ms))
+      || list_has (c, part)
+      || answered_parts_since (e->answered, part, c->at_ms))
     return false;
   g_array_append_val (c->parts, part);
   set_listed_count (e, part, listed_count (e, part) + 1);
@@ -193,8 +157,7 @@
   for (unsigned i = 0; i < CRASHES_MAX; i++)
     drop_crash (e, &e->crashes[i]);
   g_hash_table_destroy (e->listed);
-  g_hash_table_destroy (e->answers.recent);
-  g_hash_table_destroy (e->answers.older);
+  answered_parts_destroy (e->answered);
   g_free (e);
 }
 
@@ -338,32 +301,11 @@
   e->change_ms = MAX (e->change_ms, now_ms);
 }
 
-static void
-remember_answer (struct crash_evidence *e, uint64_t part, int64_t at_ms)
-{
-  struct answers *x = &e->answers;
-  struct answer *a = g_hash_table_lookup (x->recent, &part);
-  if (a)
-    {
-      a->at_ms = MAX (a->at_ms, at_ms);
-      return;
-    }
-  if (g_hash_table_size (x->recent) >= ANSWERS_MAX)
-    {
-      g_hash_table_destroy (x->older);
-      x->older = x->recent;
-      x->recent = answer_table_create ();
-    }
-  a = g_new (struct answer, 1);
-  *a = (struct answer){ part, at_ms };
-  g_hash_table_insert (x->recent, &a->part, a);
-}
-
 bool
 crash_evidence_clear (struct crash_evidence *e, uint64_t part, int64_t at_ms)
 {
   bool cleared = false;
-  remember_answer (e, part, at_ms);
+  answered_parts_record (e->answered, part, at_ms);
   if (!crash_evidence_lists (e, part))
     return false;
   for (unsigned i = 0; i < CRASHES_MAX; i++)
--- a/src/decide/quarantine.c
+++ b/src/decide/quarantine.c
@@ -285,17 +285,9 @@
 
 /* Crashes that a convicted part explains convict no other part.  */
 static void
-explain_crashes (struct quarantine *q)
+explain_crashes (void *arg, const struct quarantine_entry *entry)
 {
-  GHashTableIter iter;
-  void *value = NULL;
-  g_hash_table_iter_init (&iter, q->entries);
-  while (g_hash_table_iter_next (&iter, NULL, &value))
-    {
-      const struct entry *e = value;
-      if (!e->shared.released)
-        crash_evidence_explain (q->evidence, e->shared.part);
-    }
+  crash_evidence_explain (arg, entry->part);
 }
 
 static gboolean
@@ -313,7 +305,7 @@
   struct crash_culprit c;
   crash_evidence_tick (q->evidence, now_ms);
   if (q->n_convicted > 0)
-    explain_crashes (q);
+    quarantine_foreach (q, explain_crashes, q->evidence);
   while (crash_evidence_find_culprit (q->evidence, now_ms, &c))
     convict (q, &c, now_ms);
   if (g_hash_table_size (q->entries) == 0)
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -556,3 +556,18 @@
 {
   return read_log (s, "u", i);
 }
+
+unsigned
+site_count_upstream_lines (const struct site *s, unsigned first,
+                           unsigned count, const char *text)
+{
+  unsigned n = 0;
+  for (unsigned i = first; i < first + count; i++)
+    {
+      g_autofree char *log = site_upstream_log (s, i);
+      g_auto (GStrv) lines = g_strsplit (log, "\n", -1);
+      for (char **l = lines; *l; l++)
+        n += g_str_has_prefix (*l, text);
+    }
+  return n;
+}
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -175,4 +175,9 @@
     ran, each prefill and each role change order.  */
 char *site_upstream_log (const struct site *s, unsigned i);
 
+/** Returns the number of lines in the logs of COUNT instances from number
+   FIRST on that start with TEXT.  */
+unsigned site_count_upstream_lines (const struct site *s, unsigned first,
+                                    unsigned count, const char *text);
+
 #endif
--- a/tests/process/test_decode_stage.c
+++ b/tests/process/test_decode_stage.c
@@ -37,19 +37,10 @@
                             NULL);
 }
 
-/* Number of lines in the engines' logs that start with TEXT.  */
 static unsigned
 count_lines (const char *text)
 {
-  unsigned n = 0;
-  for (unsigned i = FIRST_ENGINE; i < FIRST_ENGINE + ENGINES; i++)
-    {
-      g_autofree char *log = site_upstream_log (site, i);
-      g_auto (GStrv) lines = g_strsplit (log, "\n", -1);
-      for (char **l = lines; *l; l++)
-        n += g_str_has_prefix (*l, text);
-    }
-  return n;
+  return site_count_upstream_lines (site, FIRST_ENGINE, ENGINES, text);
 }
 
 /* Guards against prefilling prompts that no engine can decode in time: callers
