Quarantine: every message fits into a datagram, absurd ages are bounded

Read: two crashes of up to 256 parts, 64 answers and 32 entries in one message; receivers take 2,048 bytes, so in a large storm the evidence would have been dropped by all. A crash with more parts goes in several messages. fuzz_peers, which now plays these messages: now_ms - age_ms overflowed; durations over a week count as a week.

--- a/src/daemon/quarantine_link.c
+++ b/src/daemon/quarantine_link.c
@@ -17,12 +17,11 @@
 #define WANTED_RECEIVERS 3
 /* A longer gap between two ticks means that this process did not run.  */
 #define PAUSE_MIN_MS 1000
-/* Most of each kind in one message, which bounds its size.  */
-#define CRASHES_PER_MESSAGE 2
-#define ANSWERS_PER_MESSAGE 64
-#define STATES_PER_MESSAGE 32
+/* Most crashes, and messages with other news, sent at each tick.  */
+#define CRASHES_PER_TICK 4
+#define MESSAGES_PER_TICK 4
 /* Most messages in response to one that asks.  */
-#define RESPONSE_MESSAGES_MAX 8
+#define RESPONSE_MESSAGES_MAX 64
 /* Most services with a quarantine of their own; more have none.  */
 #define SERVICES_MAX 32
 #define PART_TEXT_SIZE 20
@@ -127,52 +126,91 @@
 
 /* Sending.  */
 
-/* Sends what this VM has seen since the last call to all running VMs.  */
+/* Sends the crash R of SERVICE to all running VMs.  */
 static void
-send_news (struct quarantine_link *l, const char *service,
-           struct quarantine *q, int64_t now)
+send_crash (struct quarantine_link *l, const char *service,
+            const struct crash_report *r, int64_t now)
+{
+  for (unsigned first = 0; first < r->n_parts;
+       first += QUARANTINE_MESSAGE_PARTS_MAX)
+    {
+      struct quarantine_report m;
+      quarantine_message_init (&m, l->parts.vm, service);
+      quarantine_message_add_crash (&m, r, first, now);
+      send_to_some (l, &m, G_MAXUINT);
+      record_clear (&quarantine_report_record, &m);
+    }
+}
+
+static void
+send_crashes (struct quarantine_link *l, const char *service,
+              struct quarantine *q, int64_t now)
 {
-  struct quarantine_report m;
   struct crash_report crash;
-  struct quarantine_entry entry;
-  struct part_answer answer;
-  int64_t at_ms = 0;
-  quarantine_message_init (&m, l->parts.vm, service);
-  while (m.crashes->len < CRASHES_PER_MESSAGE
-         && crash_evidence_next_unsent (quarantine_evidence (q), &crash))
+  for (unsigned i = 0; i < CRASHES_PER_TICK; i++)
     {
+      if (!crash_evidence_next_unsent (quarantine_evidence (q), &crash))
+        return;
       log_crash (&crash);
       metrics_add (METRIC_upstream_crashes_total, 1);
-      quarantine_message_add_crash (&m, &crash, now);
-    }
-  while (m.answers->len < ANSWERS_PER_MESSAGE
-         && quarantine_next_answer (q, &answer.part, &at_ms))
-    {
-      answer.age_ms = quarantine_message_age_ms (at_ms, now);
-      g_array_append_val (m.answers, answer);
+      send_crash (l, service, &crash, now);
     }
-  while (m.states->len < STATES_PER_MESSAGE
+}
+
+/* Sends answers and entries that are new to all running VMs.  Returns whether
+   there were any.  */
+static bool
+send_changes (struct quarantine_link *l, const char *service,
+              struct quarantine *q, int64_t now)
+{
+  struct quarantine_report m;
+  struct quarantine_entry entry;
+  uint64_t part = 0;
+  int64_t at_ms = 0;
+  quarantine_message_init (&m, l->parts.vm, service);
+  while (m.answers->len < QUARANTINE_MESSAGE_ANSWERS_MAX
+         && quarantine_next_answer (q, &part, &at_ms))
+    quarantine_message_add_answer (&m, part, at_ms, now);
+  while (m.states->len < QUARANTINE_MESSAGE_STATES_MAX
          && quarantine_next_unsent (q, &entry))
     {
       log_state (&entry, service, l->parts.vm);
       quarantine_message_add_state (&m, &entry, now);
     }
-  if (!quarantine_message_is_empty (&m))
+  bool empty = quarantine_message_is_empty (&m);
+  if (!empty)
     send_to_some (l, &m, G_MAXUINT);
   record_clear (&quarantine_report_record, &m);
+  return !empty;
+}
+
+/* Sends what this VM has seen since the last call to all running VMs.  */
+static void
+send_news (struct quarantine_link *l, const char *service,
+           struct quarantine *q, int64_t now)
+{
+  send_crashes (l, service, q, now);
+  for (unsigned i = 0; i < MESSAGES_PER_TICK; i++)
+    if (!send_changes (l, service, q, now))
+      return;
 }
 
 /* Fills M with a part of what this VM knows, another one at each call.  */
 static void
 add_knowledge (struct quarantine *q, struct quarantine_report *m, int64_t now)
 {
-  struct quarantine_entry entries[STATES_PER_MESSAGE];
+  struct quarantine_entry entries[QUARANTINE_MESSAGE_STATES_MAX];
   struct crash_report crash;
-  unsigned n = quarantine_next (q, entries, STATES_PER_MESSAGE);
+  unsigned n = quarantine_next (q, entries, G_N_ELEMENTS (entries));
   for (unsigned i = 0; i < n; i++)
     quarantine_message_add_state (m, &entries[i], now);
-  if (crash_evidence_next (quarantine_evidence (q), &crash))
-    quarantine_message_add_crash (m, &crash, now);
+  if (!crash_evidence_next (quarantine_evidence (q), &crash))
+    return;
+  unsigned chunks = (crash.n_parts + QUARANTINE_MESSAGE_PARTS_MAX - 1)
+                    / QUARANTINE_MESSAGE_PARTS_MAX;
+  unsigned chunk = (unsigned)g_random_int_range (0, (gint32)chunks);
+  quarantine_message_add_crash (m, &crash,
+                                chunk * QUARANTINE_MESSAGE_PARTS_MAX, now);
 }
 
 static void
@@ -202,22 +240,21 @@
   record_clear (&quarantine_report_record, &m);
 }
 
-/* Sends TO what this VM knows of SERVICE.  */
+/* Sends TO what this VM knows of SERVICE: all parts in quarantine, and some
+   crashes.  */
 static void
 respond (struct quarantine_link *l, const char *service, struct quarantine *q,
          const struct member *to)
 {
-  for (unsigned i = 0; i < RESPONSE_MESSAGES_MAX; i++)
+  unsigned count = quarantine_entries (q) / QUARANTINE_MESSAGE_STATES_MAX + 1;
+  for (unsigned i = 0; i < MIN (count, RESPONSE_MESSAGES_MAX); i++)
     {
       struct quarantine_report m;
       quarantine_message_init (&m, l->parts.vm, service);
       add_knowledge (q, &m, clock_ms ());
-      bool empty = quarantine_message_is_empty (&m);
-      if (!empty)
+      if (!quarantine_message_is_empty (&m))
         send_to (l, to, &m);
       record_clear (&quarantine_report_record, &m);
-      if (empty)
-        return;
     }
 }
 
@@ -247,7 +284,7 @@
   struct crash_report r
       = { .upstream = c->upstream,
           .started_ms = (int64_t)c->started_ms,
-          .at_ms = now - (int64_t)c->age_ms,
+          .at_ms = quarantine_message_time (c->age_ms, now),
           .parts = parts,
           .n_parts = quarantine_message_parts (c->parts, parts) };
   crash_evidence_merge (quarantine_evidence (q), &r, now);
@@ -257,13 +294,14 @@
 merge_state (struct quarantine *q, const struct part_state *s,
              const struct quarantine_report *m, int64_t now)
 {
-  struct quarantine_entry e = { .part = s->part,
-                                .round = s->round,
-                                .released = s->released,
-                                .crashes = (unsigned)s->crashes,
-                                .convicted_ms = now - (int64_t)s->age_ms,
-                                .canary_ms = now + (int64_t)s->canary_ms,
-                                .interval_ms = (int64_t)s->interval_ms };
+  struct quarantine_entry e
+      = { .part = s->part,
+          .round = s->round,
+          .released = s->released,
+          .crashes = (unsigned)s->crashes,
+          .convicted_ms = quarantine_message_time (s->age_ms, now),
+          .canary_ms = now + quarantine_message_duration (s->canary_ms),
+          .interval_ms = quarantine_message_duration (s->interval_ms) };
   if (quarantine_merge (q, &e, now))
     log_state (&e, m->service, m->from);
 }
@@ -278,7 +316,8 @@
     {
       const struct part_answer *a
           = &g_array_index (m->answers, struct part_answer, i);
-      quarantine_merge_answer (q, a->part, now - (int64_t)a->age_ms);
+      quarantine_merge_answer (q, a->part,
+                               quarantine_message_time (a->age_ms, now));
     }
   for (guint i = 0; i < m->states->len; i++)
     merge_state (q, &g_array_index (m->states, struct part_state, i), m, now);
@@ -462,14 +501,10 @@
   t->unexplained += unexplained;
 }
 
-static void
-on_tick (evutil_socket_t fd, short what, void *arg)
+void
+quarantine_link_send (struct quarantine_link *l, int64_t now)
 {
-  (void)fd;
-  (void)what;
-  struct quarantine_link *l = arg;
   struct totals t = { 0 };
-  int64_t now = clock_ms ();
   bool resends = now - l->resend_ms >= RESEND_MS;
   GHashTableIter iter;
   void *service = NULL;
@@ -494,6 +529,14 @@
   metrics_set_counter (METRIC_crashes_explained_total, t.explained);
 }
 
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  quarantine_link_send (arg, clock_ms ());
+}
+
 static void
 destroy_quarantine (void *q)
 {
--- a/src/daemon/quarantine_link.h
+++ b/src/daemon/quarantine_link.h
@@ -91,6 +91,10 @@
                                const char *service,
                                const struct prompt *prompt);
 
+/** Decides on convictions at NOW and sends what is to be sent.  The object's
+   own timer calls it 20 times a second.  */
+void quarantine_link_send (struct quarantine_link *l, int64_t now);
+
 /** Handles a frame from another VM; ignores other types.  */
 void quarantine_link_handle_frame (struct quarantine_link *l,
                                    const struct frame *f);
--- a/src/decide/quarantine.c
+++ b/src/decide/quarantine.c
@@ -160,7 +160,8 @@
     return;
   e->canary_out = false;
   e->shared.interval_ms
-      = MIN (e->shared.interval_ms * 2, CANARY_INTERVAL_MAX_MS);
+      = MAX (e->shared.interval_ms,
+             MIN (e->shared.interval_ms * 2, CANARY_INTERVAL_MAX_MS));
   e->shared.canary_ms = now_ms + e->shared.interval_ms;
   e->unsent = true;
 }
@@ -421,6 +422,12 @@
   return true;
 }
 
+unsigned
+quarantine_entries (const struct quarantine *q)
+{
+  return g_hash_table_size (q->entries);
+}
+
 static void
 count_convicted (void *arg, const struct quarantine_entry *entry)
 {
--- a/src/decide/quarantine.h
+++ b/src/decide/quarantine.h
@@ -110,6 +110,8 @@
 bool quarantine_next_answer (struct quarantine *q, uint64_t *part,
                              int64_t *at_ms);
 
+/** Number of entries, released ones included.  */
+unsigned quarantine_entries (const struct quarantine *q);
 /** Number of convicted parts.  */
 unsigned quarantine_count (const struct quarantine *q);
 /** Calls VISIT for each convicted part.  */
--- a/tests/fuzz/fuzz_peers.c
+++ b/tests/fuzz/fuzz_peers.c
@@ -1,12 +1,14 @@
 /** @file
     Fuzz target: messages of other VMs about engines and services: load
-    reports, permits and their notes, changes of role, hints.  The input is a
+    reports, permits and their notes, changes of role, hints, crashes and the
+    quarantine of prompt parts.  The input is a
     sequence of messages with any contents, mixed with this VM's own permit
     requests, its load reports and the passing of time.  Every message that
     this VM sends can be received.  */
 #include "daemon/gossip_link.h"
 #include "daemon/load_link.h"
 #include "daemon/permit_link.h"
+#include "daemon/quarantine_link.h"
 #include "daemon/upstream_statements.h"
 #include "base/clock.h"
 #include "base/log.h"
@@ -31,6 +33,7 @@
   struct permit_link *permits;
   struct load_link *loads;
   struct upstream_statements *statements;
+  struct quarantine_link *quarantine;
   permit_ticket ticket;
   int64_t now;
 };
@@ -147,6 +150,10 @@
                                                   .members = v->members,
                                                   .send = check_sent };
   v->statements = upstream_statements_create (&statements);
+  struct quarantine_link_parts quarantine = {
+    .base = v->base, .members = v->members, .vm = "vm-0", .send = check_sent
+  };
+  v->quarantine = quarantine_link_create (&quarantine);
 }
 
 static void
@@ -155,6 +162,7 @@
   permit_link_destroy (v->permits);
   load_link_destroy (v->loads);
   upstream_statements_destroy (v->statements);
+  quarantine_link_destroy (v->quarantine);
   upstreams_destroy (v->upstreams);
   members_destroy (v->members);
 }
@@ -163,9 +171,10 @@
 receive (struct vm *v, struct fuzz_input *in)
 {
   static const unsigned types[]
-      = { MESSAGE_UPSTREAM_SHARES, MESSAGE_PERMIT_ASK,
-          MESSAGE_PERMIT_ANSWER,   MESSAGE_PERMIT_NOTE,
-          MESSAGE_ROLE_CHANGE,     MESSAGE_UPSTREAM_LEAVING };
+      = { MESSAGE_UPSTREAM_SHARES,  MESSAGE_PERMIT_ASK,
+          MESSAGE_PERMIT_ANSWER,    MESSAGE_PERMIT_NOTE,
+          MESSAGE_ROLE_CHANGE,      MESSAGE_UPSTREAM_LEAVING,
+          MESSAGE_QUARANTINE_REPORT };
   struct frame f = { .type = types[fuzz_byte (in) % G_N_ELEMENTS (types)] };
   const struct record_def *def = message_record (f.type);
   f.message = g_malloc0 (def->size);
@@ -174,6 +183,7 @@
     load_link_handle_report (v->loads, f.message, v->now);
   permit_link_handle_frame (v->permits, &f);
   upstream_statements_handle_frame (v->statements, &f);
+  quarantine_link_handle_frame (v->quarantine, &f);
   frame_clear (&f);
 }
 
@@ -198,6 +208,27 @@
     __builtin_trap ();
 }
 
+/* A request to the upstream that IN names is lost, refused or answered.  */
+static void
+end_request (struct vm *v, struct fuzz_input *in)
+{
+  static const char *const ids[] = { "e-0", "e-1", "s-0" };
+  const char *id = ids[fuzz_byte (in) % G_N_ELEMENTS (ids)];
+  const struct upstream_info *info
+      = upstreams_info (v->upstreams, upstreams_find (v->upstreams, id));
+  struct prompt prompt = { .n_parts = fuzz_byte (in) % PROMPT_PARTS_MAX };
+  unsigned wait_ms = 0;
+  for (unsigned i = 0; i < prompt.n_parts; i++)
+    prompt.parts[i] = (struct prompt_part){ fuzz_number (in, 1000), 100 };
+  quarantine_link_record_lost (v->quarantine, info, &prompt);
+  if (fuzz_byte (in) % 2 == 0)
+    quarantine_link_record_refused (v->quarantine, "s", id);
+  if (fuzz_byte (in) % 4 == 0)
+    quarantine_link_record_answer (v->quarantine, "s", &prompt);
+  (void)quarantine_link_check (v->quarantine, "s", "r", &prompt, &wait_ms);
+  quarantine_link_send (v->quarantine, v->now);
+}
+
 static void
 check_loads (const struct vm *v)
 {
@@ -215,9 +246,11 @@
 static void
 step (struct vm *v, struct fuzz_input *in)
 {
-  unsigned kind = fuzz_byte (in) % 8;
+  unsigned kind = fuzz_byte (in) % 9;
   if (kind < 4)
     receive (v, in);
+  else if (kind == 8)
+    end_request (v, in);
   else if (kind < 6)
     request_permit (v, in);
   else if (kind == 6)
