Soak: a run after a silence counts from when its VM sent it, not from the silence

The check that a drained instance gets no requests dated each run within a silence to the silence's start, so a VM that went on sending meanwhile was passed over. The stand-in now logs the time that was left when the request was sent; the check takes the later of both.

--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -68,7 +68,9 @@
     ID-NUMBER of its KV cache, where ID is the request ID.
 
     It prints to standard error
-      run=ID at_us=N                       a request that runs
+      run=ID at_us=N left_ms=N             a request that runs, and the time
+                                           left to wait for its response when
+                                           it was sent; -1: not stated
       arrived=ID                           a request or remote prefill that has
                                            reached an engine
       read=ID tokens=N queue_ms=N          a prompt to prefill
@@ -197,14 +199,17 @@
     response_continue (c);
 }
 
+/* Records that the request on C runs.  */
 static void
-record_run (const char *id)
+record_run (const struct conn *c)
 {
-  gpointer n = g_hash_table_lookup (runs, id);
-  g_hash_table_replace (runs, g_strdup (id),
+  const char *left
+      = http_head_get (http_codec_head (c->codec), "X-Deadline-Ms");
+  gpointer n = g_hash_table_lookup (runs, c->id);
+  g_hash_table_replace (runs, g_strdup (c->id),
                         GUINT_TO_POINTER (GPOINTER_TO_UINT (n) + 1));
-  (void)fprintf (stderr, "run=%s at_us=%" G_GINT64_FORMAT "\n", id,
-                 g_get_monotonic_time ());
+  (void)fprintf (stderr, "run=%s at_us=%" G_GINT64_FORMAT " left_ms=%s\n",
+                 c->id, g_get_monotonic_time (), left ? left : "-1");
 }
 
 static void
@@ -250,7 +255,7 @@
       return;
     }
   if (strcmp (directive, "generate") == 0)
-    record_run (c->id);
+    record_run (c);
   g_free (c->directive);
   c->directive = g_strdup (directive);
   response_set_timer (c, (unsigned)t.done_ms + 1);
@@ -274,7 +279,7 @@
       return;
     }
   link_free_ms = start_ms + kv_fetch_ms;
-  record_run (c->id);
+  record_run (c);
   g_free (c->directive);
   c->directive = g_strdup ("generate");
   response_set_timer (c, (unsigned)(link_free_ms - now_ms) + 1);
@@ -374,7 +379,7 @@
 handle_crashing_request (struct conn *c)
 {
   static const struct timeval delay = { 0, CRASH_AFTER_MS * 1000 };
-  record_run (c->id);
+  record_run (c);
   event_base_once (base, -1, EV_TIMEOUT, on_crash, NULL, &delay);
   if (g_str_has_prefix (c->directive, "stream"))
     response_start (c);
@@ -423,7 +428,7 @@
     handle_model_request (c);
   else
     {
-      record_run (c->id);
+      record_run (c);
       response_start (c);
     }
 }
--- a/tests/process/soak_site.c
+++ b/tests/process/soak_site.c
@@ -27,19 +27,23 @@
 
 /* Returns the earliest time at which the request ID may have arrived at
    UPSTREAM, which ran it at AT_US.  What arrives during a silence is run when
-   the process goes on.  */
+   the process goes on; its VM sent it with LEFT_MS left of its time-out, -1 if
+   unknown.  */
 static gint64
 earliest_arrival_us (const struct soak *s, unsigned upstream, const char *id,
-                     gint64 at_us)
+                     gint64 at_us, gint64 left_ms)
 {
   const struct record *r = g_hash_table_lookup (s->records, id);
+  gint64 sent_us = r ? r->start_us : 0;
+  if (r && r->start_us > 0 && left_ms >= 0 && left_ms <= r->timeout_ms)
+    sent_us += (r->timeout_ms - left_ms) * MS_US;
   for (guint i = 0; i < s->silence_periods->len; i++)
     {
       const struct silence_period *p
           = &g_array_index (s->silence_periods, struct silence_period, i);
       if ((p->instances & 1U << upstream) && at_us >= p->from_us
           && at_us < p->to_us + RESUME_US)
-        return MAX (p->from_us, r ? r->start_us : 0);
+        return MIN (MAX (p->from_us, sent_us), at_us);
     }
   return at_us;
 }
@@ -54,10 +58,14 @@
 {
   char id[64];
   gint64 at_us = 0;
+  gint64 left_ms = -1;
   if (sscanf (line, "mixed=%63s", id) == 1)
     soak_violation (&s->violations,
                     "request %s decoded from another request's KV cache", id);
-  if (sscanf (line, "run=%63s at_us=%" G_GINT64_FORMAT, id, &at_us) != 2)
+  if (sscanf (line,
+              "run=%63s at_us=%" G_GINT64_FORMAT " left_ms=%" G_GINT64_FORMAT,
+              id, &at_us, &left_ms)
+      != 3)
     return;
   gpointer n = g_hash_table_lookup (runs, id);
   g_hash_table_replace (runs, g_strdup (id),
@@ -67,7 +75,8 @@
       const struct drain_period *l
           = &g_array_index (s->drain_periods, struct drain_period, i);
       if (l->upstream == upstream && at_us < l->to_us
-          && earliest_arrival_us (s, upstream, id, at_us) > l->from_us)
+          && earliest_arrival_us (s, upstream, id, at_us, left_ms)
+                 > l->from_us)
         soak_violation (&s->violations,
                         "instance u%u ran request %s %d ms after it should "
                         "have stopped receiving requests",
