--- a/src/daemon/quarantine_link.c
+++ b/src/daemon/quarantine_link.c
@@ -124,7 +124,7 @@
   g_string_free (parts, TRUE);
 }
 
-/* Sending.  */
+/* News of this VM, and what it knows.  */
 
 /* Sends the crash R of SERVICE to all running VMs.  */
 static void
