--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -18,6 +18,8 @@
      "Responses that first said that their upstream "                         \
      "is leaving")                                                            \
   X (upstream_pauses_total, "Refusals by upstreams with a Retry-After")       \
+  X (upstream_limits_total,                                                   \
+     "Limits of requests a second that responses set, changed or ended")      \
   X (unknown_total, "Requests whose outcome is unknown")                      \
   X (failed_total, "Requests that an upstream failed")                        \
   X (unauthorized_total, "Requests without a valid key")                      \
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -322,6 +322,13 @@
   return true;
 }
 
+struct rate_limit *
+upstreams_rate_limit (struct upstreams *u, upstream_handle h)
+{
+  struct upstream *x = upstreams_lookup (u, h);
+  return x ? &x->limit : NULL;
+}
+
 GPtrArray *
 upstreams_ids (const struct upstreams *u)
 {
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -11,6 +11,7 @@
 #include "decide/attempts.h"
 #include "decide/engine_model.h"
 #include "decide/prefix_index.h"
+#include "decide/rate_limit.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -243,6 +244,10 @@
 /** Records that H accepts no requests of this VM for FOR_MS milliseconds.  */
 void upstreams_pause (struct upstreams *u, upstream_handle h, unsigned for_ms,
                       int64_t now_ms);
+/** Returns the limit of requests a second that H stated, which the calling
+    code may update; NULL if H is no longer valid.  */
+struct rate_limit *upstreams_rate_limit (struct upstreams *u,
+                                         upstream_handle h);
 /** Returns whether a new request may be sent to H: it exists, is not leaving
     and not paused.  */
 bool upstreams_accepts (const struct upstreams *u, upstream_handle h,
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -67,6 +67,7 @@
   bool said_leaving; /* it stated that it is shutting down */
   int64_t paused_until_ms; /* end of the time for which it accepts no
                               requests, as it stated */
+  struct rate_limit limit; /* of requests a second, as it stated */
   int64_t full_until_ms;   /* end of the cool-down after a refused request */
   unsigned refusals;       /* engine: requests in a row that were refused or
                               could not be sent */
--- a/src/links/default_request_ops.c
+++ b/src/links/default_request_ops.c
@@ -67,6 +67,7 @@
      only.  Their responses have no field that identifies the sender.  */
   out->sent_by_upstream = true;
   out->leaving = false;
+  out->limit = LIMIT_UNKNOWN;
   out->retry_after_ms
       = h->status == STATUS_UNAVAILABLE ? http_head_retry_after_ms (h) : 0;
 }
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -38,6 +38,15 @@
                                  keeps the caller's own field */
 };
 
+/** What a response says about a limit of requests a second.  */
+enum limit_statement
+{
+  LIMIT_UNKNOWN, /**< nothing: it is no complete success, or the field is
+                      malformed */
+  LIMIT_NONE,    /**< the upstream has no limit */
+  LIMIT_STATED   /**< the upstream has a limit */
+};
+
 /** What the head of an upstream's response states.  */
 struct response_info
 {
@@ -46,6 +55,9 @@
   bool leaving;            /**< the upstream is shutting down */
   unsigned retry_after_ms; /**< time for which the upstream, which refused the
                                 request, accepts no others; 0 for none */
+  enum limit_statement limit; /**< whether it limits the rate of requests */
+  double limit_per_s; /**< requests a second that it accepts from all VMs
+                           together, if LIMIT is LIMIT_STATED */
 };
 
 /** A caller's query for the addresses where requests are accepted; each field
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -284,6 +284,52 @@
     }
 }
 
+/* A limit is a decimal number, stated once; only a success of the upstream
+   itself tells by its absence that there is none.  */
+static void
+test_stated_limits (void)
+{
+  static const struct
+  {
+    const char *text;
+    enum limit_statement limit;
+    double per_s;
+  } cases[] = { { "7.3", LIMIT_STATED, 7.3 },  { "0", LIMIT_STATED, 0 },
+                { "12", LIMIT_STATED, 12 },    { "", LIMIT_UNKNOWN, 0 },
+                { "nan", LIMIT_UNKNOWN, 0 },   { "-3", LIMIT_UNKNOWN, 0 },
+                { "inf", LIMIT_UNKNOWN, 0 },   { "1e9", LIMIT_UNKNOWN, 0 },
+                { "0x10", LIMIT_UNKNOWN, 0 },  { "4, 5", LIMIT_UNKNOWN, 0 },
+                { "4.5.6", LIMIT_UNKNOWN, 0 }, { ".", LIMIT_UNKNOWN, 0 },
+                { "9999999", LIMIT_UNKNOWN, 0 },
+                { "1000000000000000000000000000", LIMIT_UNKNOWN, 0 } };
+  for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
+    {
+      struct response_info info = { 0 };
+      struct http_head *h = http_head_create ();
+      h->status = 200;
+      http_head_add (h, "X-Response-Seal", "s");
+      platform_adapter.requests->read_response (h, &info);
+      g_assert_cmpint (info.limit, ==, LIMIT_NONE);
+      http_head_add (h, "Server-Limit", cases[i].text);
+      platform_adapter.requests->read_response (h, &info);
+      g_assert_cmpint (info.limit, ==, cases[i].limit);
+      if (cases[i].limit == LIMIT_STATED)
+        g_assert_cmpfloat (info.limit_per_s, ==, cases[i].per_s);
+      h->status = 421;
+      platform_adapter.requests->read_response (h, &info);
+      g_assert_cmpint (info.limit, ==, LIMIT_UNKNOWN);
+      h->status = 200;
+      http_head_add (h, "Server-Limit", "8");
+      platform_adapter.requests->read_response (h, &info);
+      g_assert_cmpint (info.limit, ==, LIMIT_UNKNOWN);
+      http_head_remove (h, "Server-Limit");
+      h->status = 503;
+      platform_adapter.requests->read_response (h, &info);
+      g_assert_cmpint (info.limit, ==, LIMIT_UNKNOWN);
+      http_head_destroy (h);
+    }
+}
+
 static void
 test_entry_query (void)
 {
@@ -370,6 +416,7 @@
   g_test_add_func ("/platform/request-fields", test_request_fields);
   g_test_add_func ("/platform/answer-fields", test_response_fields);
   g_test_add_func ("/platform/upstream-statements", test_upstream_statements);
+  g_test_add_func ("/platform/stated-limits", test_stated_limits);
   g_test_add_func ("/platform/entry-query", test_entry_query);
   g_test_add_func ("/platform/prefill-handle", test_prefill_handle);
   g_test_add_func ("/platform/role-order", test_role_order);
