--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -78,8 +78,7 @@
       run=ID at_us=N left_ms=N             a request that runs, and the time
                                            left to wait for its response when
                                            it was sent; -1: not stated
-      arrived=ID                           a request or remote prefill that has
-                                           reached an engine
+      arrived=ID at_us=N                   a request or remote prefill
       read=ID tokens=N queue_ms=N          a prompt to prefill
       order=STAGE holder=VM fence=N at_us=N
                                            an order, which applies at once
@@ -97,6 +96,10 @@
     file instead of the platform's.  They have no seal, so "unsigned" is then
     the same as "ok".  The name of the instance is then ID@IP:PORT.
 
+    GET /limit/TEXT makes each further response, to remote prefills and refused
+    requests too, state that limit of requests a second; GET /limit/none ends
+    that.
+
     GET /seen returns {"runs":{ID:COUNT},"left":N,"heads":{ID:HEAD}}: runs of
     each request, clients that closed the connection before their response
     ended, and the request heads as received.  */
@@ -127,6 +130,7 @@
 #define QUEUE_MAX_MS 2000.0
 #define US_PER_MS 1000.0
 #define CRASH_AFTER_MS 30
+#define LIMIT_TARGET "/limit/"
 
 static const struct response_fields platform_fields
     = { "X-Request-Id", "X-Expect-Instance", "X-Not-Run", "X-Response-Seal" };
@@ -337,6 +341,15 @@
   response_finish (c, false);
 }
 
+/* Handles a request of the test that sets the stated limit.  */
+static void
+set_limit (struct conn *c, const char *text)
+{
+  response_set_limit (strcmp (text, "none") == 0 ? NULL : text);
+  response_send (c, "-", "200 OK", false, "", 0);
+  response_finish (c, false);
+}
+
 static void
 record_head (const struct conn *c)
 {
@@ -410,10 +423,16 @@
       handle_order (c);
       return;
     }
+  if (g_str_has_prefix (h->target, LIMIT_TARGET))
+    {
+      set_limit (c, h->target + strlen (LIMIT_TARGET));
+      return;
+    }
   c->directive = parse_directive (h->target);
   record_head (c);
-  if (stage && strcmp (h->method, "DELETE") != 0)
-    (void)fprintf (stderr, "arrived=%s\n", c->id);
+  if (strcmp (h->method, "DELETE") != 0)
+    (void)fprintf (stderr, "arrived=%s at_us=%" G_GINT64_FORMAT "\n", c->id,
+                   g_get_monotonic_time ());
   bool crashing = has_crash_part (h);
   if (crashing)
     (void)fprintf (stderr, "crash_part=%s at_us=%" G_GINT64_FORMAT "\n", c->id,
--- a/tests/fakes/upstream_response.c
+++ b/tests/fakes/upstream_response.c
@@ -66,6 +66,14 @@
 
 static const struct response_fields *fields;
 static const char *instance;
+static char *limit_line; /* header line of the limit, or NULL */
+
+void
+response_set_limit (const char *text)
+{
+  g_free (limit_line);
+  limit_line = text ? g_strdup_printf ("Server-Limit: %s\r\n", text) : NULL;
+}
 
 void
 response_setup (const struct response_fields *names, const char *name)
@@ -130,7 +138,8 @@
             ? g_strdup_printf ("%s: %s\r\n", fields->seal, instance)
             : g_strdup ("");
   g_autofree char *id_field = format_id_field (id);
-  return g_strdup_printf ("HTTP/1.1 %s\r\n%s%s", status, id_field, line);
+  return g_strdup_printf ("HTTP/1.1 %s\r\n%s%s%s", status, id_field, line,
+                          limit_line ? limit_line : "");
 }
 
 /* Returns a body that repeats method and target of the request, and length and
@@ -514,9 +523,9 @@
 response_refuse (struct conn *c, const char *status)
 {
   g_autofree char *id_field = format_id_field (c->id);
-  g_autofree char *text = g_strdup_printf ("HTTP/1.1 %s\r\n%s%s: 1\r\n"
-                                           "Content-Length: 0\r\n\r\n",
-                                           status, id_field, fields->refused);
+  g_autofree char *text = g_strdup_printf (
+      "HTTP/1.1 %s\r\n%s%s%s: 1\r\nContent-Length: 0\r\n\r\n", status,
+      id_field, limit_line ? limit_line : "", fields->refused);
   send_text (c, text);
   keep_previous (c, &text);
   response_finish (c, false);
--- a/tests/fakes/upstream_response.h
+++ b/tests/fakes/upstream_response.h
@@ -43,6 +43,10 @@
 void response_setup (const struct response_fields *fields,
                      const char *instance);
 
+/** Each response states the limit TEXT, requests a second; none if TEXT is
+    NULL.  */
+void response_set_limit (const char *text);
+
 /** Closes the connection and releases C.  */
 void response_conn_free (struct conn *c);
 
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -233,6 +233,17 @@
   start_upstream (s, i, (char **)flags->pdata);
 }
 
+void
+site_set_limit (const struct site *s, unsigned i, const char *text)
+{
+  g_autofree char *path = g_strdup_printf ("/limit/%s", text ? text : "none");
+  struct web *w = web_send_request (s->upstream_addresses[i], "GET", path,
+                                    NULL, NULL, NULL);
+  web_read_response (w, RESPONSE_TIMEOUT_MS);
+  g_assert_cmpint (w->status, ==, 200);
+  web_close (w);
+}
+
 unsigned
 site_reuse_address (struct site *s, unsigned from)
 {
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -102,6 +102,10 @@
     and has a retry budget; fails the test after 15 s.  */
 void site_start (struct site *s);
 
+/** Instance I states the limit TEXT, requests a second, in its responses from
+    now on; none if TEXT is NULL.  */
+void site_set_limit (const struct site *s, unsigned i, const char *text);
+
 /** Returns whether VM number I reports that it is ready.  */
 bool site_is_ready (const struct site *s, unsigned i);
 
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -294,12 +294,18 @@
     const char *text;
     enum limit_statement limit;
     double per_s;
-  } cases[] = { { "7.3", LIMIT_STATED, 7.3 },  { "0", LIMIT_STATED, 0 },
-                { "12", LIMIT_STATED, 12 },    { "", LIMIT_UNKNOWN, 0 },
-                { "nan", LIMIT_UNKNOWN, 0 },   { "-3", LIMIT_UNKNOWN, 0 },
-                { "inf", LIMIT_UNKNOWN, 0 },   { "1e9", LIMIT_UNKNOWN, 0 },
-                { "0x10", LIMIT_UNKNOWN, 0 },  { "4, 5", LIMIT_UNKNOWN, 0 },
-                { "4.5.6", LIMIT_UNKNOWN, 0 }, { ".", LIMIT_UNKNOWN, 0 },
+  } cases[] = { { "7.3", LIMIT_STATED, 7.3 },
+                { "0", LIMIT_STATED, 0 },
+                { "12", LIMIT_STATED, 12 },
+                { "", LIMIT_UNKNOWN, 0 },
+                { "nan", LIMIT_UNKNOWN, 0 },
+                { "-3", LIMIT_UNKNOWN, 0 },
+                { "inf", LIMIT_UNKNOWN, 0 },
+                { "1e9", LIMIT_UNKNOWN, 0 },
+                { "0x10", LIMIT_UNKNOWN, 0 },
+                { "4, 5", LIMIT_UNKNOWN, 0 },
+                { "4.5.6", LIMIT_UNKNOWN, 0 },
+                { ".", LIMIT_UNKNOWN, 0 },
                 { "9999999", LIMIT_UNKNOWN, 0 },
                 { "1000000000000000000000000000", LIMIT_UNKNOWN, 0 } };
   for (size_t i = 0; i < G_N_ELEMENTS (cases); i++)
