Stated limits of requests a second are kept by the fleet as a sum

Cause: no VM read the field, and nothing in placement could hold a rate that is a sum over all VMs. Ruled out: a limit kept by each VM alone, or for some calls only (one VM alone sent more than all were allowed, with direct requests as with decodes after remote prefills). Change: a limit that one VM is told is reported to all (rate_limit, rate_limit_link). Each request to a limited upstream, of whatever kind, spends a token at one gate (exchange_limit). A VM whose home VM is silent, and all VMs that see less than half of the fleet, use the share of one VM, each at another time (rate_tokens). A VM does not place where it has no token; if that is everywhere, requests wait by priority and deadline as long as their turn comes in time, others are refused at once (token_queue). Sending to all or some VMs, written three times, is vm_broadcast now.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -20,6 +20,12 @@
   X (upstream_pauses_total, "Refusals by upstreams with a Retry-After")       \
   X (upstream_limits_total,                                                   \
      "Limits of requests a second that responses set, changed or ended")      \
+  X (limit_tokens_borrowed_total,                                             \
+     "Tokens of limits that home VMs lent this VM")                           \
+  X (limit_tokens_lent_total,                                                 \
+     "Tokens of limits that this VM lent as home VM")                         \
+  X (limit_tokens_spent_total, "Requests sent to limited upstreams")          \
+  X (limit_refused_total, "Requests refused as all upstreams are limited")    \
   X (unknown_total, "Requests whose outcome is unknown")                      \
   X (failed_total, "Requests that an upstream failed")                        \
   X (unauthorized_total, "Requests without a valid key")                      \
@@ -90,6 +96,8 @@
   X (behind, "1 where this VM knows that its file may be old")                \
   X (routed_open, "Routed requests under way")                                \
   X (permits_open, "Permits that this VM gave, not ended")                    \
+  X (limits_in_force, "Upstreams that limit the requests a second")           \
+  X (limit_waiting, "Requests that wait for a token of a limit")              \
   X (parts_quarantined, "Prompt parts in quarantine")                         \
   X (crashes_unexplained,                                                     \
      "Crashes of upstreams that no part in quarantine explains")              \
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -98,6 +98,8 @@
   attempt_destroy (e->silent);
   attempt_destroy (e->failed);
   exchange_release_decode (e);
+  exchange_drop_token (e, &e->token);
+  exchange_leave_queue (e);
   exchange_prefill_release (e);
   if (e->service)
     exchange_return_unused (e);
@@ -139,7 +141,8 @@
       log_num (e->calls), "no_retry", e->no_retry, "framing",
       http_framing_name (a->upstream_framing), "partial_bytes",
       log_num ((long long)sse_partial_bytes (&a->events)), "retry_after_ms",
-      log_num (e->retry_after_ms), "routes_version",
+      log_num (e->retry_after_ms), "limit_wait_ms", log_num (e->limit_wait_ms),
+      "routes_version",
       log_num (e->table ? (long long)route_table_version (e->table) : -1),
       NULL);
 }
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -21,6 +21,7 @@
 #include "decide/attempts.h"
 #include "decide/placement.h"
 #include "decide/route_table.h"
+#include "decide/token_queue.h"
 #include "links/http_listener.h"
 
 /** Most instances that one request is sent to, remote prefill included.  */
@@ -42,11 +43,12 @@
 struct proxy
 {
   struct proxy_parts parts;
-  struct route_table *table; /* NULL before the first proxy_set_routes */
-  GHashTable *open;          /* set of struct exchange in progress */
-  struct event *timer;       /* checks for unresponsive upstreams */
-  int64_t usage_logged_ms;   /* when the retry budgets were last logged */
-  int64_t shutdown_from_ms;  /* FROM_MS of proxy_set_shutdown, or 0 */
+  struct route_table *table;   /* NULL before the first proxy_set_routes */
+  GHashTable *open;            /* set of struct exchange in progress */
+  struct token_queue *waiting; /* requests that wait for a token */
+  struct event *timer;         /* checks for unresponsive upstreams */
+  int64_t usage_logged_ms;     /* when the retry budgets were last logged */
+  int64_t shutdown_from_ms;    /* FROM_MS of proxy_set_shutdown, or 0 */
   int64_t end_ms; /* END_MS of proxy_set_shutdown; 0: VM not stopping */
 };
 
@@ -107,6 +109,12 @@
   unsigned calls;                 /* attempts and remote prefills sent */
   unsigned permit_requests;       /* permit requests of this attempt */
   unsigned permit_requests_total; /* permit requests of all attempts */
+  upstream_handle token;          /* upstream whose token is held for the
+                                     current attempt; 0 for none */
+  upstream_handle decode_token;   /* the same for the reserved decode */
+  int64_t waits_since_ms;         /* waits for a token since then; 0: does
+                                     not */
+  unsigned limit_wait_ms;         /* time spent waiting for tokens */
   unsigned retry_after_ms;        /* Retry-After sent to a refused caller */
   const char *no_retry;  /* why no further attempt was made, for logs; or "" */
   double expected_ms;    /* predicted time to the first byte, latest choice */
@@ -204,6 +212,29 @@
 /** Gives back what E has paid for calls that reached no upstream.  */
 void exchange_return_unused (struct exchange *e);
 
+/* Limits of requests a second.  */
+
+/** Takes a token for H, if H is limited, in place of the one HELD; HELD is
+   then 0 or H.  Returns false if there is none.  */
+bool exchange_hold_token (struct exchange *e, upstream_handle *held,
+                          upstream_handle h, int64_t now);
+/** Gives back the token HELD, if it is not 0, and sets HELD to 0.  */
+void exchange_drop_token (struct exchange *e, upstream_handle *held);
+/** Spends a token for a call to H: the one held for the current attempt, or
+    another.  Returns false if H is limited and there is none.  */
+bool exchange_spend_token (struct exchange *e, upstream_handle h, int64_t now);
+/** E, which is placed nowhere as REQUEST, waits for a token if only that is
+    missing; it is refused if the wait would be too long.  Returns false if no
+    token would help, or E has a better way.  */
+bool exchange_wait_for_token (struct exchange *e,
+                              const struct placement_request *request,
+                              int64_t now);
+/** E waits no longer.  */
+void exchange_leave_queue (struct exchange *e);
+/** P may have got tokens: sends the requests that wait for them, and refuses
+    those that would wait too long.  */
+void exchange_tokens_arrived (struct proxy *p);
+
 /* Response of an upstream.  */
 
 /** Callbacks of the pool for the call of an attempt.  */
--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -78,7 +78,8 @@
 
 /* Sends the current attempt of E to the instance of C, as a remote prefill if
    C is one.  Returns false if the instance is gone, accepts no requests any
-   more, no connection may be opened or a prefill exceeds the retry budget.  */
+   more or exceeds its limit, no connection may be opened or a prefill exceeds
+   the retry budget.  */
 static bool
 send_choice (struct exchange *e, const struct upstream_choice *c, int64_t now)
 {
@@ -88,7 +89,7 @@
   const struct upstream_info *info
       = upstreams_info (parts->upstreams, c->handle);
   if (info == NULL || !upstreams_accepts (parts->upstreams, c->handle, now)
-      || !pay_for (e, c))
+      || !pay_for (e, c) || !exchange_spend_token (e, c->handle, now))
     return false;
   e->tried[e->n_tried++] = c->handle;
   a->prefilling = c->remote_prefill;
@@ -97,6 +98,7 @@
   if (a->call == NULL)
     {
       arrivals_not_sent (&e->arrivals, attempt_call_kind (a));
+      upstreams_give_back_token (parts->upstreams, c->handle, now);
       return false;
     }
   e->calls++;
@@ -259,9 +261,11 @@
   int64_t now = clock_ms ();
   request->limit_ms = queue_limit_ms (e);
   struct upstream_choice c = placement_choose (parts->upstreams, request, now);
+  placement_record_misses (parts->upstreams, request, c.handle, now);
   if (c.handle == 0 || e->n_tried >= EXCHANGE_TRIED_MAX)
     {
-      stop_attempts (e, "no_upstream");
+      if (c.handle != 0 || !exchange_wait_for_token (e, request, now))
+        stop_attempts (e, "no_upstream");
       return true;
     }
   e->expected_ms = c.expected_ms;
@@ -274,6 +278,8 @@
                        load_shed_retry_after_ms (e->facts.id, left_ms));
       return true;
     }
+  if (!exchange_hold_token (e, &e->token, c.handle, now))
+    return false;
   switch (reserve_decode (e, &c, request, now))
     {
     case DECODE_PENDING:
@@ -316,6 +322,8 @@
   a->choice = e->decode;
   e->expected_ms = a->choice.expected_ms;
   a->permit = e->decode_permit;
+  e->token = e->decode_token;
+  e->decode_token = 0;
   e->decode_permit = 0;
   e->decode.handle = 0;
   if (send_choice (e, &a->choice, clock_ms ()))
@@ -332,6 +340,7 @@
           .prompt = e->facts.has_prompt ? &e->facts.prompt : NULL,
           .tried = e->tried,
           .repeatable = e->attempts.repeatable };
+  exchange_drop_token (e, &e->token);
   if (!attempts_may_begin (&e->attempts))
     {
       if (!exchange_wait_for_silent (e))
--- a/src/daemon/exchange_decode.c
+++ b/src/daemon/exchange_decode.c
@@ -14,6 +14,7 @@
 exchange_release_decode (struct exchange *e)
 {
   permit_link_end (e->proxy->parts.permits, e->decode_permit);
+  exchange_drop_token (e, &e->decode_token);
   e->decode_permit = 0;
   e->decode.handle = 0;
 }
@@ -23,6 +24,7 @@
 {
   metrics_add (METRIC_decodes_refused_total, 1);
   e->decode_refused[e->n_decode_refused++] = e->decode.handle;
+  exchange_drop_token (e, &e->decode_token);
   e->decode_permit = 0;
   e->decode.handle = 0;
 }
@@ -73,8 +75,12 @@
         return DECODE_REFUSED;
       const struct upstream_info *info
           = upstreams_info (e->proxy->parts.upstreams, d.handle);
-      if (info == NULL || !load_shed_decode_may_bind (&d, info->slots, c))
+      if (info == NULL
+          || (!upstreams_is_limited (e->proxy->parts.upstreams, d.handle)
+              && !load_shed_decode_may_bind (&d, info->slots, c)))
         return DECODE_RESERVED;
+      if (!exchange_hold_token (e, &e->decode_token, d.handle, now))
+        return DECODE_REFUSED;
       e->decode = d;
       e->decode_after = c->handle;
       e->decodes_asked++;
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -162,6 +162,9 @@
   struct exchange *e = a->exchange;
   const struct request_ops *ops = e->proxy->parts.requests;
   ops->read_response (head, &a->response_info);
+  /* Responses to remote prefills may not state a limit that is in force.  */
+  if (a->prefilling && a->response_info.limit == LIMIT_NONE)
+    a->response_info.limit = LIMIT_UNKNOWN;
   exchange_silence_ended (a, SILENCE_WOKE);
   upstream_statements_record (e->proxy->parts.statements, a->work.handle,
                               &a->response_info, e->facts.id);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -363,8 +363,9 @@
   discovery_set_vm_count (g->discovery, count_vms (g));
   if (vm_registry_has_joined (g->vm_registry))
     retry_buckets_set_vms (g->retries, count_budget_vms (g, now), now);
-  metrics_set (METRIC_retry_shared_by,
-               retry_buckets_shared_by (g->retries, now));
+  unsigned shared_by = retry_buckets_shared_by (g->retries, now);
+  metrics_set (METRIC_retry_shared_by, shared_by);
+  rate_limit_link_set_vms (vm_registry_limits (g->vm_registry), shared_by);
   if (settings_file_changed (g))
     reload_settings (g, "file_changed");
 }
@@ -480,6 +481,13 @@
   discovery_hint_revisions (g->discovery, &theirs);
 }
 
+static void
+on_tokens (void *arg)
+{
+  const struct gateway *g = arg;
+  proxy_tokens_arrived (g->proxy);
+}
+
 static void
 create_components (struct gateway *g)
 {
@@ -526,6 +534,8 @@
           .count_vms = count_vms,
           .arg = g };
   g->proxy = proxy_create (&parts);
+  rate_limit_link_on_tokens (vm_registry_limits (g->vm_registry), on_tokens,
+                             g);
   struct prefill_split_link_parts orders
       = { .base = g->base,
           .kv = g->kv,
--- a/src/daemon/permit_link.c
+++ b/src/daemon/permit_link.c
@@ -3,6 +3,7 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "daemon/vm_broadcast.h"
 #include "decide/rank.h"
 
 #include <string.h>
@@ -315,16 +316,12 @@
 permit_link_announce_role (struct permit_link *l, const char *id,
                            enum upstream_role role, unsigned ms)
 {
-  const GPtrArray *all = members_all (l->parts.members);
   struct role_change m
       = { .upstream = (char *)(uintptr_t)id, .role = role, .ms = ms };
+  struct vm_broadcast peers
+      = { l->parts.members, l->parts.send, l->parts.arg };
   apply_role_change (l, &m);
-  for (guint i = 1; i < all->len; i++)
-    {
-      const struct member *to = g_ptr_array_index (all, i);
-      if (member_live (to))
-        l->parts.send (l->parts.arg, to, MESSAGE_ROLE_CHANGE, &m);
-    }
+  vm_broadcast_all (&peers, MESSAGE_ROLE_CHANGE, &m);
 }
 
 /* Messages from other VMs.  */
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -201,6 +201,7 @@
   g_autoptr (GList) open = g_hash_table_get_keys (p->open);
   for (GList *l = open; l; l = l->next)
     exchange_check_silence (l->data, now);
+  exchange_tokens_arrived (p);
   log_usage_each_second (p, now);
 }
 
@@ -213,6 +214,7 @@
   p->parts = *parts;
   static const struct timeval tick = { 0, UNRESPONSIVE_CHECK_MS * 1000 };
   p->open = g_hash_table_new (NULL, NULL);
+  p->waiting = token_queue_create ();
   p->timer = event_new (parts->base, -1, EV_PERSIST, on_unresponsive_check, p);
   event_add (p->timer, &tick);
   return p;
@@ -228,6 +230,7 @@
     exchange_abort (l->data, "stopped");
   event_free (p->timer);
   g_hash_table_destroy (p->open);
+  token_queue_destroy (p->waiting);
   route_table_unref (p->table);
   g_free (p);
 }
@@ -252,6 +255,12 @@
   p->end_ms = end_ms;
 }
 
+void
+proxy_tokens_arrived (struct proxy *p)
+{
+  exchange_tokens_arrived (p);
+}
+
 unsigned
 proxy_open_requests (const struct proxy *p)
 {
--- a/src/daemon/proxy.h
+++ b/src/daemon/proxy.h
@@ -35,6 +35,9 @@
     milliseconds of the monotonic clock.  */
 void proxy_set_shutdown (struct proxy *p, int64_t from_ms, int64_t end_ms);
 
+/** This VM may have got tokens of limits: requests that wait for one go on. */
+void proxy_tokens_arrived (struct proxy *p);
+
 /** Returns the number of requests in progress.  */
 unsigned proxy_open_requests (const struct proxy *p);
 
--- a/src/daemon/quarantine_link.c
+++ b/src/daemon/quarantine_link.c
@@ -66,27 +66,15 @@
 send_to (struct quarantine_link *l, const struct member *to,
          const struct quarantine_report *m)
 {
-  l->parts.send (l->parts.arg, to, MESSAGE_QUARANTINE_REPORT, m);
+  l->parts.peers.send (l->parts.peers.arg, to, MESSAGE_QUARANTINE_REPORT, m);
 }
 
-/* Sends M to COUNT running VMs, chosen at random; to all if there are no
-   more.  */
+/* Sends M to COUNT running VMs.  */
 static void
 send_to_some (struct quarantine_link *l, const struct quarantine_report *m,
               unsigned count)
 {
-  const GPtrArray *all = members_all (l->parts.members);
-  guint first
-      = all->len > 1 ? (guint)g_random_int_range (1, (gint)all->len) : 1;
-  for (guint i = 1; i < all->len && count > 0; i++)
-    {
-      guint at = 1 + (first - 1 + i - 1) % (all->len - 1);
-      const struct member *to = g_ptr_array_index (all, at);
-      if (!member_live (to))
-        continue;
-      send_to (l, to, m);
-      count--;
-    }
+  vm_broadcast_some (&l->parts.peers, MESSAGE_QUARANTINE_REPORT, m, count);
 }
 
 /* Log lines.  */
@@ -231,7 +219,7 @@
 {
   struct quarantine_report m;
   if (l->is_informed || now - l->wanted_ms < WANTED_MS
-      || members_count_live (l->parts.members) <= 1)
+      || members_count_live (l->parts.peers.members) <= 1)
     return;
   l->wanted_ms = now;
   quarantine_message_init (&m, l->parts.vm, "");
@@ -329,7 +317,7 @@
   if (f->type != MESSAGE_QUARANTINE_REPORT)
     return;
   const struct quarantine_report *m = f->message;
-  const struct member *from = members_find (l->parts.members, m->from);
+  const struct member *from = members_find (l->parts.peers.members, m->from);
   struct quarantine *q = quarantine_message_is_empty (m)
                              ? NULL
                              : get_quarantine (l, m->service);
@@ -403,8 +391,8 @@
   const struct quarantine_link *l = arg;
   char text[PART_TEXT_SIZE];
   const struct member *self
-      = g_ptr_array_index (members_all (l->parts.members), 0);
-  return rank_engine_home (l->parts.members, part_text (part, text),
+      = g_ptr_array_index (members_all (l->parts.peers.members), 0);
+  return rank_engine_home (l->parts.peers.members, part_text (part, text),
                            self->info.region)
          == self;
 }
--- a/src/daemon/quarantine_link.h
+++ b/src/daemon/quarantine_link.h
@@ -12,7 +12,7 @@
 #ifndef DAEMON_QUARANTINE_LINK_H
 #define DAEMON_QUARANTINE_LINK_H
 
-#include "decide/members.h"
+#include "daemon/vm_broadcast.h"
 #include "decide/quarantine.h"
 #include "decide/upstreams.h"
 #include "links/frame.h"
@@ -25,12 +25,8 @@
 struct quarantine_link_parts
 {
   struct event_base *base;
-  const struct members *members;
-  const char *vm; /**< id of this VM */
-  /** Sends a message of TYPE to the member TO.  */
-  void (*send) (void *arg, const struct member *to, unsigned type,
-                const void *message);
-  void *arg;
+  const char *vm;            /**< id of this VM */
+  struct vm_broadcast peers; /**< the other VMs */
 };
 
 /** Creates the quarantine of this VM, without entries.  */
--- a/src/daemon/upstream_statements.c
+++ b/src/daemon/upstream_statements.c
@@ -28,15 +28,8 @@
 send_hints (const struct upstream_statements *s, const char *id)
 {
   struct upstream_leaving m = { .upstream = (char *)(uintptr_t)id };
-  if (s->parts.members == NULL)
-    return;
-  const GPtrArray *all = members_all (s->parts.members);
-  for (guint i = 1; i < all->len; i++)
-    {
-      const struct member *to = g_ptr_array_index (all, i);
-      if (member_live (to))
-        s->parts.send (s->parts.arg, to, MESSAGE_UPSTREAM_LEAVING, &m);
-    }
+  if (s->parts.peers.members)
+    vm_broadcast_all (&s->parts.peers, MESSAGE_UPSTREAM_LEAVING, &m);
 }
 
 static void
@@ -65,26 +58,6 @@
              log_num (for_ms), NULL);
 }
 
-/* Records a limit of requests a second, or that there is none.  */
-static void
-record_limit (struct upstream_statements *s, upstream_handle h,
-              const struct response_info *info, const char *request)
-{
-  struct rate_limit *limit = upstreams_rate_limit (s->parts.upstreams, h);
-  int64_t now = clock_ms ();
-  bool stated = info->limit == LIMIT_STATED;
-  if (limit == NULL
-      || !(stated ? rate_limit_state (limit, info->limit_per_s, now)
-                  : rate_limit_state_none (limit, now)))
-    return;
-  g_autofree char *per_s = g_strdup_printf ("%.3f", limit->per_s);
-  metrics_add (METRIC_upstream_limits_total, 1);
-  log_event (LOG_INFO, "upstream_limit", "upstream",
-             upstreams_info (s->parts.upstreams, h)->id, "request", request,
-             "in_force", limit->in_force ? "true" : "false", "per_s", per_s,
-             NULL);
-}
-
 void
 upstream_statements_record (struct upstream_statements *s, upstream_handle h,
                             const struct response_info *info,
@@ -94,8 +67,8 @@
     record_leaving (s, h, request);
   if (info->retry_after_ms > 0)
     record_pause (s, h, info->retry_after_ms, request);
-  if (info->limit != LIMIT_UNKNOWN)
-    record_limit (s, h, info, request);
+  if (s->parts.limits)
+    rate_limit_link_record (s->parts.limits, h, info, request);
 }
 
 void
--- a/src/daemon/upstream_statements.h
+++ b/src/daemon/upstream_statements.h
@@ -1,6 +1,7 @@
 /** @file
     What upstreams state about themselves in the head of any response: that
-    they are leaving, or for how long they accept no requests.
+    they are leaving, for how long they accept no requests, or how many a
+   second they accept (daemon/rate_limit_link.h).
 
     The other VMs are told which upstream is leaving.  They take it as a hint
     and send it nothing for STATEMENT_HINT_MS, so that a wrong one takes no
@@ -8,7 +9,8 @@
 #ifndef DAEMON_UPSTREAM_STATEMENTS_H
 #define DAEMON_UPSTREAM_STATEMENTS_H
 
-#include "decide/members.h"
+#include "daemon/rate_limit_link.h"
+#include "daemon/vm_broadcast.h"
 #include "decide/upstreams.h"
 #include "links/frame.h"
 #include "links/platform.h"
@@ -23,11 +25,8 @@
 struct upstream_statements_parts
 {
   struct upstreams *upstreams;
-  const struct members *members; /**< NULL: no other VM is told */
-  /** Sends a message of TYPE to the member TO.  */
-  void (*send) (void *arg, const struct member *to, unsigned type,
-                const void *message);
-  void *arg;
+  struct rate_limit_link *limits; /**< NULL: limits are not followed */
+  struct vm_broadcast peers;      /**< without members: no other VM is told */
 };
 
 /** Creates an object without statements.  */
--- a/src/daemon/vm_registry.c
+++ b/src/daemon/vm_registry.c
@@ -57,6 +57,7 @@
   int64_t next_ms;      /* earliest time of the next step of joining */
   struct load_link *loads;
   struct permit_link *permits;
+  struct rate_limit_link *limits;
   struct upstream_statements *statements;
   struct quarantine_link *quarantine;
   int64_t load_report_ms; /* when this VM last sent load reports */
@@ -129,6 +130,7 @@
   else
     {
       permit_link_handle_frame (r->permits, frame);
+      rate_limit_link_handle_frame (r->limits, frame);
       upstream_statements_handle_frame (r->statements, frame);
       quarantine_link_handle_frame (r->quarantine, frame);
     }
@@ -449,6 +451,12 @@
   return r->permits;
 }
 
+struct rate_limit_link *
+vm_registry_limits (const struct vm_registry *r)
+{
+  return r->limits;
+}
+
 struct upstream_statements *
 vm_registry_statements (const struct vm_registry *r)
 {
@@ -554,17 +562,17 @@
                                        .send = send_message,
                                        .arg = r };
   r->permits = permit_link_create (&permits);
+  struct vm_broadcast peers = { r->members, send_message, r };
+  struct rate_limit_link_parts limits = { .base = parts->base,
+                                          .upstreams = parts->upstreams,
+                                          .vm = parts->vm,
+                                          .peers = peers };
+  r->limits = rate_limit_link_create (&limits);
   struct upstream_statements_parts statements
-      = { .upstreams = parts->upstreams,
-          .members = r->members,
-          .send = send_message,
-          .arg = r };
+      = { .upstreams = parts->upstreams, .limits = r->limits, .peers = peers };
   r->statements = upstream_statements_create (&statements);
-  struct quarantine_link_parts quarantine = { .base = parts->base,
-                                              .members = r->members,
-                                              .vm = parts->vm,
-                                              .send = send_message,
-                                              .arg = r };
+  struct quarantine_link_parts quarantine
+      = { .base = parts->base, .vm = parts->vm, .peers = peers };
   r->quarantine = quarantine_link_create (&quarantine);
   r->timer = event_new (parts->base, -1, EV_PERSIST, on_timer, r);
   event_add (r->timer, &tick);
@@ -581,6 +589,7 @@
   load_link_destroy (r->loads);
   permit_link_destroy (r->permits);
   upstream_statements_destroy (r->statements);
+  rate_limit_link_destroy (r->limits);
   quarantine_link_destroy (r->quarantine);
   members_destroy (r->members);
   g_ptr_array_unref (r->addresses);
--- a/src/daemon/vm_registry.h
+++ b/src/daemon/vm_registry.h
@@ -65,6 +65,9 @@
 /** Admission permits exchanged with the other VMs.  */
 struct permit_link *vm_registry_permits (const struct vm_registry *r);
 
+/** Limits of requests a second that upstreams state.  */
+struct rate_limit_link *vm_registry_limits (const struct vm_registry *r);
+
 /** What upstreams state about themselves, shared with the other VMs.  */
 struct upstream_statements *
 vm_registry_statements (const struct vm_registry *r);
--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -51,6 +51,14 @@
 #define RESERVED_FILL_PERCENT 100
 #define RESERVED_BUSY_MAX 0.5
 #define UNRESERVED_COST_MS 150.0
+/* Least weight of a limited upstream, in requests a second, by which waiting
+   requests ask for tokens.  */
+#define TOKEN_WEIGHT_MIN 0.25
+/* Age from which on a stated limit is probed, and the weight for that.  */
+#define PROBE_MS 1000
+#define PROBE_WEIGHT 1000.0
+/* Golden ratio: its multiples, modulo 1, are spread evenly.  */
+#define TOKEN_TURN_STEP 0.6180339887498949
 /* Mean time that a request occupies a slot, before the first sample.  */
 #define DEFAULT_RESIDENCE_MS 200.0
 
@@ -149,6 +157,14 @@
          && strcmp (x->info.service, service) == 0;
 }
 
+/* Whether X may be reserved: one whose requests a second are limited may take
+   too few.  */
+static bool
+may_reserve (const struct upstream *x, const char *service, int64_t now_ms)
+{
+  return is_decode_engine (x, service, now_ms) && !x->rate.limit.in_force;
+}
+
 /* Marks the decode engines of SERVICE that are reserved for short prompts:
    one, and one more for each engine that the short requests fill, but not all.
    All VMs reserve them in the same order, that of reserve_rank.  */
@@ -162,7 +178,7 @@
     {
       struct upstream *x = upstreams_entry (u, i);
       x->reserved = false;
-      if (!is_decode_engine (x, service, now_ms))
+      if (!may_reserve (x, service, now_ms))
         continue;
       engines++;
       slots = MAX (slots, x->info.slots);
@@ -179,7 +195,7 @@
       for (guint i = 1; i < u->slots->len; i++)
         {
           struct upstream *x = upstreams_entry (u, i);
-          if (is_decode_engine (x, service, now_ms) && !x->reserved
+          if (may_reserve (x, service, now_ms) && !x->reserved
               && (first == NULL || x->reserve_rank > first->reserve_rank))
             first = x;
         }
@@ -189,11 +205,19 @@
     }
 }
 
+static bool
+may_send (const struct upstream *x, const struct placement_request *request,
+          int64_t now_ms)
+{
+  return request->ignore_limits ? upstreams_entry_accepts (x, now_ms)
+                                : upstreams_entry_admits (x, now_ms);
+}
+
 static bool
 is_eligible (const struct upstream *x, const struct placement_request *request,
              int64_t now_ms)
 {
-  return upstreams_entry_accepts (x, now_ms)
+  return may_send (x, request, now_ms)
          && (x->info.role != UPSTREAM_PREFILL || may_disaggregate (request))
          && !(x->reserved && needs_long_prefill (request))
          && strcmp (x->info.service, request->service) == 0;
@@ -338,13 +362,17 @@
 };
 
 /* Sets BEST[D], for the index D of each failure domain, to the decode with the
-   lowest cost after a prefill in D, at any decode engine of SERVICE.  LOCAL is
-   the time in ms of a transfer within a failure domain.  */
-static void
-find_best_decode (const struct upstreams *u, const char *service, double local,
+   lowest cost after a prefill in D, at any decode engine that may get REQUEST.
+   LOCAL is the time in ms of a transfer within a failure domain.  Returns
+   whether there is none for want of a token.  */
+static bool
+find_best_decode (const struct upstreams *u,
+                  const struct placement_request *request, double local,
                   int64_t now_ms, struct decode_option *best)
 {
   unsigned n = u->domains->len;
+  bool lacks_token = false;
+  bool found = false;
   g_autofree double *fastest = g_new (double, n);
   for (unsigned d = 0; d < n; d++)
     {
@@ -354,9 +382,15 @@
   for (guint i = 1; i < u->slots->len; i++)
     {
       const struct upstream *x = upstreams_entry (u, i);
-      if (!is_decode_engine (x, service, now_ms)
+      if (!is_decode_engine (x, request->service, now_ms)
           || upstreams_is_deprioritized (x, now_ms))
         continue;
+      if (!may_send (x, request, now_ms))
+        {
+          lacks_token = true;
+          continue;
+        }
+      found = true;
       fastest[x->domain] = MIN (fastest[x->domain], decode_ms (x, now_ms));
     }
   for (unsigned from = 0; from < n; from++)
@@ -369,6 +403,7 @@
         if (cost < best[from].cost)
           best[from] = (struct decode_option){ ms, cost };
       }
+  return lacks_token && !found;
 }
 
 /* Returns the tokens before the last part of P, which may be shared with other
@@ -402,6 +437,7 @@
   uint64_t kv_tokens;           /* capacity of an engine's KV cache */
   double pressure;              /* see find_pressure; for long prompts */
   double best_service_ms; /* upstreams_best_service_ms, for plain requests */
+  bool decode_limited;    /* no decode engine has a token, and some need one */
   int64_t now_ms;
 };
 
@@ -597,13 +633,14 @@
   if (needs_long_prefill (request))
     s.pressure = find_pressure (u, request, now_ms);
   if (may_disaggregate (request))
-    find_best_decode (u, request->service, s.local_transfer_ms, now_ms,
-                      decode);
+    s.decode_limited
+        = find_best_decode (u, request, s.local_transfer_ms, now_ms, decode);
   unsigned candidates = 0;
   for (guint i = 1; i < u->slots->len; i++)
     {
       const struct upstream *x = upstreams_entry (u, i);
       if (!is_eligible (x, request, now_ms)
+          || (s.decode_limited && x->info.role == UPSTREAM_PREFILL)
           || was_tried (request, upstreams_handle_of (u, i)))
         continue;
       struct upstream_choice c = { .handle = upstreams_handle_of (u, i),
@@ -627,3 +664,100 @@
   best.margin_ms = MAX (next_cost - best_cost, 0);
   return best;
 }
+
+/* Limits of requests a second.  */
+
+/* Whether X would be eligible for REQUEST if it had a token.  */
+static bool
+lacks_token (const struct upstream *x, const struct placement_request *request,
+             int64_t now_ms)
+{
+  struct placement_request unlimited = *request;
+  unlimited.ignore_limits = true;
+  return is_eligible (x, &unlimited, now_ms)
+         && !upstreams_entry_admits (x, now_ms);
+}
+
+bool
+placement_lacks_token (const struct upstreams *u,
+                       const struct placement_request *request, int64_t now_ms)
+{
+  for (guint i = 1; i < u->slots->len; i++)
+    if (lacks_token (upstreams_entry (u, i), request, now_ms)
+        && !was_tried (request, upstreams_handle_of (u, i)))
+      return true;
+  return false;
+}
+
+/* Counts REQUEST, which is placed elsewhere, as demand of the upstreams that
+   it would be sent to if none were limited.  */
+static void
+record_preferred (struct upstreams *u, const struct placement_request *request,
+                  int64_t now_ms)
+{
+  struct placement_request unlimited = *request;
+  unlimited.ignore_limits = true;
+  struct upstream_choice best = placement_choose (u, &unlimited, now_ms);
+  upstream_handle decode = 0;
+  if (best.remote_prefill)
+    {
+      unlimited.prefill_engine = best.handle;
+      decode = placement_choose (u, &unlimited, now_ms).handle;
+    }
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      struct upstream *x = upstreams_entry (u, i);
+      upstream_handle h = upstreams_handle_of (u, i);
+      if (x->used && (h == best.handle || h == decode)
+          && !upstreams_entry_admits (x, now_ms))
+        rate_tokens_record_miss (&x->rate.tokens, now_ms);
+    }
+}
+
+/* How often X is asked for tokens.  A limit that was stated long ago may no
+   longer hold, which only a request can tell.  */
+static double
+token_weight (const struct upstream *x, int64_t now_ms)
+{
+  if (now_ms - x->rate.limit.stated_ms > PROBE_MS)
+    return PROBE_WEIGHT;
+  return MAX (x->rate.limit.per_s, TOKEN_WEIGHT_MIN);
+}
+
+/* Counts REQUEST, which waits, as demand of one upstream that may get it: each
+   in turn, as often as its limit says.  */
+static void
+record_in_turn (struct upstreams *u, const struct placement_request *request,
+                int64_t now_ms)
+{
+  double sum = 0;
+  for (guint i = 1; i < u->slots->len; i++)
+    if (lacks_token (upstreams_entry (u, i), request, now_ms))
+      sum += token_weight (upstreams_entry (u, i), now_ms);
+  u->token_turn = fmod (u->token_turn + TOKEN_TURN_STEP, 1);
+  double left = u->token_turn * sum;
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      struct upstream *x = upstreams_entry (u, i);
+      if (!lacks_token (x, request, now_ms))
+        continue;
+      left -= token_weight (x, now_ms);
+      if (left >= 0)
+        continue;
+      rate_tokens_record_miss (&x->rate.tokens, now_ms);
+      return;
+    }
+}
+
+void
+placement_record_misses (struct upstreams *u,
+                         const struct placement_request *request,
+                         upstream_handle chosen, int64_t now_ms)
+{
+  if (!placement_lacks_token (u, request, now_ms))
+    return;
+  if (chosen != 0)
+    record_preferred (u, request, now_ms);
+  else
+    record_in_turn (u, request, now_ms);
+}
--- a/src/decide/placement.h
+++ b/src/decide/placement.h
@@ -28,8 +28,10 @@
   bool repeatable;                /**< may run more than once */
   bool exclude_prefill_engines;   /**< exclude engines that only prefill */
   upstream_handle prefill_engine; /**< has prefilled the prompt; or 0 */
-  double limit_ms; /**< upstreams with a longer wait for earlier requests
-                        rank after the others; 0 for no limit */
+  bool ignore_limits; /**< upstreams without a token of their limit of requests
+                           a second are eligible, too */
+  double limit_ms;    /**< upstreams with a longer wait for earlier requests
+                           rank after the others; 0: none does */
 };
 
 /** Chooses the eligible upstream with the lowest expected latency plus costs
@@ -40,6 +42,19 @@
 placement_choose (const struct upstreams *u,
                   const struct placement_request *request, int64_t now_ms);
 
+/** Whether an upstream would be eligible for REQUEST if this VM had a token of
+    its limit of requests a second.  */
+bool placement_lacks_token (const struct upstreams *u,
+                            const struct placement_request *request,
+                            int64_t now_ms);
+
+/** Counts REQUEST, which is placed at CHOSEN, as demand of the limited
+    upstream that it would rather be sent to; if CHOSEN is 0, of one that it
+    could be sent to.  */
+void placement_record_misses (struct upstreams *u,
+                              const struct placement_request *request,
+                              upstream_handle chosen, int64_t now_ms);
+
 /** What the expected wait at an engine depends on, besides its load.  */
 struct placement_engine
 {
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -322,11 +322,53 @@
   return true;
 }
 
-struct rate_limit *
-upstreams_rate_limit (struct upstreams *u, upstream_handle h)
+/* Limits of requests a second.  */
+
+struct upstream_rate *
+upstreams_rate (struct upstreams *u, upstream_handle h)
 {
   struct upstream *x = upstreams_lookup (u, h);
-  return x ? &x->limit : NULL;
+  return x ? &x->rate : NULL;
+}
+
+bool
+upstreams_is_limited (const struct upstreams *u, upstream_handle h)
+{
+  const struct upstream *x = upstreams_lookup (u, h);
+  return x && x->rate.limit.in_force;
+}
+
+bool
+upstreams_take_token (struct upstreams *u, upstream_handle h, int64_t now_ms)
+{
+  struct upstream_rate *r = upstreams_rate (u, h);
+  if (r == NULL || !r->limit.in_force)
+    return r != NULL;
+  return rate_tokens_take (&r->tokens, now_ms);
+}
+
+void
+upstreams_give_back_token (struct upstreams *u, upstream_handle h,
+                           int64_t now_ms)
+{
+  struct upstream_rate *r = upstreams_rate (u, h);
+  if (r && r->limit.in_force)
+    rate_tokens_give_back (&r->tokens, now_ms);
+}
+
+void
+upstreams_foreach_rate (struct upstreams *u,
+                        void (*visit) (void *arg, upstream_handle h,
+                                       const struct upstream_info *info,
+                                       struct upstream_rate *rate),
+                        void *arg)
+{
+  for (guint i = 1; i < u->slots->len; i++)
+    {
+      struct upstream *x = upstreams_entry (u, i);
+      if (x->used && x->rate.limit.stated_ms != 0)
+        visit (arg, upstreams_handle_of (u, i), &x->info, &x->rate);
+    }
 }
 
 GPtrArray *
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -12,6 +12,7 @@
 #include "decide/engine_model.h"
 #include "decide/prefix_index.h"
 #include "decide/rate_limit.h"
+#include "decide/rate_tokens.h"
 
 #include <glib.h>
 #include <stdbool.h>
@@ -244,10 +245,32 @@
 /** Records that H accepts no requests of this VM for FOR_MS milliseconds.  */
 void upstreams_pause (struct upstreams *u, upstream_handle h, unsigned for_ms,
                       int64_t now_ms);
-/** Returns the limit of requests a second that H stated, which the calling
-    code may update; NULL if H is no longer valid.  */
-struct rate_limit *upstreams_rate_limit (struct upstreams *u,
-                                         upstream_handle h);
+/** The limit of requests a second that an upstream stated, and this VM's
+    tokens of it.  Tokens are needed while the limit is in force.  */
+struct upstream_rate
+{
+  struct rate_limit limit;
+  struct rate_tokens tokens;
+};
+/** Returns the rate of H, which the calling code may update; NULL if H is no
+    longer valid.  */
+struct upstream_rate *upstreams_rate (struct upstreams *u, upstream_handle h);
+/** Takes the token that a request to H needs.  Returns false if there is none;
+    true without a token if H is not limited.  */
+bool upstreams_take_token (struct upstreams *u, upstream_handle h,
+                           int64_t now_ms);
+/** Gives back the token that upstreams_take_token took for a request to H that
+    was not sent.  */
+void upstreams_give_back_token (struct upstreams *u, upstream_handle h,
+                                int64_t now_ms);
+/** Whether the requests a second to H are limited.  */
+bool upstreams_is_limited (const struct upstreams *u, upstream_handle h);
+/** Calls VISIT for each upstream that has ever stated a limit.  */
+void upstreams_foreach_rate (struct upstreams *u,
+                             void (*visit) (void *arg, upstream_handle h,
+                                            const struct upstream_info *info,
+                                            struct upstream_rate *rate),
+                             void *arg);
 /** Returns whether a new request may be sent to H: it exists, is not leaving
     and not paused.  */
 bool upstreams_accepts (const struct upstreams *u, upstream_handle h,
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -65,12 +65,12 @@
   int64_t active_ms; /* when it last sent a byte, or got a request while it had
                         no other */
   bool said_leaving; /* it stated that it is shutting down */
-  int64_t paused_until_ms; /* end of the time for which it accepts no
-                              requests, as it stated */
-  struct rate_limit limit; /* of requests a second, as it stated */
-  int64_t full_until_ms;   /* end of the cool-down after a refused request */
-  unsigned refusals;       /* engine: requests in a row that were refused or
-                              could not be sent */
+  int64_t paused_until_ms;   /* end of the time for which it accepts no
+                                requests, as it stated */
+  struct upstream_rate rate; /* limit of requests a second, and tokens */
+  int64_t full_until_ms;     /* end of the cool-down after a refused request */
+  unsigned refusals;         /* engine: requests in a row that were refused or
+                                could not be sent */
 };
 
 /** The table of upstreams.  */
@@ -82,6 +82,8 @@
   GHashTable *engine_limits; /* service -> struct engine_limits */
   GHashTable *short_demand;  /* service -> struct short_demand */
   unsigned vms;              /* running VMs, this one included; at least 1 */
+  double token_turn;         /* 0 to 1: which limited upstream a waiting
+                                request asks for a token next */
   GPtrArray *domains;        /* char *: failure domains seen so far */
   double latency_factor; /* moving average of the measured / estimated latency
                             of long prompts; at least 1 */
@@ -107,6 +109,16 @@
   return x->used && !x->info.leaving && now_ms >= x->paused_until_ms;
 }
 
+/** Returns whether X may get a new request now: it also has a token if its
+    requests a second are limited.  */
+static inline bool
+upstreams_entry_admits (const struct upstream *x, int64_t now_ms)
+{
+  return upstreams_entry_accepts (x, now_ms)
+         && (!x->rate.limit.in_force
+             || rate_tokens_available (&x->rate.tokens, now_ms));
+}
+
 /** Returns the handle of the upstream in the entry at index I.  */
 upstream_handle upstreams_handle_of (const struct upstreams *u, guint i);
 /** Returns the entry of H, or NULL if H is no longer valid.  */
--- a/tests/fuzz/fuzz_peers.c
+++ b/tests/fuzz/fuzz_peers.c
@@ -32,6 +32,7 @@
   struct upstreams *upstreams;
   struct permit_link *permits;
   struct load_link *loads;
+  struct rate_limit_link *limits;
   struct upstream_statements *statements;
   struct quarantine_link *quarantine;
   permit_ticket ticket;
@@ -146,13 +147,17 @@
                                    .failure_domain = "zone-a",
                                    .send = check_sent_shares };
   v->loads = load_link_create (&loads);
-  struct upstream_statements_parts statements = { .upstreams = v->upstreams,
-                                                  .members = v->members,
-                                                  .send = check_sent };
-  v->statements = upstream_statements_create (&statements);
-  struct quarantine_link_parts quarantine = {
-    .base = v->base, .members = v->members, .vm = "vm-0", .send = check_sent
+  struct vm_broadcast peers = { v->members, check_sent, NULL };
+  struct rate_limit_link_parts limits = {
+    .base = v->base, .upstreams = v->upstreams, .vm = "vm-0", .peers = peers
   };
+  v->limits = rate_limit_link_create (&limits);
+  rate_limit_link_set_vms (v->limits, VMS);
+  struct upstream_statements_parts statements
+      = { .upstreams = v->upstreams, .limits = v->limits, .peers = peers };
+  v->statements = upstream_statements_create (&statements);
+  struct quarantine_link_parts quarantine
+      = { .base = v->base, .vm = "vm-0", .peers = peers };
   v->quarantine = quarantine_link_create (&quarantine);
 }
 
@@ -162,6 +167,7 @@
   permit_link_destroy (v->permits);
   load_link_destroy (v->loads);
   upstream_statements_destroy (v->statements);
+  rate_limit_link_destroy (v->limits);
   quarantine_link_destroy (v->quarantine);
   upstreams_destroy (v->upstreams);
   members_destroy (v->members);
@@ -171,10 +177,11 @@
 receive (struct vm *v, struct fuzz_input *in)
 {
   static const unsigned types[]
-      = { MESSAGE_UPSTREAM_SHARES,  MESSAGE_PERMIT_ASK,
-          MESSAGE_PERMIT_ANSWER,    MESSAGE_PERMIT_NOTE,
-          MESSAGE_ROLE_CHANGE,      MESSAGE_UPSTREAM_LEAVING,
-          MESSAGE_QUARANTINE_REPORT };
+      = { MESSAGE_UPSTREAM_SHARES,   MESSAGE_PERMIT_ASK,
+          MESSAGE_PERMIT_ANSWER,     MESSAGE_PERMIT_NOTE,
+          MESSAGE_ROLE_CHANGE,       MESSAGE_UPSTREAM_LEAVING,
+          MESSAGE_QUARANTINE_REPORT, MESSAGE_RATE_REPORT,
+          MESSAGE_RATE_ASK,          MESSAGE_RATE_LOAN };
   struct frame f = { .type = types[fuzz_byte (in) % G_N_ELEMENTS (types)] };
   const struct record_def *def = message_record (f.type);
   f.message = g_malloc0 (def->size);
@@ -182,6 +189,7 @@
   if (f.type == MESSAGE_UPSTREAM_SHARES)
     load_link_handle_report (v->loads, f.message, v->now);
   permit_link_handle_frame (v->permits, &f);
+  rate_limit_link_handle_frame (v->limits, &f);
   upstream_statements_handle_frame (v->statements, &f);
   quarantine_link_handle_frame (v->quarantine, &f);
   frame_clear (&f);
@@ -229,6 +237,24 @@
   quarantine_link_send (v->quarantine, v->now);
 }
 
+/* An upstream that IN names states a limit of requests a second, or none, and
+   a request is sent there.  */
+static void
+state_limit (struct vm *v, struct fuzz_input *in)
+{
+  static const char *const ids[] = { "e-0", "e-1", "s-0" };
+  const char *id = ids[fuzz_byte (in) % G_N_ELEMENTS (ids)];
+  upstream_handle h = upstreams_find (v->upstreams, id);
+  struct response_info info
+      = { .limit = fuzz_byte (in) % 3,
+          .limit_per_s = (double)fuzz_number (in, 1000000) };
+  upstream_statements_record (v->statements, h, &info, "r");
+  if (upstreams_take_token (v->upstreams, h, v->now)
+      && fuzz_byte (in) % 2 == 0)
+    upstreams_give_back_token (v->upstreams, h, v->now);
+  rate_limit_link_send (v->limits, v->now);
+}
+
 static void
 check_loads (const struct vm *v)
 {
@@ -246,11 +272,13 @@
 static void
 step (struct vm *v, struct fuzz_input *in)
 {
-  unsigned kind = fuzz_byte (in) % 9;
+  unsigned kind = fuzz_byte (in) % 10;
   if (kind < 4)
     receive (v, in);
   else if (kind == 8)
     end_request (v, in);
+  else if (kind == 9)
+    state_limit (v, in);
   else if (kind < 6)
     request_permit (v, in);
   else if (kind == 6)
