A planned stop answers each request that it has read

Cause: for three tenths of that time any request was passed on, whatever its response takes, and at the end those left were cut with their connections. Ruled out: requests that were passed on too late to end by their deadline; these were refused before. Change: a route's longest recent response tells whether a request can end in time (response_times); if not, it is refused at once, with a Retry-After of 1 ms, as another VM can take it. At the end those still open get 504, or 503 if they were not sent; the loop goes on until that is written, 0.03 of the time at most.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -20,6 +20,7 @@
 #include "decide/arrivals.h"
 #include "decide/attempts.h"
 #include "decide/placement.h"
+#include "decide/response_times.h"
 #include "decide/route_table.h"
 #include "decide/token_queue.h"
 #include "links/http_listener.h"
@@ -43,12 +44,13 @@
 struct proxy
 {
   struct proxy_parts parts;
-  struct route_table *table;   /* NULL before the first proxy_set_routes */
-  GHashTable *open;            /* set of struct exchange in progress */
-  struct token_queue *waiting; /* requests that wait for a token */
-  struct event *timer;         /* checks for unresponsive upstreams */
-  int64_t usage_logged_ms;     /* when the retry budgets were last logged */
-  int64_t shutdown_from_ms;    /* FROM_MS of proxy_set_shutdown, or 0 */
+  struct route_table *table;    /* NULL before the first proxy_set_routes */
+  GHashTable *open;             /* set of struct exchange in progress */
+  struct token_queue *waiting;  /* requests that wait for a token */
+  struct response_times *times; /* longest responses of each route */
+  struct event *timer;          /* checks for unresponsive upstreams */
+  int64_t usage_logged_ms;      /* when the retry budgets were last logged */
+  int64_t shutdown_from_ms;     /* FROM_MS of proxy_set_shutdown, or 0 */
   int64_t end_ms; /* END_MS of proxy_set_shutdown; 0: VM not stopping */
 };
 
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -224,9 +224,11 @@
   if (is_trusted_success (a))
     quarantine_link_record_answer (e->proxy->parts.quarantine, e->service,
                                    &e->facts.prompt);
+  int64_t now = clock_ms ();
   metrics_add (METRIC_answered_total, 1);
-  metrics_observe (METRIC_request_seconds,
-                   (clock_ms () - e->since_ms) * US_PER_MS);
+  metrics_observe (METRIC_request_seconds, (now - e->since_ms) * US_PER_MS);
+  response_times_record (e->proxy->times, e->route->name, now - e->since_ms,
+                         now);
   exchange_log_end (e, is_trusted_success (a) ? "answered" : "upstream_failed",
                     a->answer->status);
   exchange_free (e);
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -30,10 +30,13 @@
    SHUTDOWN_ACCEPT_FRACTION: until then new connections are accepted.
    SHUTDOWN_ACCEPT_LONG_FRACTION: until then requests are accepted that may run
    past the end.
-   SHUTDOWN_END_FRACTION: the event loop ends; requests still open are cut.  */
+   SHUTDOWN_END_FRACTION: requests that are still open are ended.
+   SHUTDOWN_FLUSH_FRACTION: the event loop ends, if the responses to these were
+   not all written before.  */
 #define SHUTDOWN_ACCEPT_FRACTION 0.45
 #define SHUTDOWN_ACCEPT_LONG_FRACTION 0.3
 #define SHUTDOWN_END_FRACTION 0.92
+#define SHUTDOWN_FLUSH_FRACTION 0.95
 /* Idle connections of callers are closed after this time during shutdown.  */
 #define SHUTDOWN_IDLE_MS 1500
 /* Least duration of a shutdown, unless SHUTDOWN_END_FRACTION comes first.  */
@@ -246,6 +249,8 @@
   int64_t elapsed_ms = now - g->leaving_ms;
   double total_ms = (double)g->settings->leave_deadline_s * SECOND_MS;
   if ((double)elapsed_ms >= total_ms * SHUTDOWN_END_FRACTION)
+    proxy_end_requests (g->proxy);
+  if ((double)elapsed_ms >= total_ms * SHUTDOWN_FLUSH_FRACTION)
     return true;
   if ((double)elapsed_ms >= total_ms * SHUTDOWN_ACCEPT_FRACTION)
     http_listener_stop_accepting (g->callers);
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -12,6 +12,9 @@
 /* How often requests in progress are checked for an unresponsive upstream.  */
 #define UNRESPONSIVE_CHECK_MS 100
 #define USAGE_LOG_INTERVAL_MS 1000
+/* Retry-After sent while this VM stops: another VM may take the request at
+   once.  */
+#define STOPPING_RETRY_MS 1
 
 static void
 on_caller_gone (void *arg)
@@ -29,24 +32,50 @@
   return a && a->call && !a->prefilling && pool_call_bytes_sent (a->call);
 }
 
+/* Refuses E, which has not run and will not.  */
 static void
-on_timeout (evutil_socket_t fd, short what, void *arg)
+refuse (struct exchange *e, const char *why, unsigned retry_after_ms)
+{
+  metrics_add (METRIC_not_run_total, 1);
+  exchange_reply (e, 503, why, retry_after_ms);
+}
+
+/* Why a request ends before its response, for logs: within the response, after
+   it may have run, and before that.  */
+struct early_end
+{
+  const char *in_response;
+  const char *unknown;
+  const char *not_run;
+  unsigned retry_after_ms; /* if it has not run */
+};
+
+/* Ends E now, with what is known of it.  */
+static void
+end_early (struct exchange *e, const struct early_end *why)
 {
-  (void)fd;
-  (void)what;
-  struct exchange *e = arg;
   bool sent = was_sent (e->current) || was_sent (e->silent);
   exchange_silence_ended (e->current, SILENCE_TIMEOUT);
   exchange_silence_ended (e->silent, SILENCE_TIMEOUT);
   if (e->started)
-    exchange_abort (e, "timeout_in_answer");
+    exchange_abort (e, why->in_response);
   else if (e->failed)
     exchange_finish_response (e->failed);
   else if (sent || e->attempts.may_have_run)
-    exchange_reply_unknown (e, "timeout", 504);
+    exchange_reply_unknown (e, why->unknown, 504);
   else
-    exchange_refuse (e, "timeout_before_sending",
-                     LOAD_SHED_RETRY_AFTER_MIN_MS);
+    refuse (e, why->not_run, why->retry_after_ms);
+}
+
+static void
+on_timeout (evutil_socket_t fd, short what, void *arg)
+{
+  static const struct early_end why
+      = { "timeout_in_answer", "timeout", "timeout_before_sending",
+          LOAD_SHED_RETRY_AFTER_MIN_MS };
+  (void)fd;
+  (void)what;
+  end_early (arg, &why);
 }
 
 /* Routing of new requests.  */
@@ -75,13 +104,18 @@
   return e->service != NULL;
 }
 
-/* Whether the VM stops before the deadline of E.  */
+/* Whether the VM stops before E can be expected to end: by its route's longest
+   responses or, later in the stop, by its deadline.  */
 static bool
 outlasts_shutdown (const struct exchange *e)
 {
   const struct proxy *p = e->proxy;
-  return p->end_ms != 0 && clock_ms () >= p->shutdown_from_ms
-         && e->until_ms > p->end_ms;
+  int64_t now = clock_ms ();
+  if (p->end_ms == 0 || e->until_ms <= p->end_ms)
+    return false;
+  return now >= p->shutdown_from_ms
+         || now + response_times_longest (p->times, e->route->name, now)
+                > p->end_ms;
 }
 
 /* Refuses E if a part of its prompt is in quarantine.  Returns whether it
@@ -114,7 +148,7 @@
       set_deadline (e);
       if (outlasts_shutdown (e))
         {
-          exchange_refuse (e, "stopping", LOAD_SHED_RETRY_AFTER_MIN_MS);
+          refuse (e, "stopping", STOPPING_RETRY_MS);
           return;
         }
       if (refuse_quarantined (e))
@@ -215,6 +249,7 @@
   static const struct timeval tick = { 0, UNRESPONSIVE_CHECK_MS * 1000 };
   p->open = g_hash_table_new (NULL, NULL);
   p->waiting = token_queue_create ();
+  p->times = response_times_create ();
   p->timer = event_new (parts->base, -1, EV_PERSIST, on_unresponsive_check, p);
   event_add (p->timer, &tick);
   return p;
@@ -231,6 +266,7 @@
   event_free (p->timer);
   g_hash_table_destroy (p->open);
   token_queue_destroy (p->waiting);
+  response_times_destroy (p->times);
   route_table_unref (p->table);
   g_free (p);
 }
@@ -255,6 +291,17 @@
   p->end_ms = end_ms;
 }
 
+void
+proxy_end_requests (struct proxy *p)
+{
+  static const struct early_end why
+      = { "stopped_in_answer", "stopped", "stopped_before_sending",
+          STOPPING_RETRY_MS };
+  g_autoptr (GList) open = g_hash_table_get_keys (p->open);
+  for (GList *l = open; l; l = l->next)
+    end_early (l->data, &why);
+}
+
 void
 proxy_tokens_arrived (struct proxy *p)
 {
--- a/src/daemon/proxy.h
+++ b/src/daemon/proxy.h
@@ -30,11 +30,16 @@
     listener; the listener's callback argument must be the proxy.  */
 extern const struct http_listener_callbacks proxy_listener_callbacks;
 
-/** Announces that the VM stops at END_MS.  Requests that arrive at or after
-    FROM_MS and whose deadline lies past END_MS are refused.  Both times are
-    milliseconds of the monotonic clock.  */
+/** Announces that the VM stops at END_MS.  Requests whose deadline lies past
+    END_MS are refused if they arrive at or after FROM_MS or, before, if their
+    route's recent responses took too long for them to end in time.  Both times
+    are milliseconds of the monotonic clock.  */
 void proxy_set_shutdown (struct proxy *p, int64_t from_ms, int64_t end_ms);
 
+/** Ends the requests in progress, as this VM stops: with a response that says
+    whether they may have run, or within the response.  */
+void proxy_end_requests (struct proxy *p);
+
 /** This VM may have got tokens of limits: requests that wait for one go on. */
 void proxy_tokens_arrived (struct proxy *p);
 
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -33,6 +33,10 @@
                      then responds as "slow"
       slow           responds after 300 ms
       late           responds after 1500 ms
+      wait-MS        responds after MS ms
+      head-PERCENT, stream-head-PERCENT
+                     that part of the head of a response, or of one with
+                     events, but not all of it; then closes
       halves         as "ok", with 1500 ms between the halves of the body
       big-halves     the same, with an empty line and 300,000 bytes more
       stream         5 events, 20 ms apart, from the one after Last-Event-Id
--- a/tests/fakes/upstream_response.c
+++ b/tests/fakes/upstream_response.c
@@ -2,6 +2,7 @@
 
 #include "base/http_head.h"
 
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -13,6 +14,10 @@
 #define BIG_BYTES 300000
 #define SLOW_MS 300
 #define FAST_EVENTS 1000
+/* Prefixes of directives with a number.  */
+#define HEAD_PART "head-"
+#define STREAM_HEAD_PART "stream-head-"
+#define WAIT "wait-"
 #define LINGER_S 0 /* close with a TCP reset */
 #define ENDLESS_PART_BYTES 65536
 #define ENDLESS_PART_MS 1
@@ -455,6 +460,20 @@
   return true;
 }
 
+/* Sends PERCENT of the head of a complete response.  */
+static void
+send_part_of_head (struct conn *c, const char *percent, bool events)
+{
+  g_autofree char *head = format_head (c->id, "200 OK", true);
+  g_autofree char *text = g_strdup_printf (
+      "%s%s\r\n\r\n", head,
+      events ? "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+             : "Content-Type: text/plain\r\nContent-Length: 1000");
+  size_t size = strlen (text) * strtoul (percent, NULL, 10) / 100;
+  text[MIN (size, strlen (text) - 1)] = '\0';
+  send_text (c, text);
+}
+
 /* Sends a response that only the end of the connection delimits, or that is
    malformed, then closes.  Returns false for other directives.  */
 static bool
@@ -467,6 +486,10 @@
     send_text (c, "\x01\x02\x03 this is no answer\r\n\r\n");
   else if (strcmp (d, "unframed") == 0)
     send_unframed (c);
+  else if (g_str_has_prefix (d, HEAD_PART))
+    send_part_of_head (c, d + strlen (HEAD_PART), false);
+  else if (g_str_has_prefix (d, STREAM_HEAD_PART))
+    send_part_of_head (c, d + strlen (STREAM_HEAD_PART), true);
   else
     return false;
   response_finish (c, true);
@@ -487,6 +510,8 @@
     response_set_timer (c, SLOW_MS);
   else if (strcmp (d, "late") == 0)
     response_set_timer (c, SILENCE_MS);
+  else if (g_str_has_prefix (d, WAIT))
+    response_set_timer (c, (unsigned)strtoul (d + strlen (WAIT), NULL, 10));
   else if (strcmp (d, "again") == 0)
     {
       if (c->previous)
@@ -535,6 +560,7 @@
 response_continue (struct conn *c)
 {
   if (strcmp (c->directive, "slow") == 0 || strcmp (c->directive, "late") == 0
+      || g_str_has_prefix (c->directive, WAIT)
       || strcmp (c->directive, "again") == 0)
     {
       response_send_ok (c);
--- a/tests/process/test_response_ends.c
+++ b/tests/process/test_response_ends.c
@@ -161,6 +161,39 @@
     }
 }
 
+/* The upstream sends a part of the head, and closes.  */
+static void
+test_closed_inside_head_is_not_success (void)
+{
+  static const unsigned percents[]
+      = { 1, 10, 25, 40, 55, 70, 85, 95, 99, 100 };
+  for (size_t i = 0; i < G_N_ELEMENTS (percents); i++)
+    {
+      unsigned p = percents[i];
+      g_autofree char *once = g_strdup_printf ("/once/head-%u", p);
+      g_autofree char *live = g_strdup_printf ("/live/stream-head-%u", p);
+      g_autofree char *once_id = g_strdup_printf ("head-once-%u", p);
+      g_autofree char *live_id = g_strdup_printf ("head-live-%u", p);
+      expect_unknown (once, once_id);
+      expect_unknown (live, live_id);
+      for (unsigned u = 0; u < UPSTREAMS; u++)
+        {
+          g_autofree char *safe = g_strdup_printf ("/safe/head-%u@u%u", p, u);
+          g_autofree char *stream
+              = g_strdup_printf ("/stream/stream-head-%u@u%u", p, u);
+          g_autofree char *id = g_strdup_printf ("head-%u-%u", p, u);
+          g_autofree char *echo = g_strdup_printf ("POST %s ", safe);
+          struct web *w = site_request (site, 0, "POST", safe, id);
+          g_assert_cmpint (w->status, ==, 200);
+          g_assert_true (w->complete);
+          g_assert_true (g_str_has_prefix (w->body->str, echo));
+          web_close (w);
+          g_autofree char *stream_id = g_strdup_printf ("heads-%u-%u", p, u);
+          g_assert_cmpuint (expect_whole (stream, stream_id), <=, 2);
+        }
+    }
+}
+
 static struct web *
 send_http10 (const char *path, const char *id)
 {
@@ -284,6 +317,8 @@
                    test_stream_without_event_is_repeated);
   g_test_add_func ("/response-ends/truncated-events-on-plain-routes",
                    test_truncated_events_on_plain_routes);
+  g_test_add_func ("/response-ends/closed-inside-head-is-not-success",
+                   test_closed_inside_head_is_not_success);
   g_test_add_func ("/response-ends/http10-caller-sees-reset",
                    test_http10_caller_sees_reset);
   g_test_add_func ("/response-ends/http10-caller-of-killed-vm-sees-reset",
