Limits in force are read back; a fleet that shrank lends again after a minute

The status of a VM lists the limits that it knows. A fleet that lost more than half of its VMs lent nothing for five minutes, the memory of the retry budget, though it can't exceed a limit any more; it is a minute now, as VMs that are cut off for longer are beyond what a home VM can know.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -350,6 +350,15 @@
   return MAX (live, vm_registry_count_listed (g->vm_registry));
 }
 
+/* VMS VMs share the retry budgets and the limits of upstreams.  */
+static void
+set_sharing_vms (struct gateway *g, unsigned vms, int64_t now)
+{
+  retry_buckets_set_vms (g->retries, vms, now);
+  if (retry_buckets_shared_by (g->retries, now) > 0)
+    rate_limit_link_set_vms (vm_registry_limits (g->vm_registry), vms);
+}
+
 static void
 on_tick (evutil_socket_t fd, short what, void *arg)
 {
@@ -367,10 +376,9 @@
   upstreams_set_vm_count (g->upstreams, count_vms (g));
   discovery_set_vm_count (g->discovery, count_vms (g));
   if (vm_registry_has_joined (g->vm_registry))
-    retry_buckets_set_vms (g->retries, count_budget_vms (g, now), now);
-  unsigned shared_by = retry_buckets_shared_by (g->retries, now);
-  metrics_set (METRIC_retry_shared_by, shared_by);
-  rate_limit_link_set_vms (vm_registry_limits (g->vm_registry), shared_by);
+    set_sharing_vms (g, count_budget_vms (g, now), now);
+  metrics_set (METRIC_retry_shared_by,
+               retry_buckets_shared_by (g->retries, now));
   if (settings_file_changed (g))
     reload_settings (g, "file_changed");
 }
--- a/src/daemon/inspect.c
+++ b/src/daemon/inspect.c
@@ -76,6 +76,22 @@
                  (json_int_t)(entry->canary_ms - now)));
 }
 
+static void
+add_limit (void *arg, upstream_handle h, const struct upstream_info *info,
+           struct upstream_rate *rate)
+{
+  (void)h;
+  json_t *list = arg;
+  if (!rate->limit.in_force)
+    return;
+  json_array_append_new (
+      list,
+      json_pack ("{s:s, s:s, s:f, s:I, s:i}", "upstream", info->id, "service",
+                 info->service, "per_s", rate->limit.per_s, "age_ms",
+                 (json_int_t)(clock_ms () - rate->limit.stated_ms), "tokens",
+                 (int)rate->tokens.lent));
+}
+
 static void
 reply_status (const struct inspect_parts *p, struct inbound_request *request)
 {
@@ -88,14 +104,16 @@
   json_t *quarantined = json_array ();
   quarantine_link_foreach (vm_registry_quarantine (p->vm_registry),
                            add_quarantined, quarantined);
+  json_t *limits = json_array ();
+  upstreams_foreach_rate (p->upstreams, add_limit, limits);
   json_t *root = json_pack (
-      "{s:s, s:b, s:I, s:I, s:i, s:i, s:o, s:o}", "vm", p->vm, "ready",
+      "{s:s, s:b, s:I, s:I, s:i, s:i, s:o, s:o, s:o}", "vm", p->vm, "ready",
       p->ready, "routes_version",
       (json_int_t)(routes ? (int64_t)route_table_version (routes) : -1),
       "routes_age_ms", (json_int_t)discovery_routes_age_ms (p->discovery),
       "vms", (int)vm_registry_count_live (p->vm_registry), "open",
       (int)proxy_open_requests (p->proxy), "upstreams", list,
-      "quarantined_parts", quarantined);
+      "quarantined_parts", quarantined, "limits", limits);
   char *text = json_dumps (root, JSON_COMPACT);
   json_decref (root);
   inspect_reply (request, 200, "application/json", text);
--- a/src/daemon/rate_limit_link.c
+++ b/src/daemon/rate_limit_link.c
@@ -30,6 +30,9 @@
 #define ASK_MAX_MS 800
 /* Loans are dropped if the request for them is older.  */
 #define LOAN_MAX_AGE_MS 3000
+/* Time for which a VM that is no longer seen keeps its share of the limits, as
+   it may be cut off and in use.  */
+#define VMS_KEPT_MS 60000
 #define USE_LOG_INTERVAL_MS 1000
 #define MILLI 1000.0
 /* Ages and limits in messages are cut at these.  */
@@ -41,7 +44,8 @@
   struct rate_limit_link_parts parts;
   struct rate_lender *lender;
   GHashTable *changed; /* upstream ids whose limits the others are not told */
-  unsigned vms;
+  unsigned vms;        /* most VMs lately */
+  int64_t vms_ms;      /* when there were that many */
   uint64_t loan_seq;
   guint resend_at;   /* number of limits before the one to resend next */
   bool is_informed;  /* another VM has told what it knows */
@@ -612,5 +616,9 @@
 void
 rate_limit_link_set_vms (struct rate_limit_link *l, unsigned vms)
 {
+  int64_t now = clock_ms ();
+  if (vms < l->vms && now - l->vms_ms < VMS_KEPT_MS)
+    return;
   l->vms = vms;
+  l->vms_ms = now;
 }
--- a/src/daemon/rate_limit_link.h
+++ b/src/daemon/rate_limit_link.h
@@ -40,8 +40,9 @@
 void rate_limit_link_on_tokens (struct rate_limit_link *l,
                                 void (*on_tokens) (void *arg), void *arg);
 
-/** Sets the number of VMs that limits are shared by, this one included; 0: not
-    known yet, then this VM neither lends tokens nor uses a share.  */
+/** Reports that VMS VMs run, this one included; to be called at least every
+   few seconds.  Before the first report this VM neither lends tokens nor uses
+   a share.  VMs that are no longer seen keep their shares for a minute.  */
 void rate_limit_link_set_vms (struct rate_limit_link *l, unsigned vms);
 
 /** Records what the upstream H stated in the response INFO to REQUEST.  */
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -357,7 +357,7 @@
 }
 
 void
-upstreams_foreach_rate (struct upstreams *u,
+upstreams_foreach_rate (const struct upstreams *u,
                         void (*visit) (void *arg, upstream_handle h,
                                        const struct upstream_info *info,
                                        struct upstream_rate *rate),
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -266,7 +266,7 @@
 /** Whether the requests a second to H are limited.  */
 bool upstreams_is_limited (const struct upstreams *u, upstream_handle h);
 /** Calls VISIT for each upstream that has ever stated a limit.  */
-void upstreams_foreach_rate (struct upstreams *u,
+void upstreams_foreach_rate (const struct upstreams *u,
                              void (*visit) (void *arg, upstream_handle h,
                                             const struct upstream_info *info,
                                             struct upstream_rate *rate),
--- a/tests/unit/test_rate_limits.c
+++ b/tests/unit/test_rate_limits.c
@@ -380,6 +380,7 @@
 static struct vm *
 receiver (struct fleet *f)
 {
+  g_assert_cmpuint (f->n, >, 0);
   if (f->traffic == ONE_VM)
     return &f->vms[f->n / 2];
   if (f->traffic == EVEN)
