--- a/src/daemon/rate_limit_link.c
+++ b/src/daemon/rate_limit_link.c
@@ -44,15 +44,17 @@
   struct rate_limit_link_parts parts;
   struct rate_lender *lender;
   GHashTable *changed; /* upstream ids whose limits the others are not told */
-  unsigned vms;        /* most VMs lately */
-  int64_t vms_ms;      /* when there were that many */
-  uint64_t loan_seq;
-  guint resend_at;   /* number of limits before the one to resend next */
-  bool is_informed;  /* another VM has told what it knows */
-  int64_t tick_ms;   /* when the timer last ran */
-  int64_t resend_ms; /* when this VM last resent */
-  int64_t wanted_ms; /* when this VM last asked for limits */
-  int64_t logged_ms; /* when the use of limits was last logged */
+  int64_t started_ms;
+  unsigned vms;       /* most VMs lately */
+  int64_t vms_ms;     /* when there were that many */
+  uint64_t first_seq; /* of the loans of this process */
+  uint64_t loan_seq;  /* of the latest loan */
+  guint resend_at;    /* number of limits before the one to resend next */
+  bool is_informed;   /* another VM has told what it knows */
+  int64_t tick_ms;    /* when the timer last ran */
+  int64_t resend_ms;  /* when this VM last resent */
+  int64_t wanted_ms;  /* when this VM last asked for limits */
+  int64_t logged_ms;  /* when the use of limits was last logged */
   void (*on_tokens) (void *arg);
   void *on_tokens_arg;
   struct event *timer;
@@ -388,6 +390,8 @@
       || !rate_tokens_must_ask (&rate->tokens, ask_interval_ms (l), now))
     return;
   unsigned returned = rate_tokens_asked (&rate->tokens, wanted, now);
+  if (rate->tokens.lender != g_str_hash (home->info.id))
+    returned = 0;
   if (is_self (l, home))
     {
       struct rate_request q = { .upstream = info->id,
@@ -405,6 +409,7 @@
   struct rate_ask m = { .from = (char *)(uintptr_t)l->parts.vm,
                         .wanted = wanted,
                         .returned = returned,
+                        .loan_seq = rate->tokens.lender_seq,
                         .asked_ms = (uint64_t)now };
   m.limit = g_array_new (FALSE, FALSE, sizeof s);
   g_array_append_val (m.limit, s);
@@ -454,6 +459,14 @@
   l->is_informed |= !m->wanted;
 }
 
+/* Tokens that M returns, if this process has lent them: an earlier one may
+   have taken them back already.  */
+static unsigned
+returned_here (const struct rate_limit_link *l, const struct rate_ask *m)
+{
+  return m->loan_seq > l->first_seq ? (unsigned)m->returned : 0;
+}
+
 /* Lends tokens of an upstream that this VM may not know, as FROM says.  A
    reply without tokens shows that this VM lends them.  */
 static void
@@ -473,7 +486,7 @@
                                 .vm = m->from,
                                 .per_s = limit.per_s,
                                 .wanted = (unsigned)m->wanted,
-                                .returned = (unsigned)m->returned,
+                                .returned = returned_here (l, m),
                                 .asked_ms = (int64_t)m->asked_ms };
       rate_lender_ask (l->lender, &q, now);
     }
@@ -487,8 +500,10 @@
 static void
 handle_loan (struct rate_limit_link *l, const struct rate_loan *m)
 {
-  int64_t age_ms = clock_ms () - (int64_t)MIN (m->asked_ms, INT64_MAX);
-  if (age_ms < 0 || age_ms > LOAN_MAX_AGE_MS)
+  int64_t asked_ms = (int64_t)MIN (m->asked_ms, INT64_MAX);
+  int64_t age_ms = clock_ms () - asked_ms;
+  /* An earlier process of this VM may have spent what it asked for.  */
+  if (age_ms < 0 || age_ms > LOAN_MAX_AGE_MS || asked_ms < l->started_ms)
     return;
   add_tokens (l, m->upstream, m->from, m->seq, (unsigned)m->count);
   if (m->count > 0)
@@ -587,7 +602,9 @@
   l->parts = *parts;
   l->lender = rate_lender_create ();
   /* Above the numbers of an earlier process of this VM.  */
-  l->loan_seq = (uint64_t)g_get_real_time ();
+  l->first_seq = (uint64_t)g_get_real_time ();
+  l->loan_seq = l->first_seq;
+  l->started_ms = clock_ms ();
   l->changed = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   l->timer = event_new (parts->base, -1, EV_PERSIST, on_tick, l);
   event_add (l->timer, &tick);
--- a/src/decide/rate_lender.h
+++ b/src/decide/rate_lender.h
@@ -39,7 +39,8 @@
   const char *vm;
   double per_s;      /**< the upstream's limit, as the home VM knows it */
   unsigned wanted;   /**< tokens; replaces the VM's earlier number */
-  unsigned returned; /**< tokens that the VM gives back unspent */
+  unsigned returned; /**< tokens of this lender that the VM gives back
+                          unspent */
   int64_t asked_ms;  /**< time of the request on the VM's own clock */
 };
 
--- a/tests/unit/test_rate_limits.c
+++ b/tests/unit/test_rate_limits.c
@@ -387,9 +387,8 @@
     return &f->vms[g_rand_int_range (f->rand, 0, (gint32)f->n)];
   unsigned group = MAX (f->n / 10, 1);
   unsigned first = (unsigned)(f->now_ms / 1000) * group;
-  return &f->vms[(first
-                  + (unsigned)g_rand_int_range (f->rand, 0, (gint32)group))
-                 % f->n];
+  unsigned at = first + (unsigned)g_rand_int_range (f->rand, 0, (gint32)group);
+  return &f->vms[at % f->n];
 }
 
 static void
