--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/address.h"
+#include "base/file_stamp.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/discovery.h"
@@ -13,7 +14,6 @@
 #include <event2/event.h>
 #include <signal.h>
 #include <string.h>
-#include <sys/stat.h>
 
 #define TICK_MS 50
 #define SECOND_MS 1000
@@ -45,15 +45,6 @@
    off.  */
 #define JOIN_MS 10000
 
-/* Identifies a version of a file.  The time alone does not: two writes within
-   one tick of the file system's clock get the same time.  */
-struct file_stamp
-{
-  struct timespec changed;
-  ino_t inode;
-  off_t size;
-};
-
 struct gateway
 {
   struct event_base *base;
@@ -260,29 +251,6 @@
          && http_listener_connections (g->callers) == 0;
 }
 
-/* Stamp of the settings file; all zero without a file.  */
-static struct file_stamp
-file_stamp (const struct gateway *g)
-{
-  struct stat st;
-  const char *path = g->settings->settings_file;
-  if (path[0] == '\0' || stat (path, &st) != 0)
-    return (struct file_stamp){ 0 };
-  return (struct file_stamp){ .changed = st.st_mtim,
-                              .inode = st.st_ino,
-                              .size = st.st_size };
-}
-
-static bool
-settings_file_changed (const struct gateway *g)
-{
-  struct file_stamp now = file_stamp (g);
-  const struct file_stamp *last = &g->file;
-  return now.changed.tv_sec != last->changed.tv_sec
-         || now.changed.tv_nsec != last->changed.tv_nsec
-         || now.inode != last->inode || now.size != last->size;
-}
-
 static void
 apply_settings (struct gateway *g)
 {
@@ -303,7 +271,7 @@
 static void
 reload_settings (struct gateway *g, const char *why)
 {
-  g->file = file_stamp (g);
+  g->file = file_stamp (g->settings->settings_file);
   struct settings *s = g->reload (g->reload_arg);
   if (s == NULL)
     {
@@ -379,7 +347,8 @@
     set_sharing_vms (g, count_budget_vms (g, now), now);
   metrics_set (METRIC_retry_shared_by,
                retry_buckets_shared_by (g->retries, now));
-  if (settings_file_changed (g))
+  struct file_stamp file = file_stamp (g->settings->settings_file);
+  if (!file_stamp_equal (&file, &g->file))
     reload_settings (g, "file_changed");
 }
 
@@ -578,7 +547,7 @@
   g->platform = platform;
   g->reload = reload;
   g->reload_arg = arg;
-  g->file = file_stamp (g);
+  g->file = file_stamp (g->settings->settings_file);
   create_components (g);
   if (!open_listeners (g, error))
     {
--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -673,9 +673,10 @@
              int64_t now_ms)
 {
   struct placement_request unlimited = *request;
+  if (!x->rate.limit.in_force || upstreams_entry_admits (x, now_ms))
+    return false;
   unlimited.ignore_limits = true;
-  return is_eligible (x, &unlimited, now_ms)
-         && !upstreams_entry_admits (x, now_ms);
+  return is_eligible (x, &unlimited, now_ms);
 }
 
 bool
