Limits: what is known of them and their tokens are two links

rate_limit_link.c held both in 618 lines; messages, reports and loans are modules of their own now, with no change of what they do.

--- a/src/daemon/rate_limit_link.h
+++ b/src/daemon/rate_limit_link.h
@@ -2,12 +2,10 @@
     Network side of limits of requests a second that upstreams state
     (decide/rate_limit.h).
 
-    A VM that is told a limit tells all others.  While a limit is in force,
-   each VM needs a token for each request that it sends there, and asks the
-    upstream's home VM for as many as its requests want.  This module sends
-    those requests, and lends the tokens of the upstreams whose home is this
-    VM.  A VM that has just started, or was paused, asks the others which
-   limits they know.  */
+    A VM that is told a limit tells all others.  One that has just started, or
+    was paused, asks the others which limits they know.  While a limit is in
+    force, each VM needs a token for each request that it sends there
+    (daemon/rate_token_link.h).  */
 #ifndef DAEMON_RATE_LIMIT_LINK_H
 #define DAEMON_RATE_LIMIT_LINK_H
 
