Loops over open requests leave out those that ended meanwhile

Read, not seen: the end of one request may let its connection's next one start, which may refuse others that wait for tokens; a loop over a copy of the list then used freed memory. Each loop checks that a request is still open.

--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -223,8 +223,26 @@
   retry_buckets_foreach (p->parts.retries, now, log_usage, NULL);
 }
 
+/* Calls VISIT with each request in progress.  The end of one may end others,
+   which are left out then.  */
+static void
+for_each_open (struct proxy *p, void (*visit) (struct exchange *e, void *arg),
+               void *arg)
+{
+  g_autoptr (GList) open = g_hash_table_get_keys (p->open);
+  for (GList *l = open; l; l = l->next)
+    if (g_hash_table_contains (p->open, l->data))
+      visit (l->data, arg);
+}
+
 /* Detection of unresponsive upstreams.  */
 
+static void
+check_silence (struct exchange *e, void *now)
+{
+  exchange_check_silence (e, *(const int64_t *)now);
+}
+
 static void
 on_unresponsive_check (evutil_socket_t fd, short what, void *arg)
 {
@@ -232,9 +250,7 @@
   (void)what;
   struct proxy *p = arg;
   int64_t now = clock_ms ();
-  g_autoptr (GList) open = g_hash_table_get_keys (p->open);
-  for (GList *l = open; l; l = l->next)
-    exchange_check_silence (l->data, now);
+  for_each_open (p, check_silence, &now);
   exchange_tokens_arrived (p);
   log_usage_each_second (p, now);
 }
@@ -255,14 +271,19 @@
   return p;
 }
 
+static void
+abort_stopped (struct exchange *e, void *arg)
+{
+  (void)arg;
+  exchange_abort (e, "stopped");
+}
+
 void
 proxy_destroy (struct proxy *p)
 {
   if (p == NULL)
     return;
-  g_autoptr (GList) open = g_hash_table_get_keys (p->open);
-  for (GList *l = open; l; l = l->next)
-    exchange_abort (l->data, "stopped");
+  for_each_open (p, abort_stopped, NULL);
   event_free (p->timer);
   g_hash_table_destroy (p->open);
   token_queue_destroy (p->waiting);
@@ -291,15 +312,20 @@
   p->end_ms = end_ms;
 }
 
-void
-proxy_end_requests (struct proxy *p)
+static void
+end_stopped (struct exchange *e, void *arg)
 {
   static const struct early_end why
       = { "stopped_in_answer", "stopped", "stopped_before_sending",
           STOPPING_RETRY_MS };
-  g_autoptr (GList) open = g_hash_table_get_keys (p->open);
-  for (GList *l = open; l; l = l->next)
-    end_early (l->data, &why);
+  (void)arg;
+  end_early (e, &why);
+}
+
+void
+proxy_end_requests (struct proxy *p)
+{
+  for_each_open (p, end_stopped, NULL);
 }
 
 void
