A stop leaves room for responses that take longer than the longest recent one

test_planned_stop would have gone red on a busy machine: a request was taken if the longest recent response just fitted. A tenth of it is kept free.

--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -12,6 +12,9 @@
 /* How often requests in progress are checked for an unresponsive upstream.  */
 #define UNRESPONSIVE_CHECK_MS 100
 #define USAGE_LOG_INTERVAL_MS 1000
+/* During a stop, a response may take longer than the longest recent one by
+   that time divided by this.  */
+#define LONGER_RESPONSE_PART 10
 /* Retry-After sent while this VM stops: another VM may take the request at
    once.  */
 #define STOPPING_RETRY_MS 1
@@ -113,9 +116,9 @@
   int64_t now = clock_ms ();
   if (p->end_ms == 0 || e->until_ms <= p->end_ms)
     return false;
+  int64_t longest_ms = response_times_longest (p->times, e->route->name, now);
   return now >= p->shutdown_from_ms
-         || now + response_times_longest (p->times, e->route->name, now)
-                > p->end_ms;
+         || now + longest_ms + longest_ms / LONGER_RESPONSE_PART > p->end_ms;
 }
 
 /* Refuses E if a part of its prompt is in quarantine.  Returns whether it
