Requests that wait for a token are tried once a round

Read, not seen: two requests of one route and priority that arrived in the same millisecond, both without remote prefill, could be put back behind each other without end while a prefill-only engine had room for others: the loop that sends waiting requests compared with the last one only, and asked for a placement that the attempt itself excludes. The VM would have answered nobody any more. Ruled out: one waiting request, or two with different times; these end the loop. Change: the queue calls back at most once for each request that waits at the start, and the placement asked for is that of the attempt. Result: /rate-limits/requests-put-back-are-served-once, two requests put back are served twice in all; with the loop as it was it has no end, so it was not run on the former code.

--- a/src/daemon/exchange_limit.c
+++ b/src/daemon/exchange_limit.c
@@ -143,27 +143,32 @@
   stop_waiting (e, clock_ms ());
 }
 
-/* Sends the waiting requests of SERVICE in turn until one has to wait on.  */
+/* Sends the waiting request REQUEST.  Returns false if no upstream has room
+   for it.  */
+static bool
+send_one (void *arg, void *request)
+{
+  struct proxy *p = arg;
+  struct exchange *e = request;
+  struct placement_request q
+      = { .service = e->service,
+          .prompt = e->facts.has_prompt ? &e->facts.prompt : NULL,
+          .tried = e->tried,
+          .n_tried = e->n_tried,
+          .repeatable = e->attempts.repeatable,
+          .exclude_prefill_engines = e->no_remote_prefill || e->is_canary };
+  if (placement_choose (p->parts.upstreams, &q, clock_ms ()).handle == 0)
+    return false;
+  exchange_leave_queue (e);
+  exchange_start_attempt (e);
+  return true;
+}
+
 static void
 send_waiting (void *arg, const char *service)
 {
   struct proxy *p = arg;
-  struct exchange *e = NULL;
-  void *last = NULL;
-  while ((e = token_queue_first (p->waiting, service)) && e != last)
-    {
-      struct placement_request any
-          = { .service = service,
-              .prompt = e->facts.has_prompt ? &e->facts.prompt : NULL,
-              .tried = e->tried,
-              .n_tried = e->n_tried,
-              .repeatable = e->attempts.repeatable };
-      if (placement_choose (p->parts.upstreams, &any, clock_ms ()).handle == 0)
-        return;
-      last = e;
-      exchange_leave_queue (e);
-      exchange_start_attempt (e);
-    }
+  token_queue_serve (p->waiting, service, send_one, p);
 }
 
 void
--- a/src/decide/token_queue.c
+++ b/src/decide/token_queue.c
@@ -170,6 +170,19 @@
   return NULL;
 }
 
+void
+token_queue_serve (struct token_queue *q, const char *service,
+                   bool (*serve) (void *arg, void *request), void *arg)
+{
+  const struct line *l = g_hash_table_lookup (q->lines, service);
+  for (guint left = l ? l->waiters->len : 0; left > 0; left--)
+    {
+      void *request = token_queue_first (q, service);
+      if (request == NULL || !serve (arg, request))
+        return;
+    }
+}
+
 void
 token_queue_foreach_service (struct token_queue *q,
                              void (*visit) (void *arg, const char *service),
--- a/src/decide/token_queue.h
+++ b/src/decide/token_queue.h
@@ -49,6 +49,12 @@
     there is none.  */
 void *token_queue_take_late (struct token_queue *q, int64_t now_ms);
 
+/** Calls SERVE with the request that is first for SERVICE, again and again
+    until it returns false: at most as often as requests wait at the start, as
+    SERVE may put a request back.  */
+void token_queue_serve (struct token_queue *q, const char *service,
+                        bool (*serve) (void *arg, void *request), void *arg);
+
 /** Calls VISIT with each service that has requests in Q.  VISIT may add and
     remove requests.  */
 void token_queue_foreach_service (struct token_queue *q,
--- a/tests/unit/test_rate_limits.c
+++ b/tests/unit/test_rate_limits.c
@@ -566,6 +566,8 @@
 
 /* Queue.  */
 
+static unsigned served; /* by put_back */
+
 static void
 add_waiter (struct token_queue *q, unsigned priority, int64_t start_by_ms,
             void *request)
@@ -598,6 +600,31 @@
   token_queue_destroy (q);
 }
 
+/* Puts REQUEST back, behind those that must start as early.  */
+static bool
+put_back (void *arg, void *request)
+{
+  struct token_queue *q = arg;
+  token_queue_remove (q, request);
+  add_waiter (q, 1, 1000, request);
+  served++;
+  g_assert_cmpuint (served, <=, 2);
+  return true;
+}
+
+static void
+test_requests_put_back_are_served_once (void)
+{
+  struct token_queue *q = token_queue_create ();
+  char ids[2];
+  served = 0;
+  add_waiter (q, 1, 1000, &ids[0]);
+  add_waiter (q, 1, 1000, &ids[1]);
+  token_queue_serve (q, "s", put_back, q);
+  g_assert_cmpuint (served, ==, 2);
+  token_queue_destroy (q);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -621,5 +648,7 @@
                    test_expired_tokens_are_returned);
   g_test_add_func ("/rate-limits/urgent-requests-go-first",
                    test_urgent_requests_go_first);
+  g_test_add_func ("/rate-limits/requests-put-back-are-served-once",
+                   test_requests_put_back_are_served_once);
   return g_test_run ();
 }
