Log how long an unanswered watch call was open

Change: open_ms and wait_ms in the line; relist no longer logs for its callers. Ruled out: a lost answer of a call that the store had taken (all calls of all nine VMs were sent inside the silence); an outage that VMs noticed (no dependency_lost); routes read and applied late (routes_in_force follows each answer by 10 to 70 ms).

--- a/src/daemon/prefix_watch.c
+++ b/src/daemon/prefix_watch.c
@@ -193,17 +193,22 @@
   return f->batch_delay_ms;
 }
 
-/* Logs EVENT, the reason for which the poll brings no changes, and lists all
-   keys.  */
+/* Lists all keys in place of a poll that brings no changes.  */
 static void
-relist (struct prefix_watch *f, const char *event)
+relist (struct prefix_watch *f)
 {
-  log_event (LOG_INFO, event, "prefix", f->prefix, "after", log_num (f->as_of),
-             NULL);
   f->as_of = 0;
   schedule_next (f, relist_delay_ms (f));
 }
 
+/* Logs EVENT, the reason for which all keys are listed.  */
+static void
+log_relist (const struct prefix_watch *f, const char *event)
+{
+  log_event (LOG_INFO, event, "prefix", f->prefix, "after", log_num (f->as_of),
+             NULL);
+}
+
 /* Whether the poll P, which ended with STATUS, timed out.  That alone is no
    loss of the service: the request or its connection may have been lost while
    the service answers others, as a list on a new connection shows.  */
@@ -224,18 +229,24 @@
     return;
   if (has_timed_out (p, status))
     {
-      relist (f, "watch_unanswered");
+      log_event (LOG_INFO, "watch_unanswered", "prefix", f->prefix, "after",
+                 log_num (f->as_of), "open_ms",
+                 log_num (clock_ms () - p->started_ms), "wait_ms",
+                 log_num (p->wait_ms), NULL);
+      relist (f);
       return;
     }
   update_state (f, status);
   if (status == KV_RESTORED)
     {
-      relist (f, "watch_restarts");
+      log_relist (f, "watch_restarts");
+      relist (f);
       return;
     }
   if (status == KV_COMPACTED)
     {
-      relist (f, "watch_history_lost");
+      log_relist (f, "watch_history_lost");
+      relist (f);
       return;
     }
   if (status != KV_OK)
