Watches of the store are checked unless something confirms them

Cause: after a change all VMs send their next watch call at the same time, 0.15 to 0.6 s later. The design rested on one VM being early and telling the others; nothing bounded when that happens, and its hint waits for another second. Change: a VM counts on confirmations only, its own answers and the gossip of VMs that have the same revision (the age of their state is in it now). Without one for 0.37 to 0.50 of kv-recovery-ms (new setting, from the platform's bound) it asks at once on a new connection, for changes only instead of a whole list. That holds for each VM alone, whatever the others do, so it bounds the time from the end of any silence to half of it, with a call lost in it 2.1 s. Related paths: the watch of upstreams is the same code; the grace period after an outage ended up to 4.6 s after the silence, and ends now with the recovery time, counted from the last call that failed; retries wait 0.5 s at most.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -14,6 +14,9 @@
   X (not_run_total, "Requests refused that did not run")                      \
   X (kv_restores_total, "Times that the key-value service was seen to be "    \
                         "restored from a copy")                               \
+  X (watch_checks_total,                                                      \
+     "Long polls that were replaced, as nothing confirmed "                   \
+     "that they had missed no change")                                        \
   X (upstreams_leaving_total,                                                 \
      "Responses that first said that their upstream "                         \
      "is leaving")                                                            \
--- a/src/daemon/conf.c
+++ b/src/daemon/conf.c
@@ -195,7 +195,8 @@
              log_num ((long long)c->revision), "digest", digest, "operator",
              json_object_text (record, "operator"), "apply",
              json_object_text (record, "apply_id"), NULL);
-  members_set_revision (c->ctx->members, c->revision, 0);
+  struct gossip_revisions known = { .revision = c->revision };
+  members_set_revisions (c->ctx->members, &known);
   c->callbacks->on_file_changed (c->arg);
   return true;
 }
--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -16,6 +16,9 @@
    is removed within the period stays in use until the period ends: live
    upstreams register again within it.  */
 #define RECONNECT_GRACE_MS 2000
+/* The period ends this long before the recovery time is over, counted from the
+   latest request that failed: the service may have been back since then.  */
+#define RECONNECT_MARGIN_MS 100
 /* Removals of at least two entries within BURST_WINDOW_MS that make up at
    least 1/BURST_DIVISOR of all suggest a fault of the service, not of the
    upstreams.  */
@@ -45,7 +48,8 @@
   struct event *timer;
   uint64_t version; /* version of the routes in force */
   bool has_routes;
-  int64_t reconnected_ms;  /* when the service became reachable again */
+  unsigned recovery_ms;    /* see struct discovery_times */
+  int64_t grace_end_ms;    /* end of the period of RECONNECT_GRACE_MS */
   int64_t burst_grace_ms;  /* see BURST_GRACE_PERCENT */
   int64_t burst_start_ms;  /* start of the latest window that has removals */
   unsigned burst_removals; /* number of removals since burst_start_ms */
@@ -96,10 +100,11 @@
 }
 
 static void
-on_routes_state (void *arg, bool up)
+on_routes_state (void *arg, bool up, int64_t failed_age_ms)
 {
   (void)arg;
   (void)up;
+  (void)failed_age_ms;
 }
 
 static const struct prefix_watch_callbacks routes_callbacks
@@ -170,14 +175,13 @@
 {
   int64_t now = clock_ms ();
   bool burst = is_removal_burst (d, now);
-  if (!burst && now - d->reconnected_ms > RECONNECT_GRACE_MS)
+  if (!burst && now > d->grace_end_ms)
     {
       drop_upstream (d, id, "entry_removed");
       return;
     }
   struct missing *m = g_new (struct missing, 1);
-  m->due_ms = MAX (burst ? now + d->burst_grace_ms : 0,
-                   d->reconnected_ms + RECONNECT_GRACE_MS);
+  m->due_ms = MAX (burst ? now + d->burst_grace_ms : 0, d->grace_end_ms);
   g_hash_table_replace (d->missing, g_strdup (id), m);
   log_event (LOG_INFO, "upstream_missing", "upstream", id, "why",
              burst ? "many_at_once" : "service_was_away", "kept_ms",
@@ -232,11 +236,12 @@
 }
 
 static void
-on_upstreams_state (void *arg, bool up)
+on_upstreams_state (void *arg, bool up, int64_t failed_age_ms)
 {
   struct discovery *d = arg;
+  int64_t left_ms = d->recovery_ms - RECONNECT_MARGIN_MS - failed_age_ms;
   if (up)
-    d->reconnected_ms = clock_ms ();
+    d->grace_end_ms = clock_ms () + CLAMP (left_ms, 0, RECONNECT_GRACE_MS);
 }
 
 static const struct prefix_watch_callbacks upstream_callbacks
@@ -267,7 +272,8 @@
 struct discovery *
 discovery_create (struct event_base *base, struct kv *kv,
                   const struct platform_ops *platform,
-                  struct upstreams *upstreams, unsigned leave_ms,
+                  struct upstreams *upstreams,
+                  const struct discovery_times *times,
                   const struct discovery_callbacks *callbacks, void *arg)
 {
   static const struct timeval tick = { 0, TICK_MS * 1000 };
@@ -278,25 +284,29 @@
   d->upstreams = upstreams;
   d->callbacks = callbacks;
   d->arg = arg;
-  d->reconnected_ms = -RECONNECT_GRACE_MS;
   d->missing = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   d->timer = event_new (base, -1, EV_PERSIST, on_timer, d);
   event_add (d->timer, &tick);
-  d->routes_watch = prefix_watch_create (base, kv, platform->routes_key, 0,
-                                         &routes_callbacks, d);
-  d->upstreams_watch = prefix_watch_create (
-      base, kv, platform->upstreams_prefix, 0, &upstream_callbacks, d);
-  discovery_set_leave_ms (d, leave_ms);
+  d->routes_watch
+      = prefix_watch_create (base, kv, platform->routes_key, 0,
+                             times->recovery_ms, &routes_callbacks, d);
+  d->upstreams_watch
+      = prefix_watch_create (base, kv, platform->upstreams_prefix, 0,
+                             times->recovery_ms, &upstream_callbacks, d);
+  discovery_set_times (d, times);
   return d;
 }
 
 void
-discovery_set_leave_ms (struct discovery *d, unsigned leave_ms)
+discovery_set_times (struct discovery *d, const struct discovery_times *times)
 {
+  d->recovery_ms = times->recovery_ms;
   d->burst_grace_ms
-      = MIN (RECONNECT_GRACE_MS, leave_ms * BURST_GRACE_PERCENT / 100);
+      = MIN (RECONNECT_GRACE_MS, times->leave_ms * BURST_GRACE_PERCENT / 100);
   prefix_watch_set_batch_delay (d->upstreams_watch,
-                                leave_ms * BATCH_DELAY_PERCENT / 100);
+                                times->leave_ms * BATCH_DELAY_PERCENT / 100);
+  prefix_watch_set_recovery_ms (d->routes_watch, times->recovery_ms);
+  prefix_watch_set_recovery_ms (d->upstreams_watch, times->recovery_ms);
 }
 
 void
@@ -324,7 +334,10 @@
 {
   return (struct discovery_revisions){
     .routes = (uint64_t)prefix_watch_revision (d->routes_watch),
-    .upstreams = (uint64_t)prefix_watch_revision (d->upstreams_watch)
+    .routes_age_ms = (uint64_t)prefix_watch_confirmed_age_ms (d->routes_watch),
+    .upstreams = (uint64_t)prefix_watch_revision (d->upstreams_watch),
+    .upstreams_age_ms
+    = (uint64_t)prefix_watch_confirmed_age_ms (d->upstreams_watch)
   };
 }
 
@@ -332,8 +345,10 @@
 discovery_hint_revisions (struct discovery *d,
                           const struct discovery_revisions *known)
 {
-  prefix_watch_hint (d->routes_watch, (int64_t)known->routes);
-  prefix_watch_hint (d->upstreams_watch, (int64_t)known->upstreams);
+  prefix_watch_hint (d->routes_watch, (int64_t)known->routes,
+                     (int64_t)known->routes_age_ms);
+  prefix_watch_hint (d->upstreams_watch, (int64_t)known->upstreams,
+                     (int64_t)known->upstreams_age_ms);
 }
 
 bool
--- a/src/daemon/discovery.h
+++ b/src/daemon/discovery.h
@@ -30,18 +30,28 @@
   void (*on_upstream_gone) (void *arg, const char *id);
 };
 
+/** Times that the batching of changes, checks of the watches and grace periods
+    are derived from.  */
+struct discovery_times
+{
+  unsigned leave_ms;    /**< time after which an upstream that leaves must get
+                           no more requests */
+  unsigned recovery_ms; /**< time after a disruption of the key-value service
+                           from which changes must be followed again */
+};
+
 /** Starts to watch the key-value service and keeps the table UPSTREAMS up to
-    date.  LEAVE_MS is the time after which an upstream that leaves must get no
-    more requests, in milliseconds; the batching of changes and the grace
-    period of removals in a burst are derived from it.  */
+    date.  */
 struct discovery *
 discovery_create (struct event_base *base, struct kv *kv,
                   const struct platform_ops *platform,
-                  struct upstreams *upstreams, unsigned leave_ms,
+                  struct upstreams *upstreams,
+                  const struct discovery_times *times,
                   const struct discovery_callbacks *callbacks, void *arg);
 
-/** Changes LEAVE_MS, see discovery_create.  */
-void discovery_set_leave_ms (struct discovery *d, unsigned leave_ms);
+/** Changes the times.  */
+void discovery_set_times (struct discovery *d,
+                          const struct discovery_times *times);
 
 /** Sets the number of running VMs, see prefix_watch_set_vm_count.  */
 void discovery_set_vm_count (struct discovery *d, unsigned vms);
@@ -52,15 +62,19 @@
 /** Latest changes in the key-value service that a VM has seen.  */
 struct discovery_revisions
 {
-  uint64_t routes;    /**< revision of the latest change of routes */
-  uint64_t upstreams; /**< revision of the latest change of upstreams */
+  uint64_t routes;        /**< revision of the latest change of routes */
+  uint64_t routes_age_ms; /**< age of the state that is known to have no later
+                             change of routes */
+  uint64_t upstreams;     /**< revision of the latest change of upstreams */
+  uint64_t upstreams_age_ms; /**< the same for upstreams */
 };
 
 /** Latest changes that this VM has seen.  */
 struct discovery_revisions discovery_revisions (const struct discovery *d);
 
 /** Another VM has seen the changes KNOWN.  If this VM does not see them in
-    time, it reads all entries again.  */
+    time, it reads all entries again; if it has seen them, they confirm that it
+    has missed none.  */
 void discovery_hint_revisions (struct discovery *d,
                                const struct discovery_revisions *known);
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -266,6 +266,14 @@
   retry_buckets_set_bounds (g->retries, &bounds);
 }
 
+static struct discovery_times
+discovery_times (const struct settings *s)
+{
+  return (struct discovery_times){ .leave_ms = (unsigned)s->upstream_leave_ms,
+                                   .recovery_ms
+                                   = (unsigned)s->kv_recovery_ms };
+}
+
 /* Applies the settings that can change at run time; addresses and names need a
    restart.  */
 static void
@@ -289,14 +297,15 @@
   g->settings->entry_ttl_s = s->entry_ttl_s;
   g->settings->leave_deadline_s = s->leave_deadline_s;
   g->settings->upstream_leave_ms = s->upstream_leave_ms;
+  g->settings->kv_recovery_ms = s->kv_recovery_ms;
   g->settings->quarantine_s = s->quarantine_s;
   g->settings->order_lease_ms = s->order_lease_ms;
   g_free (g->settings->log_level);
   g->settings->log_level = g_strdup (s->log_level);
   settings_destroy (s);
   apply_settings (g);
-  discovery_set_leave_ms (g->discovery,
-                          (unsigned)g->settings->upstream_leave_ms);
+  struct discovery_times times = discovery_times (g->settings);
+  discovery_set_times (g->discovery, &times);
   quarantine_link_set_canary_s (vm_registry_quarantine (g->vm_registry),
                                 (unsigned)g->settings->quarantine_s);
   prefill_split_link_set_lease (g->prefill_split_link,
@@ -450,7 +459,8 @@
 {
   const struct gateway *g = arg;
   struct discovery_revisions known = discovery_revisions (g->discovery);
-  return (struct gossip_revisions){ known.routes, known.upstreams };
+  return (struct gossip_revisions){ known.routes, known.routes_age_ms,
+                                    known.upstreams, known.upstreams_age_ms };
 }
 
 /* Another VM has seen the revisions KNOWN.  */
@@ -459,7 +469,8 @@
 {
   struct gateway *g = arg;
   struct discovery_revisions theirs
-      = { known->revision, known->upstreams_revision };
+      = { known->revision, known->age_ms, known->upstreams_revision,
+          known->upstreams_age_ms };
   discovery_hint_revisions (g->discovery, &theirs);
 }
 
@@ -531,9 +542,9 @@
           .lease_ms = (int64_t)s->order_lease_ms,
           .vm = s->vm };
   g->prefill_split_link = prefill_split_link_create (&orders);
+  struct discovery_times times = discovery_times (s);
   g->discovery = discovery_create (g->base, g->kv, g->platform, g->upstreams,
-                                   (unsigned)s->upstream_leave_ms,
-                                   &discovery_callbacks, g);
+                                   &times, &discovery_callbacks, g);
 }
 
 struct gateway *
--- a/src/daemon/gossip_link.c
+++ b/src/daemon/gossip_link.c
@@ -116,7 +116,9 @@
       members_receive (g->parts.members, clock_ms (), m, ip,
                        ntohs (from->sin_port), out);
       send_all (g, out);
-      struct gossip_revisions known = { m->revision, m->upstreams_revision };
+      struct gossip_revisions known
+          = { m->revision, m->age_ms, m->upstreams_revision,
+              m->upstreams_age_ms };
       g->parts.on_peer_revisions (g->parts.arg, m->from, &known);
     }
   else
@@ -222,8 +224,7 @@
   int64_t now = clock_ms ();
   g_autoptr (GArray) out = gossip_out_create ();
   struct gossip_revisions known = g->parts.get_revisions (g->parts.arg);
-  members_set_revision (g->parts.members, known.revision,
-                        known.upstreams_revision);
+  members_set_revisions (g->parts.members, &known);
   members_tick (g->parts.members, now, out);
   send_all (g, out);
   /* A VM that receives no datagrams sends its join messages again.  */
--- a/src/daemon/gossip_link.h
+++ b/src/daemon/gossip_link.h
@@ -14,14 +14,6 @@
 /** Longest datagram that a VM receives; the rest of a longer one is lost.  */
 #define GOSSIP_DATAGRAM_MAX_BYTES 2048
 
-/** Revisions that a VM reports in its gossip, so that a VM with older ones
-    notices.  */
-struct gossip_revisions
-{
-  uint64_t revision;           /**< revision of the file in force; 0: none */
-  uint64_t upstreams_revision; /**< revision of last upstream change, or 0 */
-};
-
 /** Arguments of gossip_link_create; what they point to outlives the link.  */
 struct gossip_parts
 {
--- a/src/daemon/prefix_watch.c
+++ b/src/daemon/prefix_watch.c
@@ -2,15 +2,9 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/metrics.h"
+#include "decide/freshness.h"
 
-/* How long the service may hold a long poll open: a random time between these
-   bounds.  A lost poll is detected after this time plus the adapter's own
-   time-out of 1.5 s.  Where the polls of all VMs are lost at once, the first
-   VM to detect it tells the others, so the time may be longer where there are
-   more than POLL_VMS of them.  */
-#define POLL_MIN_MS 2500
-#define POLL_MAX_MS 10000
-#define POLL_VMS 4
 /* Delay of the next poll after changes, so that many upstreams that start or
    stop together come in one response instead of one each.  It doubles with
    each batch, up to the configured maximum, and is reset when no batch came
@@ -28,19 +22,18 @@
 #define RELIST_SPREAD_US_PER_KEY 200
 /* Delay before a retry; doubles with each failure up to the maximum.  */
 #define RETRY_MIN_MS 250
-#define RETRY_MAX_MS 1000
+#define RETRY_MAX_MS 500
+/* Delay of a check that is due while no long poll is open.  */
+#define CHECK_RETRY_MS 100
+/* Most time that the report of another VM is under way.  */
+#define REPORT_TRANSIT_MS 100
 
-/* Long polls that may be open at once: the current one, and an older one that
-   was found to be lost.  */
-#define POLLS 2
-
-/* A long poll for changes.  */
+/* A poll for changes.  Times are those of clock_boot_ms.  */
 struct poll
 {
   struct prefix_watch *prefix_watch;
-  bool open; /* the service has not answered the poll yet */
   int64_t started_ms;
-  unsigned wait_ms; /* how long the service may hold it open */
+  unsigned wait_ms; /* how long the service may hold it open; 0: not at all */
 };
 
 struct prefix_watch
@@ -50,14 +43,15 @@
   const struct prefix_watch_callbacks *callbacks;
   void *arg;
   struct event *timer;
-  struct poll polls[POLLS];
-  unsigned current;        /* index of the poll whose response is used */
+  GHashTable *polls;       /* struct poll, all that have not ended */
+  struct poll *current;    /* the one whose response is used; NULL for none */
   GHashTable *keys;        /* key -> revision, int64_t * */
   int64_t as_of;           /* revision from which to poll; 0: list all keys */
   int64_t last_change;     /* revision of the latest change */
   int64_t hinted_revision; /* latest revision that another VM has seen */
   struct event *hint_timer;
   int64_t answered_ms; /* when the service last answered; 0 for never */
+  int64_t failed_ms;   /* when the latest request that failed was sent */
   unsigned retry_ms;   /* delay before the next retry */
   unsigned batch_delay_max_ms;
   unsigned batch_delay_ms; /* delay of the poll after the latest batch */
@@ -65,14 +59,22 @@
   bool up;                 /* the latest request was answered */
   bool listed;             /* all keys were listed at least once */
   bool relisting;          /* a list request that a hint caused is in flight */
-  unsigned poll_max_ms;    /* longest time for which a poll is held open */
+  int64_t list_started_ms; /* when the latest list was requested */
+  int64_t relist_started_ms; /* the same of a list that a hint caused */
+  struct freshness *freshness;
+  struct event *check_timer;
 };
 
 static void next_step (struct prefix_watch *f);
+static void on_changes (void *arg, enum kv_status status,
+                        const struct kv_change *changes, size_t n,
+                        int64_t as_of);
 
-/* Records whether the service answered, from the STATUS of a request.  */
+/* Records whether the service answered, from the STATUS of a request that was
+   sent at STARTED_MS.  */
 static void
-update_state (struct prefix_watch *f, enum kv_status status)
+update_state (struct prefix_watch *f, enum kv_status status,
+              int64_t started_ms)
 {
   bool up = status == KV_OK || status == KV_COMPACTED;
   if (up)
@@ -80,13 +82,15 @@
       f->answered_ms = clock_ms ();
       f->retry_ms = RETRY_MIN_MS;
     }
+  else
+    f->failed_ms = started_ms;
   if (up == f->up)
     return;
   f->up = up;
   log_event (up ? LOG_INFO : LOG_WARN,
              up ? "dependency_up" : "dependency_lost", "dependency", "kv",
              "prefix", f->prefix, "revision", log_num (f->as_of), NULL);
-  f->callbacks->on_state (f->arg, up);
+  f->callbacks->on_state (f->arg, up, clock_boot_ms () - f->failed_ms);
 }
 
 static void
@@ -159,12 +163,13 @@
            size_t n, int64_t as_of)
 {
   struct prefix_watch *f = arg;
-  update_state (f, status);
+  update_state (f, status, f->list_started_ms);
   if (status != KV_OK)
     {
       schedule_retry (f);
       return;
     }
+  freshness_confirm (f->freshness, f->list_started_ms);
   /* A list that on_hint_due requested may have arrived first and be newer.  */
   if (as_of >= f->as_of)
     apply_list (f, changes, n, as_of);
@@ -193,67 +198,67 @@
   return f->batch_delay_ms;
 }
 
-/* Lists all keys in place of a poll that brings no changes.  */
+/* Logs EVENT, the reason for which the poll brings no changes, and lists all
+   keys.  */
 static void
-relist (struct prefix_watch *f)
+relist (struct prefix_watch *f, const char *event)
 {
+  log_event (LOG_INFO, event, "prefix", f->prefix, "after", log_num (f->as_of),
+             NULL);
   f->as_of = 0;
   schedule_next (f, relist_delay_ms (f));
 }
 
-/* Logs EVENT, the reason for which all keys are listed.  */
+/* Starts a poll that the service may hold open for WAIT_MS.  The result of the
+   current one, which may come much later, is ignored from now on.  */
 static void
-log_relist (const struct prefix_watch *f, const char *event)
+start_poll (struct prefix_watch *f, unsigned wait_ms)
 {
-  log_event (LOG_INFO, event, "prefix", f->prefix, "after", log_num (f->as_of),
-             NULL);
+  struct poll *p = g_new0 (struct poll, 1);
+  p->prefix_watch = f;
+  p->started_ms = clock_boot_ms ();
+  p->wait_ms = wait_ms;
+  g_hash_table_add (f->polls, p);
+  f->current = p;
+  kv_changes (f->kv, f->prefix, f->as_of, wait_ms, on_changes, p);
 }
 
 /* Whether the poll P, which ended with STATUS, timed out.  That alone is no
    loss of the service: the request or its connection may have been lost while
-   the service answers others, as a list on a new connection shows.  */
+   the service answers others, as a poll without a wait shows.  */
 static bool
 has_timed_out (const struct poll *p, enum kv_status status)
 {
-  return status == KV_UNKNOWN && clock_ms () - p->started_ms > p->wait_ms;
+  return status == KV_UNKNOWN && p->wait_ms > 0
+         && clock_boot_ms () - p->started_ms > p->wait_ms;
 }
 
+/* Asks at once in place of the poll P, which had no answer.  */
 static void
-on_changes (void *arg, enum kv_status status, const struct kv_change *changes,
-            size_t n, int64_t as_of)
+replace_unanswered (struct prefix_watch *f, const struct poll *p)
+{
+  log_event (LOG_INFO, "watch_unanswered", "prefix", f->prefix, "after",
+             log_num (f->as_of), "open_ms",
+             log_num (clock_boot_ms () - p->started_ms), "wait_ms",
+             log_num (p->wait_ms), NULL);
+  start_poll (f, 0);
+}
+
+/* Returns the time of the service's state in a response with N changes to the
+   poll P: a response without changes comes after the whole wait.  */
+static int64_t
+response_state_ms (const struct poll *p, size_t n)
+{
+  int64_t now = clock_boot_ms ();
+  if (n > 0 && p->wait_ms > 0)
+    return now;
+  return MIN (now, p->started_ms + p->wait_ms);
+}
+
+static void
+apply_changes (struct prefix_watch *f, const struct kv_change *changes,
+               size_t n, int64_t as_of)
 {
-  struct poll *p = arg;
-  struct prefix_watch *f = p->prefix_watch;
-  p->open = false;
-  if (p != &f->polls[f->current])
-    return;
-  if (has_timed_out (p, status))
-    {
-      log_event (LOG_INFO, "watch_unanswered", "prefix", f->prefix, "after",
-                 log_num (f->as_of), "open_ms",
-                 log_num (clock_ms () - p->started_ms), "wait_ms",
-                 log_num (p->wait_ms), NULL);
-      relist (f);
-      return;
-    }
-  update_state (f, status);
-  if (status == KV_RESTORED)
-    {
-      log_relist (f, "watch_restarts");
-      relist (f);
-      return;
-    }
-  if (status == KV_COMPACTED)
-    {
-      log_relist (f, "watch_history_lost");
-      relist (f);
-      return;
-    }
-  if (status != KV_OK)
-    {
-      schedule_retry (f);
-      return;
-    }
   for (size_t i = 0; i < n; i++)
     {
       apply_change (f, &changes[i]);
@@ -269,15 +274,47 @@
   schedule_next (f, next_batch_delay_ms (f));
 }
 
+/* Handles the end of the current poll P.  */
+static void
+end_poll (struct prefix_watch *f, const struct poll *p, enum kv_status status,
+          const struct kv_change *changes, size_t n, int64_t as_of)
+{
+  if (has_timed_out (p, status))
+    {
+      replace_unanswered (f, p);
+      return;
+    }
+  update_state (f, status, p->started_ms);
+  switch (status)
+    {
+    case KV_OK:
+      freshness_confirm (f->freshness, response_state_ms (p, n));
+      apply_changes (f, changes, n, as_of);
+      break;
+    case KV_RESTORED:
+      relist (f, "watch_restarts");
+      break;
+    case KV_COMPACTED:
+      relist (f, "watch_history_lost");
+      break;
+    default:
+      schedule_retry (f);
+      break;
+    }
+}
+
 static void
-start_poll (struct prefix_watch *f)
+on_changes (void *arg, enum kv_status status, const struct kv_change *changes,
+            size_t n, int64_t as_of)
 {
-  struct poll *p = &f->polls[f->current];
-  p->open = true;
-  p->started_ms = clock_ms ();
-  p->wait_ms
-      = (unsigned)g_random_int_range (POLL_MIN_MS, (gint32)f->poll_max_ms + 1);
-  kv_changes (f->kv, f->prefix, f->as_of, p->wait_ms, on_changes, p);
+  struct poll ended = *(struct poll *)arg;
+  struct prefix_watch *f = ended.prefix_watch;
+  bool current = f->current == arg;
+  g_hash_table_remove (f->polls, arg);
+  if (!current)
+    return;
+  f->current = NULL;
+  end_poll (f, &ended, status, changes, n, as_of);
 }
 
 static void
@@ -286,9 +323,12 @@
   /* A long poll sent while the service is unreachable may be lost, which would
      delay recovery until its time-out.  A list is answered at once.  */
   if (f->as_of == 0 || !f->up)
-    kv_list (f->kv, f->prefix, on_listed, f);
+    {
+      f->list_started_ms = clock_boot_ms ();
+      kv_list (f->kv, f->prefix, on_listed, f);
+    }
   else
-    start_poll (f);
+    start_poll (f, freshness_poll_ms (f->freshness));
 }
 
 static void
@@ -299,24 +339,47 @@
   next_step (arg);
 }
 
-/* Changes that another VM has seen and this VM has not.  */
+/* Checks: the open poll may be lost.  */
 
-static bool
-is_behind (const struct prefix_watch *f)
+static void
+schedule_check (struct prefix_watch *f, int64_t ms)
 {
-  return f->hinted_revision > MAX (f->last_change, f->as_of);
+  struct timeval tv = { ms / 1000, (ms % 1000) * 1000 };
+  evtimer_add (f->check_timer, &tv);
 }
 
-/* Starts another long poll in place of the current one, which missed a change.
-   The result of the old one, which may come much later, is ignored.  */
+/* Replaces the open poll if there was no confirmation in time that it has
+   missed nothing.  A list that is in flight, or a poll that starts after a
+   batch, serves as well.  */
 static void
-replace_poll (struct prefix_watch *f)
+on_check (evutil_socket_t fd, short what, void *arg)
 {
-  unsigned next = (f->current + 1) % POLLS;
-  if (!f->polls[f->current].open || f->polls[next].open)
-    return;
-  f->current = next;
-  start_poll (f);
+  (void)fd;
+  (void)what;
+  struct prefix_watch *f = arg;
+  int64_t left = freshness_check_ms (f->freshness) - clock_boot_ms ();
+  if (left > 0)
+    {
+      schedule_check (f, left);
+      return;
+    }
+  if (f->current && f->current->wait_ms > 0)
+    {
+      metrics_add (METRIC_watch_checks_total, 1);
+      log_event (LOG_DEBUG, "watch_unconfirmed", "prefix", f->prefix, "after",
+                 log_num (f->as_of), "confirmed_age_ms",
+                 log_num (prefix_watch_confirmed_age_ms (f)), NULL);
+      start_poll (f, 0);
+    }
+  schedule_check (f, CHECK_RETRY_MS);
+}
+
+/* Changes that another VM has seen and this VM has not.  */
+
+static bool
+is_behind (const struct prefix_watch *f)
+{
+  return f->hinted_revision > MAX (f->last_change, f->as_of);
 }
 
 static void
@@ -325,11 +388,14 @@
 {
   struct prefix_watch *f = arg;
   f->relisting = false;
-  update_state (f, status);
+  update_state (f, status, f->relist_started_ms);
   if (status == KV_OK && as_of >= f->as_of)
     {
+      freshness_confirm (f->freshness, f->relist_started_ms);
       apply_list (f, changes, n, as_of);
-      replace_poll (f);
+      /* The open poll missed a change.  */
+      if (f->current)
+        start_poll (f, freshness_poll_ms (f->freshness));
     }
   else
     log_event (LOG_INFO, "look_failed", "prefix", f->prefix, "status",
@@ -349,15 +415,19 @@
              log_num (f->hinted_revision), "age_ms",
              log_num (prefix_watch_age_ms (f)), NULL);
   f->relisting = true;
+  f->relist_started_ms = clock_boot_ms ();
   kv_list (f->kv, f->prefix, on_relisted, f);
 }
 
 void
-prefix_watch_hint (struct prefix_watch *f, int64_t revision)
+prefix_watch_hint (struct prefix_watch *f, int64_t revision, int64_t age_ms)
 {
   unsigned ms
       = MAX (f->batch_delay_max_ms + HINT_MARGIN_MS, HINT_DELAY_MIN_MS);
   struct timeval delay = { ms / 1000, (ms % 1000) * 1000 };
+  if (f->listed && revision > 0 && revision <= f->as_of)
+    freshness_confirm (f->freshness,
+                       clock_boot_ms () - age_ms - REPORT_TRANSIT_MS);
   f->hinted_revision = MAX (f->hinted_revision, revision);
   if (is_behind (f) && !evtimer_pending (f->hint_timer, NULL))
     evtimer_add (f->hint_timer, &delay);
@@ -379,13 +449,19 @@
 void
 prefix_watch_set_vm_count (struct prefix_watch *f, unsigned vms)
 {
-  f->poll_max_ms
-      = CLAMP (POLL_MIN_MS * vms / POLL_VMS, POLL_MIN_MS, POLL_MAX_MS);
+  freshness_set_vm_count (f->freshness, vms);
+}
+
+void
+prefix_watch_set_recovery_ms (struct prefix_watch *f, unsigned recovery_ms)
+{
+  freshness_set_recovery_ms (f->freshness, recovery_ms);
 }
 
 struct prefix_watch *
 prefix_watch_create (struct event_base *base, struct kv *kv,
                      const char *prefix, unsigned batch_delay_max_ms,
+                     unsigned recovery_ms,
                      const struct prefix_watch_callbacks *callbacks, void *arg)
 {
   struct prefix_watch *f = g_new0 (struct prefix_watch, 1);
@@ -395,14 +471,15 @@
   f->arg = arg;
   f->retry_ms = RETRY_MIN_MS;
   prefix_watch_set_batch_delay (f, batch_delay_max_ms);
-  prefix_watch_set_vm_count (f, 1);
   f->up = true;
-  for (unsigned i = 0; i < POLLS; i++)
-    f->polls[i].prefix_watch = f;
+  f->freshness = freshness_create (recovery_ms, g_random_int ());
+  f->polls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   f->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   f->timer = evtimer_new (base, on_timer, f);
   f->hint_timer = evtimer_new (base, on_hint_due, f);
+  f->check_timer = evtimer_new (base, on_check, f);
   next_step (f);
+  schedule_check (f, CHECK_RETRY_MS);
   return f;
 }
 
@@ -413,6 +490,9 @@
     return;
   event_free (f->timer);
   event_free (f->hint_timer);
+  event_free (f->check_timer);
+  freshness_destroy (f->freshness);
+  g_hash_table_destroy (f->polls);
   g_hash_table_destroy (f->keys);
   g_free (f->prefix);
   g_free (f);
@@ -424,6 +504,14 @@
   return f->answered_ms == 0 ? -1 : clock_ms () - f->answered_ms;
 }
 
+int64_t
+prefix_watch_confirmed_age_ms (const struct prefix_watch *f)
+{
+  int64_t at_ms = freshness_confirmed_ms (f->freshness);
+  int64_t age_ms = at_ms == INT64_MIN ? INT64_MAX : clock_boot_ms () - at_ms;
+  return MIN (age_ms, PREFIX_WATCH_AGE_MAX_MS);
+}
+
 bool
 prefix_watch_is_synced (const struct prefix_watch *f)
 {
--- a/src/decide/members.c
+++ b/src/decide/members.c
@@ -50,7 +50,7 @@
   uint64_t seq;
   uint64_t version;
   uint64_t false_removals;
-  uint64_t upstreams_revision; /* sent with this VM's messages */
+  struct gossip_revisions revisions; /* sent with this VM's messages */
   int64_t next_probe_ms;
   int64_t ticked_ms;
   unsigned push_rounds;    /* ticks left in which updates are pushed to a few
@@ -401,7 +401,9 @@
   o.message.target = g_strdup (target);
   o.message.after = g_strdup ("");
   o.message.revision = m->self->revision;
-  o.message.upstreams_revision = m->upstreams_revision;
+  o.message.age_ms = m->revisions.age_ms;
+  o.message.upstreams_revision = m->revisions.upstreams_revision;
+  o.message.upstreams_age_ms = m->revisions.upstreams_age_ms;
   o.message.digest = own_digest (m);
   o.message.updates = record_list_create (&member_update_record);
   g_array_append_val (out, o);
@@ -975,9 +977,9 @@
 }
 
 void
-members_set_revision (struct members *m, uint64_t revision,
-                      uint64_t upstreams_revision)
+members_set_revisions (struct members *m,
+                       const struct gossip_revisions *revisions)
 {
-  m->self->revision = revision;
-  m->upstreams_revision = upstreams_revision;
+  m->self->revision = revisions->revision;
+  m->revisions = *revisions;
 }
--- a/src/decide/members.h
+++ b/src/decide/members.h
@@ -59,6 +59,17 @@
   int64_t heard_ms;   /**< when this VM last got a message from it; 0: never */
 };
 
+/** Revisions that a VM reports in its messages, so that a VM with older ones
+    notices, and one with the same ones knows that it has missed nothing.  */
+struct gossip_revisions
+{
+  uint64_t revision; /**< of the configuration in force; 0: none */
+  uint64_t age_ms;   /**< age of the state that is known to have no later
+                        revision */
+  uint64_t upstreams_revision; /**< of the last upstream change; 0: none */
+  uint64_t upstreams_age_ms;   /**< the same age for upstreams */
+};
+
 /** A message to send to IP:PORT.  */
 struct gossip_out
 {
@@ -117,11 +128,9 @@
     in another region and if, for more than VM_LIST_LAG_MS (the delay of the
     list), no message came from it and its status did not change.  */
 void members_vm_unlisted (struct members *m, const char *vm, int64_t now_ms);
-/** Sets the revisions sent with this VM's messages: of the configuration that
-    it has in force, and of the latest change of upstreams that it knows; 0
-    for none.  */
-void members_set_revision (struct members *m, uint64_t revision,
-                           uint64_t upstreams_revision);
+/** Sets the revisions sent with this VM's messages.  */
+void members_set_revisions (struct members *m,
+                            const struct gossip_revisions *revisions);
 
 /* Reads of the member list; they change nothing.  */
 
--- a/src/links/kv.h
+++ b/src/links/kv.h
@@ -135,7 +135,9 @@
 }
 
 /** Long poll: waits up to WAIT_MS for changes under PREFIX after the revision
-    AFTER; ends with KV_COMPACTED if these are no longer kept.  */
+    AFTER; ends with KV_COMPACTED if these are no longer kept.  With WAIT_MS 0
+    it returns at once what there is, and uses a new connection, as it replaces
+    a poll that may be lost with its connection.  */
 static inline void
 kv_changes (struct kv *kv, const char *prefix, int64_t after, unsigned wait_ms,
             kv_changes_cb *cb, void *arg)
