Slow callers pause their upstream; memory for their responses is bounded in sum

Cause: reading from an upstream had no regard to the caller. What waited was bounded for each caller and not in sum, the kernel's buffers not at all. Change: decide/memory_budget shares 32 MB among all responses; one above its share pauses its upstream (pool_pause, which nothing called) until the caller has taken all of it; a paused upstream is not silent. Socket buffers have 128 KB. More than 32 interim or stray responses end the attempt.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -54,6 +54,8 @@
   X (orders_confirmed_total, "Orders confirmed by engines")                   \
   X (role_changes_total, "Role changes ordered")                              \
   X (applies_total, "Files applied through this VM")                          \
+  X (responses_paused_total, "Times that an upstream was paused as its "      \
+                             "caller had not read what waited for it")        \
   X (cut_total, "Answers cut off before their end")                           \
   X (caller_gone_total, "Callers that left before their answer")              \
   X (caller_idle_closed_total, "Idle connections of callers closed")          \
@@ -98,6 +100,7 @@
   X (order_holder, "Failure domains whose orders this VM gives")              \
   X (behind, "1 where this VM knows that its file may be old")                \
   X (routed_open, "Routed requests under way")                                \
+  X (responses_waiting_bytes, "Response bytes that wait for slow callers")    \
   X (permits_open, "Permits that this VM gave, not ended")                    \
   X (limits_in_force, "Upstreams that limit the requests a second")           \
   X (limit_waiting, "Requests that wait for a token of a limit")              \
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -86,6 +86,7 @@
   a->ends_with_event = false;
   a->first_byte = false;
   a->prefilling = false;
+  a->paused = false;
   a->silence_logged = false;
 }
 
@@ -101,6 +102,8 @@
   exchange_drop_token (e, &e->token);
   exchange_leave_queue (e);
   exchange_prefill_release (e);
+  if (e->started)
+    memory_budget_leave (e->proxy->memory, e->waiting);
   if (e->service)
     exchange_return_unused (e);
   if (e->timer)
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -19,6 +19,7 @@
 #include "daemon/sse.h"
 #include "decide/arrivals.h"
 #include "decide/attempts.h"
+#include "decide/memory_budget.h"
 #include "decide/placement.h"
 #include "decide/response_times.h"
 #include "decide/route_table.h"
@@ -48,6 +49,7 @@
   GHashTable *open;             /* set of struct exchange in progress */
   struct token_queue *waiting;  /* requests that wait for a token */
   struct response_times *times; /* longest responses of each route */
+  struct memory_budget *memory; /* of response bytes that wait for callers */
   struct event *timer;          /* checks for unresponsive upstreams */
   int64_t usage_logged_ms;      /* when the retry budgets were last logged */
   int64_t shutdown_from_ms;     /* FROM_MS of proxy_set_shutdown, or 0 */
@@ -65,6 +67,7 @@
   permit_ticket permit;          /* permit requested or held; 0 for none */
   char upstream_id[64];          /* for logs */
   bool prefilling;               /* the call is a remote prefill */
+  bool paused;                   /* its response waits for the caller */
   bool silence_logged;
 
   struct http_head *answer;           /* response head, or NULL */
@@ -140,6 +143,8 @@
   bool started;            /* the response head was sent to the caller */
   bool started_events;     /* and announces an event stream */
   unsigned started_status; /* its status */
+  size_t waiting;          /* response bytes that wait for the caller, as the
+                              memory budget knows them */
   char *last_event_id;     /* of the last event sent to the caller, or NULL */
   int64_t first_ms;        /* first byte of a trusted success; 0: none */
 };
--- a/src/daemon/exchange_hedge.c
+++ b/src/daemon/exchange_hedge.c
@@ -159,6 +159,12 @@
 exchange_check_silence (struct exchange *e, int64_t now)
 {
   struct attempt *a = e->current;
+  /* An upstream that is paused for the caller is not silent.  */
+  if (a->paused)
+    {
+      upstreams_record_bytes (e->proxy->parts.upstreams, &a->work, now);
+      return;
+    }
   if (e->silent || a->call == NULL
       || !(e->attempts.repeatable || a->prefilling)
       || !upstreams_has_stalled (e->proxy->parts.upstreams, &a->work, now))
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -2,6 +2,7 @@
     Response of an upstream: forwards it to the caller, and classifies its
     end.  */
 #include "base/clock.h"
+#include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/exchange.h"
 
@@ -14,10 +15,51 @@
 /* An upstream may send no more than this of a body that is not forwarded while
    it arrives: an error response or a remote prefill.  */
 #define UNFORWARDED_MAX_BYTES (256U * 1024)
-/* A caller that has more unread response bytes than this is disconnected.  */
-#define BACKLOG_MAX_BYTES (2U * 1024 * 1024)
 #define US_PER_MS 1000
 
+/* Back-pressure: a caller that reads slowly pauses its upstream.  */
+
+static void
+set_waiting (struct exchange *e, size_t waiting)
+{
+  memory_budget_change (e->proxy->memory, e->waiting, waiting);
+  e->waiting = waiting;
+  metrics_set (METRIC_responses_waiting_bytes,
+               (int64_t)memory_budget_waiting (e->proxy->memory));
+}
+
+/* Stops reading the response of A until the caller has taken what waits for
+   it.  */
+static void
+pause_upstream (struct attempt *a)
+{
+  struct exchange *e = a->exchange;
+  if (a->paused)
+    return;
+  a->paused = true;
+  pool_pause (a->call, true);
+  metrics_add (METRIC_responses_paused_total, 1);
+  log_event (LOG_DEBUG, "response_paused", "request", e->facts.id, "upstream",
+             a->upstream_id, "waiting_bytes", log_num ((long long)e->waiting),
+             "share_bytes",
+             log_num ((long long)memory_budget_share (e->proxy->memory)),
+             NULL);
+}
+
+/* The caller has taken all that waited for it.  */
+static void
+on_caller_drained (void *arg)
+{
+  struct exchange *e = arg;
+  struct attempt *a = e->current;
+  set_waiting (e, 0);
+  if (a == NULL || !a->paused)
+    return;
+  a->paused = false;
+  if (a->call)
+    pool_pause (a->call, false);
+}
+
 /* Forwarding of the upstream's response.  */
 
 /* Sends the head of A's response, unless one was sent before.  */
@@ -29,6 +71,8 @@
   if (e->started)
     return;
   e->started = true;
+  memory_budget_enter (e->proxy->memory);
+  inbound_request_on_drained (e->caller, on_caller_drained, e);
   e->started_events = a->is_events;
   e->started_status = a->answer->status;
   inbound_request_stream_start (e->caller, a->answer, a->framing, a->length);
@@ -148,10 +192,15 @@
   else
     forward_body (a, data);
   if (sse_is_oversized (&a->events))
-    reject_oversized (a);
-  else if (e->started
-           && inbound_request_stream_backlog (e->caller) > BACKLOG_MAX_BYTES)
-    exchange_abort (e, "caller_too_slow");
+    {
+      reject_oversized (a);
+      return;
+    }
+  if (!e->started)
+    return;
+  set_waiting (e, inbound_request_stream_backlog (e->caller));
+  if (memory_budget_is_exceeded (e->proxy->memory, e->waiting))
+    pause_upstream (a);
 }
 
 static void
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -12,6 +12,8 @@
 /* How often requests in progress are checked for an unresponsive upstream.  */
 #define UNRESPONSIVE_CHECK_MS 100
 #define USAGE_LOG_INTERVAL_MS 1000
+/* Response bytes that wait for slow callers, over all of them.  */
+#define RESPONSE_MEMORY_BYTES ((size_t)32 * 1024 * 1024)
 /* During a stop, a response may take longer than the longest recent one by
    that time divided by this.  */
 #define LONGER_RESPONSE_PART 10
@@ -269,6 +271,7 @@
   p->open = g_hash_table_new (NULL, NULL);
   p->waiting = token_queue_create ();
   p->times = response_times_create ();
+  p->memory = memory_budget_create (RESPONSE_MEMORY_BYTES);
   p->timer = event_new (parts->base, -1, EV_PERSIST, on_unresponsive_check, p);
   event_add (p->timer, &tick);
   return p;
@@ -291,6 +294,7 @@
   g_hash_table_destroy (p->open);
   token_queue_destroy (p->waiting);
   response_times_destroy (p->times);
+  memory_budget_destroy (p->memory);
   route_table_unref (p->table);
   g_free (p);
 }
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -33,6 +33,9 @@
 #define INPUT_CHECK_MS 50
 /* Least input in that time with which the time-out is put off again.  */
 #define INPUT_CHECK_BYTES 4096
+/* Buffers of the kernel for one connection.  Without a bound they would grow
+   to several MB for a caller that sends or reads slowly.  */
+#define SOCKET_BUFFER_BYTES (128 * 1024)
 /* TCP_USER_TIMEOUT: the kernel drops a connection on which sent bytes stay
    unacknowledged, or the caller's receive window stays closed, for this
    long.  */
@@ -66,6 +69,8 @@
   struct http_listener_conn *conn;
   void (*on_close) (void *);
   void *on_close_arg;
+  void (*on_drained) (void *);
+  void *on_drained_arg;
   enum http_framing framing;
 };
 
@@ -308,6 +313,8 @@
     conn_linger (c);
   else if (c->state == CONN_IDLE)
     set_timer (c, c->listener->limits.idle_ms);
+  else if (c->state == CONN_RESPONDING && c->request.on_drained)
+    c->request.on_drained (c->request.on_drained_arg);
 }
 
 static void
@@ -391,7 +398,10 @@
 set_options (evutil_socket_t fd)
 {
   int one = 1;
+  int buffer = SOCKET_BUFFER_BYTES;
   unsigned timeout = USER_TIMEOUT_MS;
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
+  (void)setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
                     sizeof timeout);
@@ -556,6 +566,14 @@
   r->on_close_arg = arg;
 }
 
+void
+inbound_request_on_drained (struct inbound_request *r,
+                            void (*on_drained) (void *), void *arg)
+{
+  r->on_drained = on_drained;
+  r->on_drained_arg = arg;
+}
+
 static struct evbuffer *
 get_output (const struct inbound_request *r)
 {
--- a/src/links/http_listener.h
+++ b/src/links/http_listener.h
@@ -90,6 +90,10 @@
     ended.  R is already freed when it runs.  */
 void inbound_request_on_close (struct inbound_request *r,
                                void (*on_close) (void *), void *arg);
+/** Sets the callback that runs whenever all bytes of the response that were
+    passed on so far are written to the socket, and more may follow.  */
+void inbound_request_on_drained (struct inbound_request *r,
+                                 void (*on_drained) (void *), void *arg);
 /** Sends a complete response and frees R.  HEAD has the status and the fields
     other than Content-Length.  */
 void inbound_request_reply (struct inbound_request *r,
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -26,6 +26,12 @@
    parsed.  */
 #define READ_AHEAD_BYTES (256U * 1024)
 
+/* Receive buffer of the kernel for one connection.  Without a bound it would
+   grow to several MB while reading is paused.  */
+#define RECEIVE_BUFFER_BYTES (128 * 1024)
+/* Most interim (1xx) and stray responses before the response to a call.  */
+#define SKIPPED_MAX 32
+
 /* Connections to one upstream.  */
 struct host
 {
@@ -65,6 +71,7 @@
   bool sent;     /* request bytes were written to the socket */
   bool head_seen;
   bool stray; /* the response being read carries the id of another request */
+  unsigned skipped;      /* interim and stray responses */
   struct evbuffer *body; /* response bytes not yet drained by on_data */
 };
 
@@ -256,15 +263,22 @@
 }
 
 /* Discards a 1xx or stray response and prepares the codec for the next one
-   on the connection.  */
-static void
+   on the connection.  Ends the call after too many of them and returns
+   false.  */
+static bool
 skip_response (struct conn *c)
 {
   struct pool_call *call = c->call;
+  if (++call->skipped > SKIPPED_MAX)
+    {
+      call_end (call, POOL_BAD_RESPONSE);
+      return false;
+    }
   evbuffer_drain (call->body, evbuffer_get_length (call->body));
   call->stray = false;
   call->head_seen = false;
   http_codec_next (c->codec, call->bodiless);
+  return true;
 }
 
 static bool
@@ -296,20 +310,13 @@
   if (head == NULL)
     return false;
   if (head->status < 200)
-    {
-      if (p == HTTP_COMPLETE)
-        skip_response (c);
-      return p == HTTP_COMPLETE;
-    }
+    return p == HTTP_COMPLETE && skip_response (c);
   if (!call->head_seen && !handle_head (c, head))
     return false;
   if (!deliver_body (c) || p != HTTP_COMPLETE)
     return false;
   if (call->stray)
-    {
-      skip_response (c);
-      return true;
-    }
+    return skip_response (c);
   response_complete (c);
   return false;
 }
@@ -402,6 +409,8 @@
   int idle = KEEPALIVE_IDLE_S;
   int interval = KEEPALIVE_INTERVAL_S;
   int count = KEEPALIVE_PROBES;
+  int buffer = RECEIVE_BUFFER_BYTES;
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   (void)setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -66,6 +66,10 @@
       long-bare      the same without chunks
       stream-endless one event without end, without chunks
       endless-error  500 with a body without end, without chunks
+      endless-body, endless-head, endless-interim
+                     200 with a body without end, a head without end, interim
+                     responses (100) without end
+      large          a body of 6,000,000 bytes
       two            2 events at once
       fast           1,000 events at once
       held           1 event, then nothing more
--- a/tests/fakes/upstream_response.c
+++ b/tests/fakes/upstream_response.c
@@ -21,6 +21,9 @@
 #define LINGER_S 0 /* close with a TCP reset */
 #define ENDLESS_PART_BYTES 65536
 #define ENDLESS_PART_MS 1
+#define ENDLESS_OUTPUT_MAX_BYTES (1024 * 1024)
+#define INTERIM "HTTP/1.1 100 Continue\r\n\r\n"
+#define LARGE_BYTES 6000000
 
 /* How a stream ends.  */
 enum stream_end
@@ -404,7 +407,27 @@
 is_endless (const char *directive)
 {
   return strcmp (directive, "stream-endless") == 0
-         || strcmp (directive, "endless-error") == 0;
+         || g_str_has_prefix (directive, "endless-");
+}
+
+/* Sends the head of an endless response of another kind than start_endless.
+   Returns false for other directives.  */
+static bool
+start_endless_bytes (struct conn *c)
+{
+  g_autofree char *head = format_head (c->id, "200 OK", true);
+  g_autofree char *text = NULL;
+  if (strcmp (c->directive, "endless-body") == 0)
+    text = g_strdup_printf ("%sContent-Type: text/plain\r\n\r\n", head);
+  else if (strcmp (c->directive, "endless-head") == 0)
+    text = g_strdup_printf ("%sX-Field: ", head);
+  else if (strcmp (c->directive, "endless-interim") == 0)
+    text = g_strdup (INTERIM);
+  else
+    return false;
+  send_text (c, text);
+  response_set_timer (c, ENDLESS_PART_MS);
+  return true;
 }
 
 /* Starts a response without length or chunks whose body never ends: part of
@@ -424,8 +447,11 @@
 static void
 send_endless_part (struct conn *c)
 {
+  struct evbuffer *out = bufferevent_get_output (c->bev);
   g_autofree char *part = g_strnfill (ENDLESS_PART_BYTES, 'x');
-  send_text (c, part);
+  bool interim = strcmp (c->directive, "endless-interim") == 0;
+  if (evbuffer_get_length (out) < ENDLESS_OUTPUT_MAX_BYTES)
+    send_text (c, interim ? INTERIM INTERIM INTERIM : part);
   response_set_timer (c, ENDLESS_PART_MS);
 }
 
@@ -535,6 +561,14 @@
     response_send_events (c, 1, true);
   else if (find_stream_variant (d))
     start_stream (c, find_stream_variant (d));
+  else if (strcmp (d, "large") == 0)
+    {
+      g_autofree char *body = g_strnfill (LARGE_BYTES, 'x');
+      response_send (c, c->id, "200 OK", true, body, LARGE_BYTES);
+      response_finish (c, false);
+    }
+  else if (is_endless (d) && start_endless_bytes (c))
+    return;
   else if (is_endless (d))
     start_endless (c, strcmp (d, "endless-error") == 0);
   else if (!send_faulty_response (c, d) && !send_closing_response (c, d))
