Entries of upstreams that lack a field name no upstream

Cause: missing fields of an entry had defaults, so one that another writer left incomplete under a living instance's id was used, with another service's name. The stand-ins' entries lacked coldLeftMs, which the platform always writes; they have it now. The cases of odd entries are whole but for the odd field, so that each still tests that field. Test before: platform/incomplete-entry-names-no-upstream and the new fractions in odd-entry-names-no-upstream red.

--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -137,6 +137,19 @@
   return true;
 }
 
+/* Takes ID out of use because of WHY, without a conclusion about the upstream
+   itself.  */
+static void
+stop_using (struct discovery *d, const char *id, const char *why)
+{
+  if (!upstreams_remove (d->upstreams, id))
+    return;
+  log_event (LOG_INFO, "upstream_gone", "upstream", id, "why", why,
+             "upstreams_left", log_num (upstreams_count (d->upstreams)), NULL);
+  d->callbacks->on_upstream_gone (d->arg, id);
+}
+
+/* The upstream ID has left or ended.  */
 static void
 drop_upstream (struct discovery *d, const char *id, const char *why)
 {
@@ -147,11 +160,7 @@
       record_departure (d, info);
       d->callbacks->on_upstream_ended (d->arg, info);
     }
-  if (!upstreams_remove (d->upstreams, id))
-    return;
-  log_event (LOG_INFO, "upstream_gone", "upstream", id, "why", why,
-             "upstreams_left", log_num (upstreams_count (d->upstreams)), NULL);
-  d->callbacks->on_upstream_gone (d->arg, id);
+  stop_using (d, id, why);
 }
 
 /* Counts a removal.  Returns whether it belongs to a burst, see
@@ -208,7 +217,7 @@
     {
       log_event (LOG_WARN, "upstream_malformed", "key", key, "revision",
                  log_num (revision), "error", error->message, NULL);
-      drop_upstream (d, id, "entry_malformed");
+      stop_using (d, id, "entry_malformed");
       return;
     }
   bool outdated = is_outdated (d, &info, revision);
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -128,11 +128,12 @@
       site_store_remove (s, key);
       return;
     }
-  json_t *root = json_pack (
-      "{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:I}", "service",
-      s->stages[i] ? "m" : "s", "address", s->upstream_configured_address[i],
-      "zone", "d", "version", "v1", "slots", (int)s->slots, "state", state,
-      "seq", ++sequence, "born", (json_int_t)s->upstream_starts[i]);
+  json_t *root = json_pack ("{s:s, s:s, s:s, s:s, s:i, s:s, s:i, s:i, s:I}",
+                            "service", s->stages[i] ? "m" : "s", "address",
+                            s->upstream_configured_address[i], "zone", "d",
+                            "version", "v1", "slots", (int)s->slots, "state",
+                            state, "coldLeftMs", 0, "seq", ++sequence, "born",
+                            (json_int_t)s->upstream_starts[i]);
   if (s->stages[i])
     json_object_set_new (root, "stage", json_string (s->stages[i]));
   char *text = json_dumps (root, 0);
--- a/tests/process/test_many.c
+++ b/tests/process/test_many.c
@@ -44,7 +44,7 @@
       site_put (site, key,
                 "{\"service\":\"other\",\"address\":\"127.0.0.1:9\",\"zone\":"
                 "\"d\",\"version\":\"v1\",\"slots\":1,\"state\":\"ready\","
-                "\"seq\":1}");
+                "\"coldLeftMs\":0,\"seq\":1}");
     }
 }
 
@@ -72,7 +72,7 @@
   site_put (site, "servers/other-9999",
             "{\"service\":\"other\",\"address\":\"127.0.0.1:9\",\"zone\":"
             "\"d\",\"version\":\"v1\",\"slots\":1,\"state\":\"ready\","
-            "\"seq\":1}");
+            "\"coldLeftMs\":0,\"seq\":1}");
   site_wait (knows_count, GUINT_TO_POINTER (OTHER_UPSTREAMS + 2),
              LIST_TIMEOUT_MS);
   g_autofree char *log = site_log (site, 0);
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -127,7 +127,8 @@
 
 #define ENTRY(more)                                                           \
   "{\"service\":\"m\",\"address\":\"10.0.0.9:8080\",\"zone\":\"a\","          \
-  "\"state\":\"ready\"," more "}"
+  "\"version\":\"v1\",\"slots\":1,\"state\":\"ready\",\"coldLeftMs\":0,"      \
+  "\"seq\":1," more "}"
 
 static void
 test_odd_entry_names_no_upstream (void)
@@ -146,8 +147,13 @@
     ENTRY ("\"address\":\"10.0.0.9:99999999999999999999\""),
     ENTRY ("\"address\":\"10.0.0.9:-80\""),
     ENTRY ("\"service\":\"\""),
+    ENTRY ("\"slots\":1.5"),
+    ENTRY ("\"seq\":1.5"),
+    ENTRY ("\"born\":1.5"),
   };
   struct upstream_info info;
+  g_assert_true (check_decode (ENTRY ("\"born\":1"), &info));
+  upstream_info_clear (&info);
   for (size_t i = 0; i < G_N_ELEMENTS (odd); i++)
     {
       bool named = check_decode (odd[i], &info);
@@ -156,6 +162,39 @@
     }
 }
 
+/* Another writer's entry lacks a field, or has one of another type: it names
+   no upstream until the owner writes it again.  */
+static void
+test_incomplete_entry_names_no_upstream (void)
+{
+  static const char *const required[]
+      = { "service", "address", "zone", "version",
+          "slots",   "state",   "seq",  "coldLeftMs" };
+  static const char *const other_types[]
+      = { "null", "true", "[]", "{}", "[1]", "{\"a\":\"b\"}" };
+  struct upstream_info info;
+  for (size_t i = 0; i < G_N_ELEMENTS (required); i++)
+    {
+      json_t *entry = json_loads (ENTRY ("\"born\":1"), 0, NULL);
+      json_object_del (entry, required[i]);
+      char *text = json_dumps (entry, 0);
+      g_test_message ("without %s", required[i]);
+      g_assert_false (check_decode (text, &info));
+      free (text);
+      for (size_t k = 0; k < G_N_ELEMENTS (other_types); k++)
+        {
+          json_object_set_new (
+              entry, required[i],
+              json_loads (other_types[k], JSON_DECODE_ANY, NULL));
+          text = json_dumps (entry, 0);
+          g_test_message ("%s: %s", required[i], other_types[k]);
+          g_assert_false (check_decode (text, &info));
+          free (text);
+        }
+      json_decref (entry);
+    }
+}
+
 static void
 test_deeply_nested_entry_names_no_upstream (void)
 {
@@ -415,6 +454,8 @@
   g_test_add_func ("/platform/upstreams", test_upstreams);
   g_test_add_func ("/platform/odd-entry-names-no-upstream",
                    test_odd_entry_names_no_upstream);
+  g_test_add_func ("/platform/incomplete-entry-names-no-upstream",
+                   test_incomplete_entry_names_no_upstream);
   g_test_add_func ("/platform/deeply-nested-entry-names-no-upstream",
                    test_deeply_nested_entry_names_no_upstream);
   g_test_add_func ("/platform/id-with-line-break-names-no-upstream",
