--- a/src/decide/freshness.c
+++ b/src/decide/freshness.c
@@ -10,7 +10,7 @@
    VMs to keep all of them confirmed.  */
 #define POLL_MIN_MS 500
 #define POLL_PER_VM_MS 600
-#define POLL_MAX_MS 10000
+#define POLL_MAX_MS 15000
 
 struct freshness
 {
