The first check of a watch compares times without overflow

Cause: before the first confirmation the time of the check is INT64_MIN, and the time left was a difference with it: undefined, and far in the future where it wraps, so that a watch whose first list is lost had no check until the next confirmation. Found by reading.

--- a/src/daemon/prefix_watch.c
+++ b/src/daemon/prefix_watch.c
@@ -357,10 +357,11 @@
   (void)fd;
   (void)what;
   struct prefix_watch *f = arg;
-  int64_t left = freshness_check_ms (f->freshness) - clock_boot_ms ();
-  if (left > 0)
+  int64_t now = clock_boot_ms ();
+  int64_t due = freshness_check_ms (f->freshness);
+  if (now < due)
     {
-      schedule_check (f, left);
+      schedule_check (f, due - now);
       return;
     }
   if (f->current && f->current->wait_ms > 0)
