--- a/tests/process/test_store_silences.c
+++ b/tests/process/test_store_silences.c
@@ -18,6 +18,9 @@
 #define STABLE_MS 4000
 #define APPLY_TIMEOUT_MS 2500
 #define ROUNDS 3
+/* Silence of the store as the VMs start, and time until all serve.  */
+#define START_SILENCE_MS 1000
+#define START_TIMEOUT_MS 15000
 
 static struct site *site;
 static unsigned requests;
@@ -78,21 +81,45 @@
 
 /* Route changes around a silence: no VM may answer 404 to a request for a
    route that was added 0.3 s after the silence, once 4 s have passed.  */
+static void
+play_route_changes (void)
+{
+  static unsigned version = 10;
+  g_autofree char *extra = g_strdup_printf ("added-%u", version);
+  g_autofree char *path = g_strdup_printf ("/%s/ok", extra);
+  site_write_routes (site, version++, NULL);
+  gint64 end_us = silence_store ();
+  g_usleep (CHANGE_MS * 1000);
+  site_write_routes (site, version++, extra);
+  sleep_until (end_us + STABLE_MS * 1000);
+  g_assert_cmpuint (count_vms_without (path), ==, 0);
+}
+
 static void
 test_routes (void)
 {
-  unsigned version = 10;
   for (unsigned round = 0; round < ROUNDS; round++)
-    {
-      g_autofree char *extra = g_strdup_printf ("added-%u", round);
-      g_autofree char *path = g_strdup_printf ("/%s/ok", extra);
-      site_write_routes (site, version++, NULL);
-      gint64 end_us = silence_store ();
-      g_usleep (CHANGE_MS * 1000);
-      site_write_routes (site, version++, extra);
-      sleep_until (end_us + STABLE_MS * 1000);
-      g_assert_cmpuint (count_vms_without (path), ==, 0);
-    }
+    play_route_changes ();
+}
+
+static bool
+every_vm_serves (void *arg)
+{
+  return count_vms_without (arg) == 0;
+}
+
+/* The same at VMs that start while the store is silent, so that their first
+   lists come late.  */
+static void
+test_routes_after_late_start (void)
+{
+  site_store_faults (site, "silent=1");
+  for (unsigned i = 0; i < VMS; i++)
+    site_start_vm (site, i);
+  g_usleep (START_SILENCE_MS * 1000);
+  site_store_faults (site, "silent=0");
+  site_wait (every_vm_serves, (char *)"/safe/ok", START_TIMEOUT_MS);
+  play_route_changes ();
 }
 
 /* An upstream is draining, or its entry is removed, 0.3 s after a silence: no
@@ -123,6 +150,8 @@
   site_start (site);
   g_test_add_func ("/store-silences/routes", test_routes);
   g_test_add_func ("/store-silences/upstreams", test_upstreams);
+  g_test_add_func ("/store-silences/routes-after-late-start",
+                   test_routes_after_late_start);
   int result = g_test_run ();
   site_destroy (site);
   return result;
