Watches are checked after 0.45 to 0.55 of the recovery time; large fleets retry later

In an outage more VMs notice than before, and each retried twice a second. Change: 0.45 to 0.55 of the recovery time in place of 0.37 to 0.50; retries wait for up to 0.5 s in a small fleet, up to 1 s with 20 VMs and more.

--- a/src/daemon/prefix_watch.c
+++ b/src/daemon/prefix_watch.c
@@ -20,9 +20,12 @@
    Each VM first waits for a random time, at most this time per key, to spread
    the load.  */
 #define RELIST_SPREAD_US_PER_KEY 200
-/* Delay before a retry; doubles with each failure up to the maximum.  */
+/* Delay before a retry; doubles with each failure up to a maximum, which grows
+   with the number of VMs between these bounds, as all of them retry.  */
 #define RETRY_MIN_MS 250
-#define RETRY_MAX_MS 500
+#define RETRY_LONGEST_MIN_MS 500
+#define RETRY_LONGEST_MAX_MS 1000
+#define RETRY_PER_VM_MS 50
 /* Delay of a check that is due while no long poll is open.  */
 #define CHECK_RETRY_MS 100
 /* Most time that the report of another VM is under way.  */
@@ -53,6 +56,7 @@
   int64_t answered_ms; /* when the service last answered; 0 for never */
   int64_t failed_ms;   /* when the latest request that failed was sent */
   unsigned retry_ms;   /* delay before the next retry */
+  unsigned retry_max_ms;
   unsigned batch_delay_max_ms;
   unsigned batch_delay_ms; /* delay of the poll after the latest batch */
   int64_t last_batch_ms;   /* when the latest batch arrived */
@@ -104,7 +108,7 @@
 schedule_retry (struct prefix_watch *f)
 {
   schedule_next (f, f->retry_ms);
-  f->retry_ms = MIN (f->retry_ms * 2, RETRY_MAX_MS);
+  f->retry_ms = MIN (f->retry_ms * 2, f->retry_max_ms);
 }
 
 static void
@@ -451,6 +455,9 @@
 prefix_watch_set_vm_count (struct prefix_watch *f, unsigned vms)
 {
   freshness_set_vm_count (f->freshness, vms);
+  f->retry_max_ms
+      = (unsigned)CLAMP ((uint64_t)vms * RETRY_PER_VM_MS, RETRY_LONGEST_MIN_MS,
+                         RETRY_LONGEST_MAX_MS);
 }
 
 void
@@ -474,6 +481,7 @@
   prefix_watch_set_batch_delay (f, batch_delay_max_ms);
   f->up = true;
   f->freshness = freshness_create (recovery_ms, g_random_int ());
+  prefix_watch_set_vm_count (f, 1);
   f->polls = g_hash_table_new_full (NULL, NULL, g_free, NULL);
   f->keys = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   f->timer = evtimer_new (base, on_timer, f);
--- a/src/decide/freshness.c
+++ b/src/decide/freshness.c
@@ -3,8 +3,8 @@
 /* A check is due when CHECK_PERCENT of the recovery time have passed since the
    last confirmation, and a random part of CHECK_SPREAD_PERCENT more: the VMs
    that ask first spare the others the call.  */
-#define CHECK_PERCENT 37
-#define CHECK_SPREAD_PERCENT 13
+#define CHECK_PERCENT 45
+#define CHECK_SPREAD_PERCENT (FRESHNESS_CHECK_MAX_PERCENT - CHECK_PERCENT)
 /* Bounds of the time for which a long poll is held open.  POLL_PER_VM_MS gives
    some three answers a second in a small fleet, enough for the reports between
    VMs to keep all of them confirmed.  */
--- a/src/decide/freshness.h
+++ b/src/decide/freshness.h
@@ -13,6 +13,11 @@
 #include <glib.h>
 #include <stdint.h>
 
+/** Longest time without a confirmation before a check, in percent of the
+    recovery time.  The rest is for a check that is lost and its retry, and for
+    the grace period of entries that are found missing.  */
+#define FRESHNESS_CHECK_MAX_PERCENT 55
+
 struct freshness;
 
 /** Creates the freshness of a copy that was not read yet, for one VM.
@@ -23,8 +28,9 @@
 void freshness_destroy (struct freshness *f);
 
 /** Sets the time after a disruption of the service within which the copy must
-    be up to date again, in milliseconds.  The copy is checked when half of it
-    has passed without a confirmation, at the latest.  */
+    be up to date again, in milliseconds.  The copy is checked when
+    FRESHNESS_CHECK_MAX_PERCENT of it have passed without a confirmation, at
+   the latest.  */
 void freshness_set_recovery_ms (struct freshness *f, unsigned recovery_ms);
 
 /** Sets the number of VMs that follow the data, this one included.  */
