Client accounts on the platform's path: keys, account names, public routes

Cause: the configuration's accounts were not decoded, so a caller's key went to the upstream, no account was named there and unknown keys ran. Ruled out: storing keys in the clear (a lookup by comparison leaks by time); rejecting a configuration with a key in two accounts, which would keep every VM on the version before. Change: route_table holds accounts, and keys by their HMAC under a random secret; 401 for an unknown key; the account's priority before the route's.

--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -111,9 +111,17 @@
   route_table_unref (e->table);
   g_free (e->last_event_id);
   g_free (e->facts.id);
+  g_free (e->facts.key);
   g_free (e);
 }
 
+unsigned
+exchange_priority (const struct exchange *e)
+{
+  return e->account && e->account->has_priority ? e->account->priority
+                                                : e->route->priority;
+}
+
 /* Writes one line per request: its route, the inputs of its last placement and
    its outcome.  first_ms is -1 without a first byte, routes_version without
    routes.  */
@@ -128,12 +136,14 @@
       = isfinite (e->expected_ms) ? (long long)e->expected_ms : -1;
   log_event (
       LOG_INFO, "request_end", "request", e->facts.id, "route",
-      e->route ? e->route->name : "", "service", e->service ? e->service : "",
-      "upstream", a->upstream_id, "outcome", outcome, "status",
-      log_num (status), "ms", log_num (now - e->since_ms), "first_ms",
-      log_num (e->first_ms ? e->first_ms - e->since_ms : -1), "expected_ms",
-      log_num (expected_ms), "to_read", log_num ((long long)a->choice.tokens),
-      "queue_ms", log_num ((long long)a->choice.queue_ms), "compute_ms",
+      e->route ? e->route->name : "", "account",
+      e->account ? e->account->name : "", "service",
+      e->service ? e->service : "", "upstream", a->upstream_id, "outcome",
+      outcome, "status", log_num (status), "ms", log_num (now - e->since_ms),
+      "first_ms", log_num (e->first_ms ? e->first_ms - e->since_ms : -1),
+      "expected_ms", log_num (expected_ms), "to_read",
+      log_num ((long long)a->choice.tokens), "queue_ms",
+      log_num ((long long)a->choice.queue_ms), "compute_ms",
       log_num ((long long)a->choice.compute_ms), "preferred",
       a->choice.is_preferred ? "true" : "false", "model_samples",
       log_num (a->choice.model_samples), "model_age_ms",
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -92,6 +92,7 @@
   struct request_info facts;
   struct route_table *table; /* current when the request arrived, or NULL */
   const struct route *route;
+  const struct route_account *account; /* of the caller; NULL for none */
   bool is_canary;      /* sent although a part of its prompt is in
                           quarantine */
   const char *service; /* chosen among the route's targets */
@@ -205,6 +206,9 @@
 /** Whether E must reach no upstream any more, as a part of its prompt is in
     quarantine.  */
 bool exchange_is_quarantined (const struct exchange *e);
+/** Priority of E, 0 for the most urgent: its account's, or else its
+    route's.  */
+unsigned exchange_priority (const struct exchange *e);
 /** Writes the request_end log line of E.  */
 void exchange_log_end (const struct exchange *e, const char *outcome,
                        unsigned status);
--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -35,7 +35,9 @@
           .caller_timeout_ms = e->until_ms - now,
           .prefill_only = a->prefilling,
           .prefill_handle = a->prefilling ? NULL : e->prefill_handle,
-          .resume_after = e->last_event_id };
+          .resume_after = e->last_event_id,
+          .account = e->account ? e->account->name : NULL,
+          .remove_key = route_table_has_accounts (e->table) };
   http_head_strip_hop_by_hop (h, ops->protected_fields);
   http_head_remove (h, "Expect");
   http_head_remove (h, "Content-Length");
--- a/src/daemon/exchange_budget.c
+++ b/src/daemon/exchange_budget.c
@@ -22,7 +22,8 @@
 {
   if (e->silent || e->current->call)
     return RETRY_HEDGE;
-  return e->started || e->route->priority == 0 ? RETRY_URGENT : RETRY_NORMAL;
+  return e->started || exchange_priority (e) == 0 ? RETRY_URGENT
+                                                  : RETRY_NORMAL;
 }
 
 bool
--- a/src/daemon/exchange_limit.c
+++ b/src/daemon/exchange_limit.c
@@ -124,7 +124,7 @@
       || !placement_lacks_token (p->parts.upstreams, request, now))
     return false;
   struct token_waiter w = { .service = e->service,
-                            .priority = e->route->priority,
+                            .priority = exchange_priority (e),
                             .start_by_ms = start_by_ms (e),
                             .request = e };
   if (e->waits_since_ms == 0)
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -139,6 +139,17 @@
   return true;
 }
 
+/* Finds the account of E's caller and forgets its key.  Returns whether the
+   caller may use the route.  */
+static bool
+identify_caller (struct exchange *e)
+{
+  e->account = route_table_account (e->table, e->facts.key);
+  g_clear_pointer (&e->facts.key, g_free);
+  return e->account || e->route->is_public
+         || !route_table_has_accounts (e->table);
+}
+
 static void
 route_exchange (struct exchange *e, const struct http_head *head)
 {
@@ -148,6 +159,8 @@
     exchange_reply (e, 400, "no_request_id", 0);
   else if (!find_route (e, head))
     exchange_reply (e, 404, "no_route", 0);
+  else if (!identify_caller (e))
+    exchange_reply (e, 401, "unknown_key", 0);
   else
     {
       set_deadline (e);
--- a/src/decide/route_table.c
+++ b/src/decide/route_table.c
@@ -1,8 +1,14 @@
 #include "decide/route_table.h"
 
 #include <string.h>
+#include <sys/random.h>
 #include <xxhash.h>
 
+/* Keys of accounts are stored and looked up as their HMAC-SHA-256 under a
+   random secret, so that the time of a lookup tells nothing about a key.  */
+#define SECRET_BYTES 32
+#define DIGEST_BYTES 32
+
 struct route_table
 {
   unsigned references;
@@ -12,6 +18,8 @@
   GHashTable *hosts;    /* host -> GPtrArray of struct route, longest prefix
                            first */
   GHashTable *services; /* name -> struct route_service */
+  GPtrArray *accounts;  /* struct route_account */
+  GHashTable *keys;     /* digest of a key -> struct route_account */
 };
 
 static void
@@ -41,12 +49,58 @@
   g_free (s);
 }
 
+static void
+account_free (void *p)
+{
+  struct route_account *a = p;
+  g_free (a->name);
+  g_free (a);
+}
+
 static void
 host_free (void *p)
 {
   g_ptr_array_free (p, TRUE);
 }
 
+/* Digests of keys.  */
+
+static guint
+digest_hash (const void *digest)
+{
+  guint hash = 0;
+  memcpy (&hash, digest, sizeof hash);
+  return hash;
+}
+
+static gboolean
+digest_equal (const void *a, const void *b)
+{
+  return memcmp (a, b, DIGEST_BYTES) == 0;
+}
+
+/* Returns the secret of this process.  */
+static const guint8 *
+digest_secret (void)
+{
+  static guint8 secret[SECRET_BYTES];
+  static bool drawn;
+  if (!drawn && getrandom (secret, sizeof secret, 0) != sizeof secret)
+    g_error ("getrandom failed: no secret for the keys of accounts");
+  drawn = true;
+  return secret;
+}
+
+static void
+digest_key (const char *key, guint8 out[DIGEST_BYTES])
+{
+  gsize size = DIGEST_BYTES;
+  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, digest_secret (), SECRET_BYTES);
+  g_hmac_update (hmac, (const guchar *)key, -1);
+  g_hmac_get_digest (hmac, out, &size);
+  g_hmac_unref (hmac);
+}
+
 struct route_table *
 route_table_create (uint64_t version)
 {
@@ -58,6 +112,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, host_free);
   t->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
+  t->accounts = g_ptr_array_new_with_free_func (account_free);
+  t->keys = g_hash_table_new_full (digest_hash, digest_equal, g_free, NULL);
   return t;
 }
 
@@ -75,6 +131,8 @@
     return;
   g_hash_table_destroy (t->hosts);
   g_hash_table_destroy (t->services);
+  g_hash_table_destroy (t->keys);
+  g_ptr_array_free (t->accounts, TRUE);
   g_ptr_array_free (t->routes, TRUE);
   g_free (t);
 }
@@ -118,6 +176,55 @@
   g_hash_table_replace (t->services, s->name, s);
 }
 
+void
+route_table_add_account (struct route_table *t,
+                         const struct route_account *account)
+{
+  struct route_account *a = g_new (struct route_account, 1);
+  *a = *account;
+  g_ptr_array_add (t->accounts, a);
+}
+
+bool
+route_table_add_key (struct route_table *t, const char *key)
+{
+  struct route_account *last
+      = g_ptr_array_index (t->accounts, t->accounts->len - 1);
+  guint8 digest[DIGEST_BYTES];
+  digest_key (key, digest);
+  const struct route_account *other = g_hash_table_lookup (t->keys, digest);
+  if (other && other != last)
+    return false;
+  g_hash_table_replace (t->keys, g_memdup2 (digest, sizeof digest), last);
+  return true;
+}
+
+bool
+route_table_has_accounts (const struct route_table *t)
+{
+  return t->accounts->len > 0;
+}
+
+const struct route_account *
+route_table_account (const struct route_table *t, const char *key)
+{
+  guint8 digest[DIGEST_BYTES];
+  if (key == NULL || t->accounts->len == 0)
+    return NULL;
+  digest_key (key, digest);
+  return g_hash_table_lookup (t->keys, digest);
+}
+
+void
+route_table_each_account (const struct route_table *t,
+                          void (*visit) (void *arg,
+                                         const struct route_account *a),
+                          void *arg)
+{
+  for (guint i = 0; i < t->accounts->len; i++)
+    visit (arg, g_ptr_array_index (t->accounts, i));
+}
+
 void
 route_table_set_limits (struct route_table *t,
                         const struct caller_limits *limits)
--- a/src/decide/route_table.h
+++ b/src/decide/route_table.h
@@ -2,8 +2,9 @@
     Route table: maps the host and path of an HTTP request to a route, and the
     route to the service that handles the request.
 
-    A table holds one version of the configuration and is not changed once it
-    is in use.  The module does no I/O and reads no clock.  */
+    The table also knows the client accounts that may use the routes.  It holds
+    one version of the configuration and is not changed once it is in use.  The
+    module reads no clock, and does no I/O except to draw one random key.  */
 #ifndef DECIDE_ROUTE_TABLE_H
 #define DECIDE_ROUTE_TABLE_H
 
@@ -40,6 +41,7 @@
                             their prompt */
   unsigned attempts;   /**< maximum number of upstreams tried per request */
   unsigned priority;   /**< 0 is the most urgent */
+  bool is_public;      /**< needs no key, even if the table has accounts */
   unsigned timeout_ms; /**< for the whole request; 0: the daemon's default */
   unsigned target_ms; /**< latency objective; to the first event of a stream */
   unsigned event_gap_ms; /**< target for the longest gap between two events; 0
@@ -64,6 +66,14 @@
                                 unknown */
 };
 
+/** A client account.  Its callers state one of its keys in each request.  */
+struct route_account
+{
+  char *name;
+  bool has_priority; /**< PRIORITY replaces the priority of the route */
+  unsigned priority; /**< 0 is the most urgent */
+};
+
 /** Limits on the requests of callers.  0 means that the daemon's default
     applies.  */
 struct caller_limits
@@ -94,6 +104,14 @@
 void route_table_add_service (struct route_table *t,
                               const struct route_service *service);
 
+/** Adds a copy of ACCOUNT to T, which takes ownership of its name.  */
+void route_table_add_account (struct route_table *t,
+                              const struct route_account *account);
+
+/** Adds KEY, which identifies the account added last.  T keeps only a keyed
+    hash of KEY.  Returns false if another account has the same key.  */
+bool route_table_add_key (struct route_table *t, const char *key);
+
 /** Sets the limits on the requests of callers.  */
 void route_table_set_limits (struct route_table *t,
                              const struct caller_limits *limits);
@@ -111,6 +129,18 @@
 const struct route *route_table_find (const struct route_table *t,
                                       const char *host, const char *target);
 
+/** Whether callers must state a key of an account, unless the route is
+    public.  */
+bool route_table_has_accounts (const struct route_table *t);
+/** The account that KEY, which may be NULL, identifies; or NULL.  */
+const struct route_account *route_table_account (const struct route_table *t,
+                                                 const char *key);
+/** Calls VISIT with ARG for each account.  */
+void route_table_each_account (const struct route_table *t,
+                               void (*visit) (void *arg,
+                                              const struct route_account *a),
+                               void *arg);
+
 /** The service called NAME, or NULL.  */
 const struct route_service *route_table_service (const struct route_table *t,
                                                  const char *name);
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -20,7 +20,8 @@
 /** What the header fields of a caller's request state.  */
 struct request_info
 {
-  char *id;                  /**< request id; NULL if the request has none */
+  char *id;  /**< request id; NULL if the request has none */
+  char *key; /**< key of a client account; NULL if there is none */
   int64_t caller_timeout_ms; /**< -1 if not stated */
   bool has_prompt;           /**< the number of prompt tokens is stated */
   struct prompt prompt;
@@ -36,6 +37,8 @@
                             parse_prefill_handle; NULL for none */
   const char *resume_after; /**< id of the last event sent to the caller; NULL
                                  keeps the caller's own field */
+  const char *account;      /**< name of the caller's account; NULL for none */
+  bool remove_key;          /**< the request must not show the caller's key */
 };
 
 /** What a response says about a limit of requests a second.  */
@@ -79,7 +82,7 @@
                                        field names them; ended by NULL */
 
   /** Fills OUT from HEAD, and removes from HEAD the fields that only
-      buckthornd may set.  The calling code frees the id.  */
+      buckthornd may set.  The calling code frees the id and the key.  */
   void (*read_request) (struct http_head *head, struct request_info *out);
   /** Sets the header fields that state INFO in HEAD, the head of a request to
       an upstream.  */
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -64,9 +64,88 @@
   g_assert_nonnull (strstr (error->message, error_location));
 }
 
+/* Guards against a key that reaches an upstream, and against an account that
+   callers choose themselves.  */
+static void
+test_accounts (void)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GString) text = g_string_new (config);
+  g_string_replace (text, "\"limits\"",
+                    "\"tenants\":[{\"name\":\"t1\",\"apiKeys\":[\"k1\","
+                    "\"k2\"],\"priority\":3},{\"name\":\"t2\","
+                    "\"apiKeys\":[\"k2\",\"k3\"]},{\"name\":\"t3\","
+                    "\"apiKeys\":[]}],\"limits\"",
+                    1);
+  g_string_replace (text, "\"maxAttempts\":2",
+                    "\"maxAttempts\":2,\"public\":true", 1);
+  struct route_table *t
+      = platform_decode_routes (text->str, text->len, &error);
+  g_assert_no_error (error);
+  g_assert_true (route_table_has_accounts (t));
+  g_assert_true (route_table_find (t, "a.example", "/x/")->is_public);
+  g_assert_false (route_table_find (t, "a.example", "/y/")->is_public);
+  const struct route_account *a = route_table_account (t, "k1");
+  g_assert_cmpstr (a->name, ==, "t1");
+  g_assert_true (a->has_priority && a->priority == 3);
+  /* A key of two accounts stays with the first one.  */
+  g_assert_true (route_table_account (t, "k2") == a);
+  a = route_table_account (t, "k3");
+  g_assert_cmpstr (a->name, ==, "t2");
+  g_assert_false (a->has_priority);
+  g_assert_null (route_table_account (t, "k"));
+  g_assert_null (route_table_account (t, ""));
+  g_assert_null (route_table_account (t, NULL));
+  route_table_unref (t);
+}
+
+/* Returns the key that is read from AUTHORIZATION, and checks that the
+   caller's own account field is removed.  */
+static char *
+read_key (const char *authorization, const char *second)
+{
+  struct request_info info;
+  struct http_head *h = http_head_create ();
+  http_head_add (h, "X-Request-Id", "r1");
+  http_head_add (h, "x-tenant", "forged");
+  if (authorization)
+    http_head_add (h, "Authorization", authorization);
+  if (second)
+    http_head_add (h, "authorization", second);
+  platform_adapter.requests->read_request (h, &info);
+  g_assert_null (http_head_get (h, "X-Tenant"));
+  struct forwarded_info f = { .upstream = "u1", .account = "t1" };
+  f.remove_key = true;
+  platform_adapter.requests->set_forwarded_fields (h, &f);
+  g_assert_cmpuint (http_head_count (h, "X-Tenant"), ==, 1);
+  g_assert_cmpstr (http_head_get (h, "X-Tenant"), ==, "t1");
+  g_assert_cmpuint (http_head_count (h, "Authorization"), ==, 0);
+  http_head_destroy (h);
+  g_free (info.id);
+  return info.key;
+}
+
+static void
+test_keys (void)
+{
+  g_autofree char *key = read_key ("Bearer k1", NULL);
+  g_assert_cmpstr (key, ==, "k1");
+  g_autofree char *spaces = read_key ("bearer  k1 ", NULL);
+  g_assert_cmpstr (spaces, ==, "k1");
+  g_assert_null (read_key (NULL, NULL));
+  g_assert_null (read_key ("Basic azE=", NULL));
+  g_assert_null (read_key ("Bearer", NULL));
+  /* Which of two keys counts is undefined.  */
+  g_assert_null (read_key ("Bearer k1", "Bearer k2"));
+}
+
 static void
 test_bad_config (void)
 {
+  expect_config_error ("\"limits\"", "\"tenants\":{},\"limits\"", "tenants");
+  expect_config_error ("\"limits\"",
+                       "\"tenants\":[{\"name\":\"a b\"}],\"limits\"",
+                       "tenants[0]: 'name'");
   expect_config_error ("\"unsafe\"", "\"once\"", "routes[1]");
   expect_config_error ("\"host\":\"a.example\"", "\"host\":5", "routes[0]");
   expect_config_error ("2000", "-1", "routes[1]: 'timeoutMs'");
@@ -451,6 +530,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/platform/config", test_config);
   g_test_add_func ("/platform/bad-config", test_bad_config);
+  g_test_add_func ("/platform/accounts", test_accounts);
+  g_test_add_func ("/platform/keys", test_keys);
   g_test_add_func ("/platform/upstreams", test_upstreams);
   g_test_add_func ("/platform/odd-entry-names-no-upstream",
                    test_odd_entry_names_no_upstream);
