Duties: one holder by a lease that is kept renewed; platform fields of duty calls

Calls to the platform on behalf of the fleet need one sender at a time although the platform checks no token. The lease of the orders to engines has the safety rules already, but its takeover time of 10 s is too long for reports that are due 10 s after a window. Renewing that lease more often alone was ruled out: the takeover would still start only when the membership shows the loss.

--- /dev/null
+++ b/src/daemon/fleet_duties.c
@@ -0,0 +1,46 @@
+#include "daemon/fleet_duties.h"
+
+struct fleet_duties
+{
+  struct duty_link *link;
+};
+
+struct fleet_duties *
+fleet_duties_create (const struct fleet_duties_parts *parts)
+{
+  const struct settings *s = parts->settings;
+  struct duty_link_parts link
+      = { .base = parts->base,
+          .kv = parts->kv,
+          .platform = parts->platform,
+          .pool = parts->pool,
+          .members = vm_registry_members (parts->vm_registry),
+          .vm = s->vm,
+          .address = s->duty_address,
+          .lease_ms = (int64_t)s->order_lease_ms,
+          .calls_per_s = (unsigned)s->duty_calls_per_s };
+  struct fleet_duties *d = g_new0 (struct fleet_duties, 1);
+  d->link = duty_link_create (&link);
+  return d;
+}
+
+void
+fleet_duties_destroy (struct fleet_duties *d)
+{
+  if (d == NULL)
+    return;
+  duty_link_destroy (d->link);
+  g_free (d);
+}
+
+void
+fleet_duties_set (struct fleet_duties *d, const struct settings *s)
+{
+  duty_link_set_lease (d->link, (int64_t)s->order_lease_ms);
+}
+
+void
+fleet_duties_leave (struct fleet_duties *d)
+{
+  duty_link_leave (d->link);
+}
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -6,6 +6,8 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/discovery.h"
+#include "daemon/fleet_duties.h"
+#include "daemon/settings_update.h"
 #include "daemon/vm_registry.h"
 #include "daemon/prefill_split_link.h"
 #include "daemon/inspect.h"
@@ -63,6 +65,7 @@
   struct vm_registry *vm_registry;
   struct prefill_split *prefill_split;
   struct prefill_split_link *prefill_split_link;
+  struct fleet_duties *duties;
   struct http_listener *callers; /* listener for callers */
   struct http_listener *ready;   /* listener for readiness probes */
   struct http_listener *entry;   /* listener for entry-address requests */
@@ -287,21 +290,7 @@
                  "invalid settings; previous ones stay in force", NULL);
       return;
     }
-  bool fixed_unchanged
-      = strcmp (s->front_address, g->settings->front_address) == 0
-        && strcmp (s->kv, g->settings->kv) == 0
-        && strcmp (s->vm, g->settings->vm) == 0;
-  g->settings->retry_ratio = s->retry_ratio;
-  g->settings->retry_window_s = s->retry_window_s;
-  g->settings->retry_slack = s->retry_slack;
-  g->settings->entry_ttl_s = s->entry_ttl_s;
-  g->settings->leave_deadline_s = s->leave_deadline_s;
-  g->settings->upstream_leave_ms = s->upstream_leave_ms;
-  g->settings->kv_recovery_ms = s->kv_recovery_ms;
-  g->settings->quarantine_s = s->quarantine_s;
-  g->settings->order_lease_ms = s->order_lease_ms;
-  g_free (g->settings->log_level);
-  g->settings->log_level = g_strdup (s->log_level);
+  bool fixed_unchanged = settings_update (g->settings, s);
   settings_destroy (s);
   apply_settings (g);
   struct discovery_times times = discovery_times (g->settings);
@@ -310,6 +299,7 @@
                                 (unsigned)g->settings->quarantine_s);
   prefill_split_link_set_lease (g->prefill_split_link,
                                 (int64_t)g->settings->order_lease_ms);
+  fleet_duties_set (g->duties, g->settings);
   log_event (LOG_INFO, "reloaded", "why", why, "needs_restart",
              fixed_unchanged ? "false" : "true", NULL);
 }
@@ -374,6 +364,7 @@
              log_num ((long long)g->settings->leave_deadline_s), NULL);
   vm_registry_announce_leaving (g->vm_registry);
   prefill_split_link_leave (g->prefill_split_link);
+  fleet_duties_leave (g->duties);
   double total_ms = (double)g->settings->leave_deadline_s * SECOND_MS;
   proxy_set_shutdown (
       g->proxy,
@@ -542,6 +533,13 @@
           .lease_ms = (int64_t)s->order_lease_ms,
           .vm = s->vm };
   g->prefill_split_link = prefill_split_link_create (&orders);
+  struct fleet_duties_parts duties = { .base = g->base,
+                                       .kv = g->kv,
+                                       .pool = g->pool,
+                                       .platform = g->platform,
+                                       .vm_registry = g->vm_registry,
+                                       .settings = s };
+  g->duties = fleet_duties_create (&duties);
   struct discovery_times times = discovery_times (s);
   g->discovery = discovery_create (g->base, g->kv, g->platform, g->upstreams,
                                    &times, &discovery_callbacks, g);
@@ -600,6 +598,7 @@
     event_free (g->timer);
   discovery_destroy (g->discovery);
   prefill_split_link_destroy (g->prefill_split_link);
+  fleet_duties_destroy (g->duties);
   proxy_destroy (g->proxy);
   prefill_split_destroy (g->prefill_split);
   vm_registry_destroy (g->vm_registry);
--- /dev/null
+++ b/src/daemon/lease_link.c
@@ -0,0 +1,211 @@
+#include "daemon/lease_link.h"
+
+#include "base/clock.h"
+#include "decide/order_lease.h"
+#include "decide/rank.h"
+
+struct lease_link
+{
+  struct lease_link_parts parts;
+  struct order_lease *lease;
+  struct event *timer;
+  int64_t ranked_first_since_ms; /* since when this VM ranks first, or 0 */
+  uint64_t restores;             /* of the key-value service, as last seen */
+  int64_t send_until_ms;         /* until when calls may be started */
+  bool leaving;
+  bool release; /* the lease is to be released */
+};
+
+static void lease_step (struct lease_link *l);
+
+static void
+note_restores (struct lease_link *l)
+{
+  if (l->restores != l->parts.kv->restores)
+    order_lease_store_restored (l->lease);
+  l->restores = l->parts.kv->restores;
+}
+
+/* Reports that the lease was acquired or lost, or that a write failed.  */
+static void
+report_change (struct lease_link *l, bool held_before, int64_t revision,
+               enum kv_status status)
+{
+  bool holds_now = order_lease_is_held (l->lease);
+  if (!held_before || !holds_now)
+    l->parts.ops->changed (l->parts.arg, holds_now, revision, status);
+}
+
+static void
+on_read (void *arg, enum kv_status status, const struct kv_value *values,
+         size_t n)
+{
+  struct lease_link *l = arg;
+  note_restores (l);
+  order_lease_read_done (l->lease, status == KV_OK,
+                         n > 0 ? values[0].revision : 0,
+                         n > 0 ? values[0].value : NULL, clock_boot_ms ());
+  if (order_lease_is_held (l->lease))
+    report_change (l, false, n > 0 ? values[0].revision : 0, status);
+  lease_step (l);
+}
+
+static void
+on_written (void *arg, enum kv_status status, int64_t revision)
+{
+  static const enum order_lease_write_outcome outcomes[]
+      = { [KV_OK] = ORDER_LEASE_WRITE_OK,
+          [KV_CONFLICT] = ORDER_LEASE_WRITE_CONFLICT,
+          [KV_NOT_DONE] = ORDER_LEASE_WRITE_NOT_DONE,
+          [KV_UNKNOWN] = ORDER_LEASE_WRITE_UNKNOWN };
+  struct lease_link *l = arg;
+  bool held_before = order_lease_is_held (l->lease);
+  order_lease_write_done (l->lease, outcomes[status], revision,
+                          clock_boot_ms ());
+  note_restores (l);
+  report_change (l, held_before, revision, status);
+  lease_step (l);
+}
+
+static void
+kv_put_clear (void *value)
+{
+  struct kv_put *put = value;
+  g_bytes_unref (put->value);
+}
+
+/* Writes the key, and with a renewal that may permit sending the user's
+   records.  */
+static void
+write_key (struct lease_link *l, int64_t now_ms)
+{
+  g_autoptr (GArray) puts = g_array_new (FALSE, FALSE, sizeof (struct kv_put));
+  struct kv_put lease = { l->parts.key, order_lease_value (l->lease) };
+  g_array_set_clear_func (puts, kv_put_clear);
+  g_array_append_val (puts, lease);
+  if (!l->release && l->parts.ops->add_records
+      && order_lease_may_send (l->lease, now_ms))
+    l->parts.ops->add_records (l->parts.arg, puts, now_ms);
+  kv_txn (l->parts.kv, l->parts.key, order_lease_revision (l->lease),
+          (const struct kv_put *)puts->data, puts->len, on_written, l);
+}
+
+static unsigned
+own_place (const struct lease_link *l)
+{
+  const struct member *self
+      = g_ptr_array_index (members_all (l->parts.members), 0);
+  return rank_order_place (l->parts.members, self->info.region, self->info.id);
+}
+
+/* Whether this VM, which is at PLACE, is to hold the lease: it has ranked
+   first among the usable members of its region for the settle time and is not
+   leaving.  */
+static bool
+should_be_holder (struct lease_link *l, unsigned place, int64_t now)
+{
+  if (l->leaving || place != 0)
+    l->ranked_first_since_ms = 0;
+  else if (l->ranked_first_since_ms == 0)
+    l->ranked_first_since_ms = now;
+  return l->ranked_first_since_ms != 0
+         && now - l->ranked_first_since_ms >= l->parts.settle_ms;
+}
+
+/* Returns what to do now.  */
+static enum order_lease_action
+next_action (struct lease_link *l, int64_t now_ms)
+{
+  if (l->release)
+    return order_lease_release (l->lease, now_ms);
+  unsigned place = own_place (l);
+  bool candidate = should_be_holder (l, place, clock_ms ());
+  bool orders = candidate && order_lease_is_held (l->lease)
+                && l->parts.ops->has_orders (l->parts.arg);
+  enum order_lease_action action
+      = order_lease_next (l->lease, candidate, orders, now_ms);
+  if (action == ORDER_LEASE_NOTHING && !l->leaving
+      && place < l->parts.observers)
+    action = order_lease_observe (l->lease, now_ms);
+  return action;
+}
+
+static void
+lease_step (struct lease_link *l)
+{
+  int64_t now = clock_boot_ms ();
+  switch (next_action (l, now))
+    {
+    case ORDER_LEASE_READ:
+      kv_get (l->parts.kv, l->parts.key, false, on_read, l);
+      break;
+    case ORDER_LEASE_WRITE:
+      write_key (l, now);
+      l->release = false;
+      break;
+    case ORDER_LEASE_SEND:
+      l->send_until_ms = order_lease_send_until_ms (l->lease);
+      l->parts.ops->send (l->parts.arg, lease_link_fence (l), now);
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+on_tick (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  lease_step (arg);
+}
+
+struct lease_link *
+lease_link_create (const struct lease_link_parts *parts)
+{
+  struct timeval tick = { 0, parts->tick_ms * 1000 };
+  struct lease_link *l = g_new0 (struct lease_link, 1);
+  l->parts = *parts;
+  l->lease
+      = order_lease_create (parts->vm, parts->lease_ms, parts->takeover_ms);
+  order_lease_keep_renewed (l->lease, parts->renew_ms);
+  l->timer = event_new (parts->base, -1, EV_PERSIST, on_tick, l);
+  event_add (l->timer, &tick);
+  return l;
+}
+
+void
+lease_link_destroy (struct lease_link *l)
+{
+  if (l == NULL)
+    return;
+  event_free (l->timer);
+  order_lease_destroy (l->lease);
+  g_free (l);
+}
+
+void
+lease_link_set_lease (struct lease_link *l, int64_t lease_ms)
+{
+  order_lease_set_duration (l->lease, lease_ms);
+}
+
+void
+lease_link_leave (struct lease_link *l, bool release)
+{
+  l->leaving = true;
+  l->release = release;
+}
+
+uint64_t
+lease_link_fence (const struct lease_link *l)
+{
+  return order_lease_fencing_token (l->lease);
+}
+
+bool
+lease_link_may_start (const struct lease_link *l, uint64_t fence,
+                      int64_t now_ms)
+{
+  return fence == lease_link_fence (l) && now_ms <= l->send_until_ms;
+}
--- a/src/daemon/prefill_split_link.c
+++ b/src/daemon/prefill_split_link.c
@@ -3,8 +3,8 @@
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "daemon/lease_link.h"
 #include "decide/order_lease.h"
-#include "decide/rank.h"
 
 #include <string.h>
 
@@ -25,13 +25,10 @@
 struct prefill_split_link
 {
   struct prefill_split_link_parts parts;
-  struct order_lease *order_lease;
-  struct event *timer;
-  int64_t ranked_first_since_ms; /* since when this VM ranks first, or 0 */
+  struct lease_link *lease;
   GArray *changes; /* struct prefill_split_change; decided, not sent */
   struct prefill_split_inputs inputs; /* basis of the changes, for the log */
   GHashTable *orders;                 /* set of struct order in progress */
-  bool leaving;
 };
 
 /* An order in progress: an HTTP request to an engine to change its role.  */
@@ -45,8 +42,6 @@
   unsigned status;
 };
 
-static void lease_step (struct prefill_split_link *l);
-
 static const char *
 role_name (enum upstream_role role)
 {
@@ -160,8 +155,7 @@
 {
   const struct prefill_split_inputs *in = &l->inputs;
   log_event (LOG_INFO, "order", "engine", o->engine, "role", role_name (o->to),
-             "fencing",
-             log_num ((long long)order_lease_fencing_token (l->order_lease)),
+             "fencing", log_num ((long long)lease_link_fence (l->lease)),
              "engines", log_num (in->engines), "readers",
              log_num (in->prefill_engines), "wanted",
              log_num (in->wanted_prefill_engines), "reading_pct",
@@ -177,8 +171,7 @@
 {
   g_autofree char *text = NULL;
   struct http_head *head = l->parts.platform->write_role_order (
-      info, o->to, l->parts.vm, order_lease_fencing_token (l->order_lease),
-      &text);
+      info, o->to, l->parts.vm, lease_link_fence (l->lease), &text);
   g_autofree char *length = g_strdup_printf ("%zu", strlen (text));
   http_head_add (head, "Content-Length", length);
   struct evbuffer *body = evbuffer_new ();
@@ -213,131 +206,74 @@
     order_end (o, "not_sent");
 }
 
-static void
-send_orders (struct prefill_split_link *l)
-{
-  for (guint i = 0; i < l->changes->len; i++)
-    send_order (l,
-                &g_array_index (l->changes, struct prefill_split_change, i));
-  g_array_set_size (l->changes, 0);
-}
+/* The lease, and decisions.  */
 
-/* Election of the order holder, and decisions.  */
-
-static void
-on_read (void *arg, enum kv_status status, const struct kv_value *values,
-         size_t n)
+static bool
+has_orders (void *arg)
 {
   struct prefill_split_link *l = arg;
-  order_lease_read_done (l->order_lease, status == KV_OK,
-                         n > 0 ? values[0].revision : 0,
-                         n > 0 ? values[0].value : NULL, clock_boot_ms ());
-  lease_step (l);
+  if (l->changes->len == 0)
+    prefill_split_decide (l->parts.prefill_split, l->parts.upstreams,
+                          members_count_live (l->parts.members), clock_ms (),
+                          l->changes, &l->inputs);
+  return l->changes->len > 0;
 }
 
 static void
-on_written (void *arg, enum kv_status status, int64_t revision)
+send_orders (void *arg, uint64_t fence, int64_t now_ms)
 {
-  static const enum order_lease_write_outcome outcomes[]
-      = { [KV_OK] = ORDER_LEASE_WRITE_OK,
-          [KV_CONFLICT] = ORDER_LEASE_WRITE_CONFLICT,
-          [KV_NOT_DONE] = ORDER_LEASE_WRITE_NOT_DONE,
-          [KV_UNKNOWN] = ORDER_LEASE_WRITE_UNKNOWN };
   struct prefill_split_link *l = arg;
-  bool held_before = order_lease_is_held (l->order_lease);
-  order_lease_write_done (l->order_lease, outcomes[status], revision,
-                          clock_boot_ms ());
-  bool holds_now = order_lease_is_held (l->order_lease);
-  if (!held_before || !holds_now)
-    log_event (
-        LOG_INFO, holds_now ? "authority_taken" : "authority_lost", "fencing",
-        log_num ((long long)order_lease_fencing_token (l->order_lease)),
-        "revision", log_num (revision), "status", log_num (status), NULL);
-  metrics_set (METRIC_order_holder, holds_now);
-  lease_step (l);
-}
-
-static void
-write_page (struct prefill_split_link *l)
-{
-  g_autoptr (GBytes) page = order_lease_value (l->order_lease);
-  struct kv_put put = { ORDERS_KEY, page };
-  kv_txn (l->parts.kv, ORDERS_KEY, order_lease_revision (l->order_lease), &put,
-          1, on_written, l);
-}
-
-/* Whether this VM is to be the order holder: it has ranked first among the
-   usable members of its region for HOLDER_SETTLE_MS and is not leaving.  */
-static bool
-should_be_holder (struct prefill_split_link *l, int64_t now)
-{
-  const struct member *self
-      = g_ptr_array_index (members_all (l->parts.members), 0);
-  if (l->leaving
-      || rank_order_holder (l->parts.members, self->info.region) != self)
-    l->ranked_first_since_ms = 0;
-  else if (l->ranked_first_since_ms == 0)
-    l->ranked_first_since_ms = now;
-  return l->ranked_first_since_ms != 0
-         && now - l->ranked_first_since_ms >= HOLDER_SETTLE_MS;
+  (void)fence;
+  (void)now_ms;
+  for (guint i = 0; i < l->changes->len; i++)
+    send_order (l,
+                &g_array_index (l->changes, struct prefill_split_change, i));
+  g_array_set_size (l->changes, 0);
 }
 
 static void
-lease_step (struct prefill_split_link *l)
+on_lease_changed (void *arg, bool held, int64_t revision,
+                  enum kv_status status)
 {
-  int64_t now = clock_ms ();
-  bool candidate = should_be_holder (l, now);
-  if (candidate && order_lease_is_held (l->order_lease)
-      && l->changes->len == 0)
-    prefill_split_decide (l->parts.prefill_split, l->parts.upstreams,
-                          members_count_live (l->parts.members), now,
-                          l->changes, &l->inputs);
-  switch (order_lease_next (l->order_lease, candidate, l->changes->len > 0,
-                            clock_boot_ms ()))
-    {
-    case ORDER_LEASE_READ:
-      kv_get (l->parts.kv, ORDERS_KEY, false, on_read, l);
-      break;
-    case ORDER_LEASE_WRITE:
-      write_page (l);
-      break;
-    case ORDER_LEASE_SEND:
-      send_orders (l);
-      break;
-    default:
-      break;
-    }
+  const struct prefill_split_link *l = arg;
+  log_event (LOG_INFO, held ? "authority_taken" : "authority_lost", "fencing",
+             log_num ((long long)lease_link_fence (l->lease)), "revision",
+             log_num (revision), "status", log_num (status), NULL);
+  metrics_set (METRIC_order_holder, held);
 }
 
-static void
-on_tick (evutil_socket_t fd, short what, void *arg)
-{
-  (void)fd;
-  (void)what;
-  lease_step (arg);
-}
+static const struct lease_link_ops lease_ops
+    = { has_orders, NULL, send_orders, on_lease_changed };
 
 /* Creation and destruction.  */
 
 struct prefill_split_link *
 prefill_split_link_create (const struct prefill_split_link_parts *parts)
 {
-  static const struct timeval tick = { 0, TICK_MS * 1000 };
   struct prefill_split_link *l = g_new0 (struct prefill_split_link, 1);
+  struct lease_link_parts lease = { .base = parts->base,
+                                    .kv = parts->kv,
+                                    .members = parts->members,
+                                    .vm = parts->vm,
+                                    .key = ORDERS_KEY,
+                                    .ops = &lease_ops,
+                                    .arg = l,
+                                    .lease_ms = parts->lease_ms,
+                                    .takeover_ms = ORDER_LEASE_TAKEOVER_MS,
+                                    .settle_ms = HOLDER_SETTLE_MS,
+                                    .tick_ms = TICK_MS };
   l->parts = *parts;
-  l->order_lease = order_lease_create (parts->vm, parts->lease_ms);
   l->changes
       = g_array_new (FALSE, FALSE, sizeof (struct prefill_split_change));
   l->orders = g_hash_table_new_full (NULL, NULL, order_free, NULL);
-  l->timer = event_new (parts->base, -1, EV_PERSIST, on_tick, l);
-  event_add (l->timer, &tick);
+  l->lease = lease_link_create (&lease);
   return l;
 }
 
 void
 prefill_split_link_set_lease (struct prefill_split_link *l, int64_t lease_ms)
 {
-  order_lease_set_duration (l->order_lease, lease_ms);
+  lease_link_set_lease (l->lease, lease_ms);
 }
 
 void
@@ -345,15 +281,14 @@
 {
   if (l == NULL)
     return;
-  event_free (l->timer);
+  lease_link_destroy (l->lease);
   g_hash_table_destroy (l->orders);
   g_array_unref (l->changes);
-  order_lease_destroy (l->order_lease);
   g_free (l);
 }
 
 void
 prefill_split_link_leave (struct prefill_split_link *l)
 {
-  l->leaving = true;
+  lease_link_leave (l->lease, false);
 }
--- a/src/decide/order_lease.c
+++ b/src/decide/order_lease.c
@@ -4,11 +4,15 @@
 
 /* Pause after a failed read or write of the key.  */
 #define IO_RETRY_MS 1000
+/* Pause before the read that finds out whether a renewal was applied.  */
+#define RENEWAL_READ_MS 200
 #define VM_MAX_BYTES 64
 /* How many lease times a new holder waits before it sends: the first is the
    required minimum between the orders of two holders, the second covers an
    order of the previous holder that was still in flight.  */
 #define SEND_DELAY_LEASES 2
+/* Interval at which a VM that may become the next holder reads the key.  */
+#define OBSERVE_INTERVAL_MS 1000
 
 /* States of this VM with regard to the lease.  */
 enum state
@@ -18,13 +22,16 @@
   STATE_OBSERVING, /* the key was read; this VM waits to acquire it */
   STATE_ACQUIRING, /* the write that acquires the key is in flight */
   STATE_HOLDING,   /* this VM holds the lease */
-  STATE_RENEWING   /* the write that renews the lease is in flight */
+  STATE_RENEWING,  /* the write that renews the lease is in flight */
+  STATE_RELEASING  /* the write that names no holder is in flight */
 };
 
 struct order_lease
 {
   char *vm;
   int64_t lease_ms;
+  int64_t takeover_ms;
+  int64_t renew_ms; /* interval of renewals without orders; 0 for none */
   enum state state;
   int64_t revision; /* of the key, as last read or written; -1: unknown */
   char *holder;     /* named by the key, NULL for none */
@@ -32,22 +39,33 @@
   uint64_t write_count;
   int64_t unchanged_since_ms; /* when the key was last seen to change, or
                                  earlier without a holder */
+  int64_t observed_ms;        /* when the key was first read as it is now */
+  int64_t read_ms;            /* when the key was last read */
   int64_t write_started_ms;   /* when the last write was started */
   int64_t send_not_before_ms; /* no orders are sent before this time */
   int64_t io_not_before_ms; /* no read or write of the key before this time */
   bool renewed;             /* the lease was renewed and nothing sent since */
+  bool renewal_unknown; /* a renewal failed, and the key was not read since:
+                           if it names this VM, no other acquired it */
 };
 
 struct order_lease *
-order_lease_create (const char *vm, int64_t lease_ms)
+order_lease_create (const char *vm, int64_t lease_ms, int64_t takeover_ms)
 {
   struct order_lease *l = g_new0 (struct order_lease, 1);
   l->vm = g_strdup (vm);
   l->lease_ms = lease_ms;
+  l->takeover_ms = takeover_ms;
   l->revision = -1;
   return l;
 }
 
+void
+order_lease_keep_renewed (struct order_lease *l, int64_t renew_ms)
+{
+  l->renew_ms = renew_ms;
+}
+
 void
 order_lease_set_duration (struct order_lease *l, int64_t lease_ms)
 {
@@ -92,12 +110,21 @@
 static bool
 use_renewal (struct order_lease *l, int64_t now_ms)
 {
-  bool fresh = l->renewed
+  bool fresh = l->renewed && l->write_started_ms >= l->send_not_before_ms
                && now_ms - l->write_started_ms <= ORDER_LEASE_SEND_WITHIN_MS;
   l->renewed = false;
   return fresh;
 }
 
+/* Whether the holder is to renew the lease at NOW_MS.  */
+static bool
+renewal_is_due (const struct order_lease *l, bool has_orders, int64_t now_ms)
+{
+  if (l->renew_ms > 0 && now_ms - l->write_started_ms >= l->renew_ms)
+    return true;
+  return has_orders && now_ms >= l->send_not_before_ms;
+}
+
 enum order_lease_action
 order_lease_next (struct order_lease *l, bool is_leader, bool has_orders,
                   int64_t now_ms)
@@ -107,14 +134,13 @@
     case STATE_IDLE:
       return is_leader ? start_read (l, now_ms) : ORDER_LEASE_NOTHING;
     case STATE_OBSERVING:
-      if (!is_leader
-          || now_ms - l->unchanged_since_ms < ORDER_LEASE_TAKEOVER_MS)
+      if (!is_leader || now_ms - l->unchanged_since_ms < l->takeover_ms)
         return ORDER_LEASE_NOTHING;
       return start_write (l, STATE_ACQUIRING, now_ms);
     case STATE_HOLDING:
       if (use_renewal (l, now_ms))
         return ORDER_LEASE_SEND;
-      if (!is_leader || !has_orders || now_ms < l->send_not_before_ms)
+      if (!is_leader || !renewal_is_due (l, has_orders, now_ms))
         return ORDER_LEASE_NOTHING;
       return start_write (l, STATE_RENEWING, now_ms);
     default:
@@ -122,8 +148,26 @@
     }
 }
 
+enum order_lease_action
+order_lease_observe (struct order_lease *l, int64_t now_ms)
+{
+  if ((l->state != STATE_IDLE && l->state != STATE_OBSERVING)
+      || now_ms - l->read_ms < OBSERVE_INTERVAL_MS)
+    return ORDER_LEASE_NOTHING;
+  return start_read (l, now_ms);
+}
+
+enum order_lease_action
+order_lease_release (struct order_lease *l, int64_t now_ms)
+{
+  if (l->state != STATE_HOLDING)
+    return ORDER_LEASE_NOTHING;
+  l->renewed = false;
+  return start_write (l, STATE_RELEASING, now_ms);
+}
+
 /* Value of the key: "VM COUNT".  COUNT makes each write of a VM differ from
-   its previous one.  */
+   its previous one.  A released lease has no VM: " COUNT".  */
 
 static void
 read_page (struct order_lease *l, GBytes *value)
@@ -133,7 +177,7 @@
   g_autofree char *text = g_strndup (data ? data : "", size);
   g_auto (GStrv) words = g_strsplit (text, " ", 3);
   g_clear_pointer (&l->holder, g_free);
-  if (g_strv_length (words) < 2)
+  if (g_strv_length (words) < 2 || words[0][0] == '\0')
     return;
   l->holder = g_strndup (words[0], VM_MAX_BYTES);
 }
@@ -141,8 +185,9 @@
 GBytes *
 order_lease_value (const struct order_lease *l)
 {
-  char *text
-      = g_strdup_printf ("%s %" G_GUINT64_FORMAT, l->vm, l->write_count);
+  char *text = g_strdup_printf ("%s %" G_GUINT64_FORMAT,
+                                l->state == STATE_RELEASING ? "" : l->vm,
+                                l->write_count);
   return g_bytes_new_take (text, strlen (text));
 }
 
@@ -165,14 +210,24 @@
       return;
     }
   if (revision != l->revision)
-    l->unchanged_since_ms = now_ms;
+    l->unchanged_since_ms = l->observed_ms = now_ms;
   l->revision = revision;
+  l->read_ms = now_ms;
   read_page (l, value);
-  l->state = STATE_OBSERVING;
+  bool still_held
+      = l->renewal_unknown && l->holder && strcmp (l->holder, l->vm) == 0;
+  l->renewal_unknown = false;
+  l->state = still_held ? STATE_HOLDING : STATE_OBSERVING;
   /* Without a holder the key may be acquired at once.  Sending is delayed all
      the same: the key may have been removed while a VM held the lease.  */
   if (l->holder == NULL)
-    l->unchanged_since_ms = now_ms - ORDER_LEASE_TAKEOVER_MS;
+    l->unchanged_since_ms = now_ms - l->takeover_ms;
+}
+
+void
+order_lease_store_restored (struct order_lease *l)
+{
+  l->renewal_unknown = false;
 }
 
 static void
@@ -181,7 +236,10 @@
   g_free (l->holder);
   l->holder = g_strdup (l->vm);
   l->fencing_token = (uint64_t)l->revision;
-  l->send_not_before_ms = now_ms + SEND_DELAY_LEASES * l->lease_ms;
+  l->send_not_before_ms
+      = l->renew_ms > 0
+            ? l->observed_ms + ORDER_LEASE_SEND_WITHIN_MS + l->lease_ms
+            : now_ms + SEND_DELAY_LEASES * l->lease_ms;
   l->renewed = false;
 }
 
@@ -191,6 +249,12 @@
                         int64_t revision, int64_t now_ms)
 {
   enum state state = l->state;
+  if (state == STATE_RELEASING)
+    {
+      l->state = STATE_IDLE;
+      l->revision = -1;
+      return;
+    }
   switch (outcome)
     {
     case ORDER_LEASE_WRITE_OK:
@@ -211,10 +275,24 @@
          key.  */
       l->state = STATE_IDLE;
       l->revision = -1;
-      l->io_not_before_ms = now_ms + IO_RETRY_MS;
+      l->renewal_unknown = state == STATE_RENEWING && l->renew_ms > 0;
+      l->io_not_before_ms
+          = now_ms + (l->renewal_unknown ? RENEWAL_READ_MS : IO_RETRY_MS);
     }
 }
 
+bool
+order_lease_may_send (const struct order_lease *l, int64_t now_ms)
+{
+  return order_lease_is_held (l) && now_ms >= l->send_not_before_ms;
+}
+
+int64_t
+order_lease_send_until_ms (const struct order_lease *l)
+{
+  return l->write_started_ms + ORDER_LEASE_SEND_WITHIN_MS;
+}
+
 uint64_t
 order_lease_fencing_token (const struct order_lease *l)
 {
--- a/src/decide/order_lease.h
+++ b/src/decide/order_lease.h
@@ -16,9 +16,25 @@
     the key was removed in between.
 
     A VM acquires a key that names a holder only after the key has not changed
-    for ORDER_LEASE_TAKEOVER_MS, so that VMs that disagree on which of them
-    leads do not take the key from each other in turn.  Waiting is safe:
-    engines keep their roles meanwhile.
+    for the takeover time, so that VMs that disagree on which of them leads do
+    not take the key from each other in turn.
+
+    A lease whose takeover time is short is kept renewed
+    (order_lease_keep_renewed), so that a live holder is not taken over, and
+    the VMs that may follow observe the key (order_lease_observe).  The wait of
+    a new holder before it sends is then the lease time and
+    ORDER_LEASE_SEND_WITHIN_MS, from the time at which it first read the key as
+    it is when it acquires it.  The previous holder's last renewal was started
+    before that read, as each write of the key requires the revision that was
+    read, and its last orders were sent at most ORDER_LEASE_SEND_WITHIN_MS
+   after that start.  The lease time must then exceed the time for which an
+   order may be in flight.
+
+    If the outcome of such a holder's renewal is unknown, it reads the key.  A
+    key that names it was last written by it: a write of another VM would have
+    made its own fail.  It then holds the lease as before.  This does not hold
+    once the key-value service was restored from a copy, which may have lost
+    another VM's writes: see order_lease_store_restored.
 
     All times are of a clock that also advances while the machine is suspended.
     The module does no I/O: it takes events and the time, and returns the
@@ -30,7 +46,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** How long the key must not change before another VM acquires it.  */
+/** Takeover time of orders to engines, which keep their roles meanwhile: how
+    long the key must not change before another VM acquires it.  */
 #define ORDER_LEASE_TAKEOVER_MS 10000
 /** How long after the start of a renewal the holder may still send orders.  */
 #define ORDER_LEASE_SEND_WITHIN_MS 400
@@ -60,8 +77,14 @@
 
 /** Creates the lease state of VM, which does not hold the lease yet.  LEASE_MS
     is the minimum time between the orders of two holders and must be more than
-    ORDER_LEASE_SEND_WITHIN_MS.  */
-struct order_lease *order_lease_create (const char *vm, int64_t lease_ms);
+    ORDER_LEASE_SEND_WITHIN_MS.  TAKEOVER_MS: how long the key must not change
+    before another VM acquires it.  */
+struct order_lease *order_lease_create (const char *vm, int64_t lease_ms,
+                                        int64_t takeover_ms);
+
+/** Has the holder renew the lease every RENEW_MS, which must be well below the
+    takeover time, also without orders.  To be called before any event.  */
+void order_lease_keep_renewed (struct order_lease *l, int64_t renew_ms);
 
 /** Sets the minimum time between the orders of two holders.  A wait that has
     already begun keeps its length.  */
@@ -77,6 +100,21 @@
                                           bool is_leader, bool has_orders,
                                           int64_t now_ms);
 
+/** Returns ORDER_LEASE_READ if a VM that does not lead, but may be the next to
+    do so, is to read the key now.  */
+enum order_lease_action order_lease_observe (struct order_lease *l,
+                                             int64_t now_ms);
+
+/** Returns ORDER_LEASE_WRITE if this VM holds the lease and can release it
+   now: the value then names no holder, so that another VM can acquire the key
+   at once.  */
+enum order_lease_action order_lease_release (struct order_lease *l,
+                                             int64_t now_ms);
+
+/** Reports that the key-value service was restored from a copy.  To be called
+    before order_lease_read_done if the read may show it.  */
+void order_lease_store_restored (struct order_lease *l);
+
 /** Reports the end of the read of ORDER_LEASE_READ.  OK: the read succeeded,
     and the key has VALUE at REVISION, or NULL and 0 if it does not
     exist.  */
@@ -103,4 +141,10 @@
     acquired it since the last renewal.  */
 bool order_lease_is_held (const struct order_lease *l);
 
+/** Whether a renewal of the lease at NOW_MS permits sending.  */
+bool order_lease_may_send (const struct order_lease *l, int64_t now_ms);
+
+/** Time until which orders may be sent after ORDER_LEASE_SEND.  */
+int64_t order_lease_send_until_ms (const struct order_lease *l);
+
 #endif
--- a/src/decide/rank.c
+++ b/src/decide/rank.c
@@ -72,6 +72,40 @@
   return rank_engine_home (m, region, region);
 }
 
+unsigned
+rank_order_place (const struct members *m, const char *region, const char *vm)
+{
+  const GPtrArray *all = members_all (m);
+  uint64_t own_weight = rank_weight (region, vm);
+  unsigned above = 0;
+  bool usable = false;
+  for (guint i = 0; i < all->len; i++)
+    {
+      const struct member *c = g_ptr_array_index (all, i);
+      if (!member_usable (c) || strcmp (c->info.region, region) != 0)
+        continue;
+      if (strcmp (c->info.id, vm) == 0)
+        usable = true;
+      else if (rank_weight (region, c->info.id) > own_weight)
+        above++;
+    }
+  return usable ? above : G_MAXUINT;
+}
+
+const struct member *
+rank_order_at (const struct members *m, const char *region, unsigned place)
+{
+  const GPtrArray *all = members_all (m);
+  for (guint i = 0; i < all->len; i++)
+    {
+      const struct member *c = g_ptr_array_index (all, i);
+      if (member_usable (c)
+          && rank_order_place (m, region, c->info.id) == place)
+        return c;
+    }
+  return NULL;
+}
+
 /* Calls VISIT with the top-ranked usable member of each failure domain.  */
 static void
 for_each_domain (const struct members *m,
--- a/src/decide/rank.h
+++ b/src/decide/rank.h
@@ -40,6 +40,15 @@
 const struct member *rank_order_holder (const struct members *m,
                                         const char *region);
 
+/** Place of VM among the usable members of REGION in the ranking of
+    rank_order_holder, whose place is 0; G_MAXUINT if VM is not usable.  */
+unsigned rank_order_place (const struct members *m, const char *region,
+                           const char *vm);
+
+/** Usable member of REGION at PLACE of that ranking, or NULL.  */
+const struct member *rank_order_at (const struct members *m,
+                                    const char *region, unsigned place);
+
 /** Number of failure domains with a usable member.  */
 unsigned rank_domain_count (const struct members *m);
 
--- a/src/links/kv.h
+++ b/src/links/kv.h
@@ -92,6 +92,8 @@
   uint64_t restores; /**< times that the service was seen to be restored from a
                           copy; revisions after one are higher than all before
                           it */
+  uint64_t era;      /**< number that the service raises with each restore, as
+                          last seen; 0 if it has none */
   uint64_t reads;    /**< kv_get and kv_list calls */
   uint64_t writes;   /**< kv_txn calls */
   uint64_t watches;  /**< watch requests sent, and kv_changes calls */
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -121,6 +121,11 @@
                                          const char *holder, uint64_t fencing,
                                          char **body);
 
+  /** Sets the fields of a duty call in HEAD: the name of its sender, HOLDER,
+      and the fencing token FENCE.  */
+  void (*set_duty_fields) (struct http_head *head, const char *holder,
+                           uint64_t fence);
+
   /** Decodes the routes.  Returns NULL if DATA is invalid, and ERROR then
       names the faulty object and field, or the line of a syntax error.  */
   struct route_table *(*decode_routes) (const void *data, size_t size,
--- a/tests/fuzz/fuzz_values.c
+++ b/tests/fuzz/fuzz_values.c
@@ -22,7 +22,8 @@
 check_order_lease (const uint8_t *data, size_t size)
 {
   g_autoptr (GBytes) value = g_bytes_new (data, size);
-  struct order_lease *l = order_lease_create ("vm-0", LEASE_MS);
+  struct order_lease *l
+      = order_lease_create ("vm-0", LEASE_MS, ORDER_LEASE_TAKEOVER_MS);
   int64_t now = 100000;
   if (order_lease_next (l, true, true, now) != ORDER_LEASE_READ)
     __builtin_trap ();
@@ -38,7 +39,8 @@
     __builtin_trap ();
   /* What this VM writes names a holder.  */
   g_autoptr (GBytes) own = order_lease_value (l);
-  struct order_lease *other = order_lease_create ("vm-1", LEASE_MS);
+  struct order_lease *other
+      = order_lease_create ("vm-1", LEASE_MS, ORDER_LEASE_TAKEOVER_MS);
   (void)order_lease_next (other, true, true, now);
   order_lease_read_done (other, true, 8, own, now);
   if (order_lease_next (other, true, true, now) != ORDER_LEASE_NOTHING)
--- a/tests/unit/test_stages.c
+++ b/tests/unit/test_stages.c
@@ -212,7 +212,8 @@
   for (unsigned i = 0; i < VMS; i++)
     {
       g_snprintf (s.vms[i].name, sizeof s.vms[i].name, "vm%u", i);
-      s.vms[i].order_lease = order_lease_create (s.vms[i].name, lease_ms);
+      s.vms[i].order_lease = order_lease_create (s.vms[i].name, lease_ms,
+                                                 ORDER_LEASE_TAKEOVER_MS);
       s.vms[i].is_leader = i == 0 || random_below (&s, 3) == 0;
     }
   for (; s.now < RUN_MS; s.now += STEP_MS)
@@ -260,7 +261,8 @@
 static void
 test_renewal_without_faults (void)
 {
-  struct order_lease *lease = order_lease_create ("a", LEASE_MS);
+  struct order_lease *lease
+      = order_lease_create ("a", LEASE_MS, ORDER_LEASE_TAKEOVER_MS);
   g_assert_cmpint (order_lease_next (lease, true, false, 0), ==,
                    ORDER_LEASE_READ);
   order_lease_read_done (lease, true, 0, NULL, 5);
