Usage of client accounts, reported by window as a duty of the holder

No usage was reported. Each VM now counts requests that began to run by account and window, and sends the counts to the first two VMs in the ranking of holders; the holder writes each report with its renewal before it sends it, and repeats it exactly until it is accepted. Windows are those of the median of the VMs' clocks, as up to 40% of them jump.

Counts go by account name, not by its hash: a holder with another version of the configuration could not resolve a hash, and a name is as short. The clocks have messages of their own (clock_ask, clock_answer), as counts go to two VMs only and each VM needs many clocks.

After a restore of the key-value service from a copy, windows that had ended get no new report: the record of one that was sent may be lost.

test_usage, test_settings (new), test_platform, test_stages, test_file and test_routed pass. The duty has not run between processes yet. vm_registry's choice of entry addresses moves to a file of its own.

--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -49,7 +49,9 @@
 {
   if (a->call == NULL)
     return;
-  if (!pool_call_bytes_sent (a->call))
+  if (pool_call_bytes_sent (a->call))
+    exchange_count_plain (a);
+  else
     arrivals_not_sent (&a->exchange->arrivals, attempt_call_kind (a));
   pool_cancel (a->call);
 }
@@ -85,6 +87,7 @@
   a->is_events = false;
   a->ends_with_event = false;
   a->first_byte = false;
+  a->counted = false;
   a->prefilling = false;
   a->paused = false;
   a->silence_logged = false;
@@ -352,6 +355,8 @@
   enum attempt_outcome outcome = exchange_classify (a, end);
   if (outcome == ATTEMPT_NOT_SENT)
     arrivals_not_sent (&e->arrivals, CALL_RUN);
+  else
+    exchange_count_plain (a);
   record_outcome (a, outcome, now);
   enum attempt_step step = attempts_ended (&e->attempts, outcome);
   if (outcome == ATTEMPT_ANSWERED)
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -82,6 +82,7 @@
   bool ends_with_event;  /* the response has events and no framing: it is
                             complete only if it ends after an event */
   bool first_byte;       /* body bytes of a trusted success arrived */
+  bool counted;          /* in the usage of the caller's account */
 };
 
 /** One caller's request.  Times in ms are of the monotonic clock.  */
@@ -248,6 +249,10 @@
 
 /* Response of an upstream.  */
 
+/** Counts the request of A, which may have run, in the usage of the caller's
+    account, unless it was counted, is a remote prefill or began to run only
+    with its first token, which did not arrive.  */
+void exchange_count_plain (struct attempt *a);
 /** Callbacks of the pool for the call of an attempt.  */
 extern const struct pool_callbacks exchange_pool_callbacks;
 /** Records that the engine or service of A has sent its first byte, or has
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -113,6 +113,42 @@
   return took_ms;
 }
 
+/* Usage of client accounts.  */
+
+/* Whether the request of A begins to run with its first token.  */
+static bool
+begins_with_token (const struct attempt *a)
+{
+  return a->exchange->route->kind == ROUTE_STREAM
+         || a->work.kind != UPSTREAM_WORK_PLAIN;
+}
+
+/* Counts the request of A, which began to run at BEGAN_MS.  */
+static void
+count_run (struct attempt *a, int64_t began_ms)
+{
+  const struct exchange *e = a->exchange;
+  if (e->account == NULL || a->counted || a->prefilling)
+    return;
+  a->counted = true;
+  usage_link_record_start (e->proxy->parts.usage, e->account->name, began_ms);
+}
+
+static int64_t
+one_way_ms (const struct attempt *a)
+{
+  return (int64_t)(upstreams_rtt_ms (a->exchange->proxy->parts.upstreams,
+                                     a->work.handle)
+                   / 2);
+}
+
+void
+exchange_count_plain (struct attempt *a)
+{
+  if (!a->response_info.not_run && !begins_with_token (a))
+    count_run (a, a->work.sent_ms + one_way_ms (a));
+}
+
 static void
 record_first_byte (struct attempt *a)
 {
@@ -125,6 +161,8 @@
                               e->since_ms, now);
   a->first_byte = true;
   e->first_ms = now;
+  if (begins_with_token (a))
+    count_run (a, now - one_way_ms (a));
   exchange_record_prefilled (a, now);
   metrics_observe (METRIC_first_byte_seconds, (now - e->since_ms) * US_PER_MS);
 }
@@ -211,6 +249,7 @@
   struct exchange *e = a->exchange;
   const struct request_ops *ops = e->proxy->parts.requests;
   ops->read_response (head, &a->response_info);
+  exchange_count_plain (a);
   /* Responses to remote prefills may not state a limit that is in force.  */
   if (a->prefilling && a->response_info.limit == LIMIT_NONE)
     a->response_info.limit = LIMIT_UNKNOWN;
--- a/src/daemon/fleet_duties.h
+++ b/src/daemon/fleet_duties.h
@@ -31,6 +31,13 @@
 /** Applies the settings that have changed.  */
 void fleet_duties_set (struct fleet_duties *d, const struct settings *s);
 
+/** Counts of the usage of client accounts; NULL if the settings ask for no
+    reports.  */
+struct usage_link *fleet_duties_usage (const struct fleet_duties *d);
+
+/** Sends the other VMs what this one has not told them yet, as it stops.  */
+void fleet_duties_stop (struct fleet_duties *d);
+
 /** Ends the candidacy of this VM as holder, because it leaves the fleet.  */
 void fleet_duties_leave (struct fleet_duties *d);
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/discovery.h"
+#include "daemon/entry_addresses.h"
 #include "daemon/fleet_duties.h"
 #include "daemon/settings_update.h"
 #include "daemon/vm_registry.h"
@@ -180,8 +181,9 @@
       inspect_reply (request, 404, NULL, NULL);
       return;
     }
-  g_autoptr (GPtrArray) addresses = vm_registry_entry_addresses (
-      g->vm_registry, q.failure_domain, q.region);
+  g_autoptr (GPtrArray) addresses
+      = entry_addresses (vm_registry_members (g->vm_registry), region_of, g,
+                         q.failure_domain, q.region);
   if (addresses->len > 0 && (is_ready (g) || g->leaving_ms != 0))
     {
       g_autofree char *body = g->platform->write_entry_response (
@@ -505,6 +507,13 @@
   quarantine_link_set_canary_s (vm_registry_quarantine (g->vm_registry),
                                 (unsigned)s->quarantine_s);
   g->prefill_split = prefill_split_create ();
+  struct fleet_duties_parts duties = { .base = g->base,
+                                       .kv = g->kv,
+                                       .pool = g->pool,
+                                       .platform = g->platform,
+                                       .vm_registry = g->vm_registry,
+                                       .settings = s };
+  g->duties = fleet_duties_create (&duties);
   struct proxy_parts parts
       = { .base = g->base,
           .requests = g->platform->requests,
@@ -515,6 +524,7 @@
           .permits = vm_registry_permits (g->vm_registry),
           .quarantine = vm_registry_quarantine (g->vm_registry),
           .prefill_split = g->prefill_split,
+          .usage = fleet_duties_usage (g->duties),
           .count_vms = count_vms,
           .arg = g };
   g->proxy = proxy_create (&parts);
@@ -533,13 +543,6 @@
           .lease_ms = (int64_t)s->order_lease_ms,
           .vm = s->vm };
   g->prefill_split_link = prefill_split_link_create (&orders);
-  struct fleet_duties_parts duties = { .base = g->base,
-                                       .kv = g->kv,
-                                       .pool = g->pool,
-                                       .platform = g->platform,
-                                       .vm_registry = g->vm_registry,
-                                       .settings = s };
-  g->duties = fleet_duties_create (&duties);
   struct discovery_times times = discovery_times (s);
   g->discovery = discovery_create (g->base, g->kv, g->platform, g->upstreams,
                                    &times, &discovery_callbacks, g);
@@ -581,6 +584,7 @@
              "region", g->settings->region, "failure_domain",
              g->settings->failure_domain, "kv", g->settings->kv, NULL);
   event_base_dispatch (g->base);
+  fleet_duties_stop (g->duties);
   vm_registry_announce_left (g->vm_registry);
   log_event (LOG_INFO, "stopped", "cut",
              log_num (proxy_open_requests (g->proxy)), NULL);
@@ -598,8 +602,8 @@
     event_free (g->timer);
   discovery_destroy (g->discovery);
   prefill_split_link_destroy (g->prefill_split_link);
-  fleet_duties_destroy (g->duties);
   proxy_destroy (g->proxy);
+  fleet_duties_destroy (g->duties);
   prefill_split_destroy (g->prefill_split);
   vm_registry_destroy (g->vm_registry);
   http_listener_destroy (g->callers);
--- a/src/daemon/proxy_parts.h
+++ b/src/daemon/proxy_parts.h
@@ -7,6 +7,7 @@
 #include "daemon/quarantine_link.h"
 #include "decide/retry_bucket.h"
 #include "daemon/upstream_statements.h"
+#include "daemon/usage_link.h"
 #include "decide/prefill_split.h"
 #include "decide/upstreams.h"
 #include "links/platform.h"
@@ -29,6 +30,7 @@
   struct permit_link *permits;         /**< NULL without engines */
   struct quarantine_link *quarantine;  /**< NULL: requests have no parts */
   struct prefill_split *prefill_split; /**< NULL without engines */
+  struct usage_link *usage;            /**< NULL without usage reports */
   /** Returns the number of VMs, this one included, that share the connection
       limits of upstreams.  */
   unsigned (*count_vms) (void *arg);
--- a/src/daemon/vm_registry.c
+++ b/src/daemon/vm_registry.c
@@ -23,8 +23,6 @@
 #define REWRITE_SPREAD_MS 1000
 #define RELIST_INTERVAL_MS 2000
 #define LOAD_REPORT_INTERVAL_MS 100
-/* Most addresses in a response to a caller.  */
-#define ENTRY_ADDRESSES_MAX 64
 /* All VMs gossip as one region, so that all probe each other: the failure of a
    VM that is alone in its region would not be detected otherwise.  */
 #define GOSSIP_REGION "fleet"
@@ -60,7 +58,8 @@
   struct rate_limit_link *limits;
   struct upstream_statements *statements;
   struct quarantine_link *quarantine;
-  int64_t load_report_ms; /* when this VM last sent load reports */
+  struct usage_link *usage; /* NULL without usage reports */
+  int64_t load_report_ms;   /* when this VM last sent load reports */
   int64_t relisted_ms; /* when relist_if_isolated last listed the addresses */
 };
 
@@ -133,6 +132,7 @@
       rate_limit_link_handle_frame (r->limits, frame);
       upstream_statements_handle_frame (r->statements, frame);
       quarantine_link_handle_frame (r->quarantine, frame);
+      usage_link_handle_frame (r->usage, frame);
     }
 }
 
@@ -487,41 +487,16 @@
   return members_count_live (r->members);
 }
 
-/* Distance of a VM from a caller: 0 same failure domain, 1 same region, 2
-   other.  */
-static unsigned
-distance (const struct vm_registry *r, const struct member *m,
-          const char *failure_domain, const char *region)
+struct vm_broadcast
+vm_registry_peers (struct vm_registry *r)
 {
-  if (failure_domain && strcmp (m->info.failure_domain, failure_domain) == 0)
-    return 0;
-  const char *vm_region
-      = r->parts.region_of (r->parts.arg, m->info.failure_domain);
-  return region && vm_region && strcmp (vm_region, region) == 0 ? 1 : 2;
+  return (struct vm_broadcast){ r->members, send_message, r };
 }
 
-static bool
-accepts_callers (const struct member *m)
-{
-  return !m->leaving && m->info.status == MEMBER_ALIVE;
-}
-
-GPtrArray *
-vm_registry_entry_addresses (const struct vm_registry *r,
-                             const char *failure_domain, const char *region)
+void
+vm_registry_set_usage (struct vm_registry *r, struct usage_link *usage)
 {
-  const GPtrArray *all = members_all (r->members);
-  GPtrArray *out = g_ptr_array_new_with_free_func (g_free);
-  for (unsigned tier = 0; tier <= 2 && out->len == 0; tier++)
-    for (guint i = 0; i < all->len && out->len < ENTRY_ADDRESSES_MAX; i++)
-      {
-        const struct member *m = g_ptr_array_index (all, i);
-        if (accepts_callers (m)
-            && distance (r, m, failure_domain, region) == tier)
-          g_ptr_array_add (out, g_strdup_printf ("%s:%u", m->info.ip,
-                                                 (unsigned)m->info.http_port));
-      }
-  return out;
+  r->usage = usage;
 }
 
 /* Creation, destruction, joining and leaving.  */
@@ -562,7 +537,7 @@
                                        .send = send_message,
                                        .arg = r };
   r->permits = permit_link_create (&permits);
-  struct vm_broadcast peers = { r->members, send_message, r };
+  struct vm_broadcast peers = vm_registry_peers (r);
   struct rate_limit_link_parts limits = { .base = parts->base,
                                           .upstreams = parts->upstreams,
                                           .vm = parts->vm,
--- a/src/daemon/vm_registry.h
+++ b/src/daemon/vm_registry.h
@@ -13,6 +13,8 @@
 #include "daemon/permit_link.h"
 #include "daemon/quarantine_link.h"
 #include "daemon/upstream_statements.h"
+#include "daemon/usage_link.h"
+#include "daemon/vm_broadcast.h"
 #include "decide/members.h"
 #include "decide/upstreams.h"
 #include "links/kv.h"
@@ -75,6 +77,12 @@
 /** Prompt parts in quarantine, shared with the other VMs.  */
 struct quarantine_link *vm_registry_quarantine (const struct vm_registry *r);
 
+/** The other VMs, for messages to them.  */
+struct vm_broadcast vm_registry_peers (struct vm_registry *r);
+
+/** Passes the messages of the other VMs to USAGE, which may be NULL.  */
+void vm_registry_set_usage (struct vm_registry *r, struct usage_link *usage);
+
 /** Whether this VM has joined the others.  */
 bool vm_registry_has_joined (const struct vm_registry *r);
 
@@ -86,12 +94,4 @@
     retry budgets.  At least 1.  */
 unsigned vm_registry_count_live (const struct vm_registry *r);
 
-/** Returns IP:PORT of the VMs that callers in FAILURE_DOMAIN and REGION should
-    use: those in the domain; if there are none, those in the region; if there
-    are none, all.  At most 64; suspect and leaving VMs are left out.
-    FAILURE_DOMAIN and REGION may be NULL.  Free with g_ptr_array_unref.  */
-GPtrArray *vm_registry_entry_addresses (const struct vm_registry *r,
-                                        const char *failure_domain,
-                                        const char *region);
-
 #endif
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -141,6 +141,13 @@
   return x ? &x->info : NULL;
 }
 
+double
+upstreams_rtt_ms (const struct upstreams *u, upstream_handle h)
+{
+  const struct upstream *x = upstreams_lookup (u, h);
+  return x ? x->rtt_ms : 0;
+}
+
 static guint
 find_free_entry (struct upstreams *u)
 {
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -105,6 +105,8 @@
 /** Returns the description of H, or NULL if H is no longer valid.  */
 const struct upstream_info *upstreams_info (const struct upstreams *u,
                                             upstream_handle h);
+/** Assumed round-trip time from this VM to H; 0 if H is no longer valid.  */
+double upstreams_rtt_ms (const struct upstreams *u, upstream_handle h);
 /** Returns copies of the ids of all upstreams; free with
     g_ptr_array_unref.  */
 GPtrArray *upstreams_ids (const struct upstreams *u);
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -10,6 +10,7 @@
 #include "base/http_head.h"
 #include "decide/route_table.h"
 #include "decide/upstreams.h"
+#include "decide/usage.h"
 #include "links/http_client.h"
 #include "links/kv.h"
 
@@ -126,6 +127,11 @@
   void (*set_duty_fields) (struct http_head *head, const char *holder,
                            uint64_t fence);
 
+  const char *usage_path; /**< target of usage reports */
+  /** Returns the body of the usage report of WINDOW with TOTALS, of struct
+      usage_total.  The calling code frees it.  */
+  char *(*write_usage_report) (uint64_t window, const GArray *totals);
+
   /** Decodes the routes.  Returns NULL if DATA is invalid, and ERROR then
       names the faulty object and field, or the line of a syntax error.  */
   struct route_table *(*decode_routes) (const void *data, size_t size,
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -524,6 +524,31 @@
   http_head_destroy (h);
 }
 
+/* The fields and the body of a usage report as the platform expects them; a
+   window without requests has empty counts.  */
+static void
+test_usage_report (void)
+{
+  g_autoptr (GArray) totals
+      = g_array_new (FALSE, FALSE, sizeof (struct usage_total));
+  g_autofree char *empty
+      = platform_adapter.write_usage_report (353445120, totals);
+  g_assert_cmpstr (empty, ==, "{\"window\":353445120,\"counts\":{}}");
+  struct usage_total values[] = { { "huka270", 412 }, { "puhu251", 3 } };
+  g_array_append_vals (totals, values, 2);
+  g_autofree char *body
+      = platform_adapter.write_usage_report (353445120, totals);
+  g_assert_cmpstr (body, ==,
+                   "{\"window\":353445120,"
+                   "\"counts\":{\"huka270\":412,\"puhu251\":3}}");
+  g_assert_cmpstr (platform_adapter.usage_path, ==, "/usage");
+  struct http_head *h = http_head_create ();
+  platform_adapter.set_duty_fields (h, "front-erie-a-1", 12);
+  g_assert_cmpstr (http_head_get (h, "X-Duty-Holder"), ==, "front-erie-a-1");
+  g_assert_cmpstr (http_head_get (h, "X-Fence-Token"), ==, "12");
+  http_head_destroy (h);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -548,5 +573,6 @@
   g_test_add_func ("/platform/entry-query", test_entry_query);
   g_test_add_func ("/platform/prefill-handle", test_prefill_handle);
   g_test_add_func ("/platform/role-order", test_role_order);
+  g_test_add_func ("/platform/usage-report", test_usage_report);
   return g_test_run ();
 }
