--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -6,6 +6,9 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/discovery.h"
+#include "daemon/entry_addresses.h"
+#include "daemon/fleet_duties.h"
+#include "daemon/settings_update.h"
 #include "daemon/vm_registry.h"
 #include "daemon/prefill_split_link.h"
 #include "daemon/inspect.h"
@@ -63,6 +66,7 @@
   struct vm_registry *vm_registry;
   struct prefill_split *prefill_split;
   struct prefill_split_link *prefill_split_link;
+  struct fleet_duties *duties;
   struct http_listener *callers; /* listener for callers */
   struct http_listener *ready;   /* listener for readiness probes */
   struct http_listener *entry;   /* listener for entry-address requests */
@@ -177,8 +181,9 @@
       inspect_reply (request, 404, NULL, NULL);
       return;
     }
-  g_autoptr (GPtrArray) addresses = vm_registry_entry_addresses (
-      g->vm_registry, q.failure_domain, q.region);
+  g_autoptr (GPtrArray) addresses
+      = entry_addresses (vm_registry_members (g->vm_registry), region_of, g,
+                         q.failure_domain, q.region);
   if (addresses->len > 0 && (is_ready (g) || g->leaving_ms != 0))
     {
       g_autofree char *body = g->platform->write_entry_response (
@@ -287,21 +292,7 @@
                  "invalid settings; previous ones stay in force", NULL);
       return;
     }
-  bool fixed_unchanged
-      = strcmp (s->front_address, g->settings->front_address) == 0
-        && strcmp (s->kv, g->settings->kv) == 0
-        && strcmp (s->vm, g->settings->vm) == 0;
-  g->settings->retry_ratio = s->retry_ratio;
-  g->settings->retry_window_s = s->retry_window_s;
-  g->settings->retry_slack = s->retry_slack;
-  g->settings->entry_ttl_s = s->entry_ttl_s;
-  g->settings->leave_deadline_s = s->leave_deadline_s;
-  g->settings->upstream_leave_ms = s->upstream_leave_ms;
-  g->settings->kv_recovery_ms = s->kv_recovery_ms;
-  g->settings->quarantine_s = s->quarantine_s;
-  g->settings->order_lease_ms = s->order_lease_ms;
-  g_free (g->settings->log_level);
-  g->settings->log_level = g_strdup (s->log_level);
+  bool fixed_unchanged = settings_update (g->settings, s);
   settings_destroy (s);
   apply_settings (g);
   struct discovery_times times = discovery_times (g->settings);
@@ -310,6 +301,7 @@
                                 (unsigned)g->settings->quarantine_s);
   prefill_split_link_set_lease (g->prefill_split_link,
                                 (int64_t)g->settings->order_lease_ms);
+  fleet_duties_set (g->duties, g->settings);
   log_event (LOG_INFO, "reloaded", "why", why, "needs_restart",
              fixed_unchanged ? "false" : "true", NULL);
 }
@@ -374,6 +366,7 @@
              log_num ((long long)g->settings->leave_deadline_s), NULL);
   vm_registry_announce_leaving (g->vm_registry);
   prefill_split_link_leave (g->prefill_split_link);
+  fleet_duties_leave (g->duties);
   double total_ms = (double)g->settings->leave_deadline_s * SECOND_MS;
   proxy_set_shutdown (
       g->proxy,
@@ -514,6 +507,13 @@
   quarantine_link_set_canary_s (vm_registry_quarantine (g->vm_registry),
                                 (unsigned)s->quarantine_s);
   g->prefill_split = prefill_split_create ();
+  struct fleet_duties_parts duties = { .base = g->base,
+                                       .kv = g->kv,
+                                       .pool = g->pool,
+                                       .platform = g->platform,
+                                       .vm_registry = g->vm_registry,
+                                       .settings = s };
+  g->duties = fleet_duties_create (&duties);
   struct proxy_parts parts
       = { .base = g->base,
           .requests = g->platform->requests,
@@ -524,6 +524,7 @@
           .permits = vm_registry_permits (g->vm_registry),
           .quarantine = vm_registry_quarantine (g->vm_registry),
           .prefill_split = g->prefill_split,
+          .usage = fleet_duties_usage (g->duties),
           .count_vms = count_vms,
           .arg = g };
   g->proxy = proxy_create (&parts);
@@ -583,6 +584,7 @@
              "region", g->settings->region, "failure_domain",
              g->settings->failure_domain, "kv", g->settings->kv, NULL);
   event_base_dispatch (g->base);
+  fleet_duties_stop (g->duties);
   vm_registry_announce_left (g->vm_registry);
   log_event (LOG_INFO, "stopped", "cut",
              log_num (proxy_open_requests (g->proxy)), NULL);
@@ -601,6 +603,7 @@
   discovery_destroy (g->discovery);
   prefill_split_link_destroy (g->prefill_split_link);
   proxy_destroy (g->proxy);
+  fleet_duties_destroy (g->duties);
   prefill_split_destroy (g->prefill_split);
   vm_registry_destroy (g->vm_registry);
   http_listener_destroy (g->callers);
