Scaling parameters, spot instances and scale orders on the platform's path

Cause: a service's scaling parameters and the spot flag and leave time of an upstream's entry were not decoded, and no call could order instances. Ruled out: defaults for missing bounds (an order beyond the true bounds would be refused by the platform without a reason that an operator sees). Change: struct route_scaling, two fields of struct upstream_info, and write_scale_order in struct platform_ops.

--- a/src/decide/route_table.c
+++ b/src/decide/route_table.c
@@ -40,10 +40,17 @@
   g_free (r);
 }
 
+void
+scaling_domain_clear (void *domain)
+{
+  g_free (((struct scaling_domain *)domain)->name);
+}
+
 static void
 service_free (void *p)
 {
   struct route_service *s = p;
+  g_clear_pointer (&s->scaling.domains, g_array_unref);
   g_free (s->name);
   g_free (s->health_path);
   g_free (s);
--- a/src/decide/route_table.h
+++ b/src/decide/route_table.h
@@ -49,6 +49,24 @@
   GArray *targets;       /**< struct route_target */
 };
 
+/** A failure domain in which the instances of a service are sized.  */
+struct scaling_domain
+{
+  char *name;
+  double price; /**< of a second of a regular instance */
+};
+
+/** How the number of instances of a service may be changed.  */
+struct route_scaling
+{
+  unsigned min;      /**< instances in a failure domain, of both kinds */
+  unsigned max;      /**< the same; 0: the number is fixed */
+  unsigned boot_ms;  /**< from an order to the first request */
+  double spot_price; /**< of a spot instance, relative to a regular one */
+  GArray *domains;   /**< struct scaling_domain; NULL if the number is
+                          fixed */
+};
+
 /** A service.  */
 struct route_service
 {
@@ -64,6 +82,7 @@
   unsigned role_change_ms; /**< time for which an engine that changes its role
                                 takes no requests, after its running ones; 0 if
                                 unknown */
+  struct route_scaling scaling;
 };
 
 /** A client account.  Its callers state one of its keys in each request.  */
@@ -86,6 +105,9 @@
 
 struct route_table;
 
+/** Frees what a struct scaling_domain refers to; for a GArray of these.  */
+void scaling_domain_clear (void *domain);
+
 /** Creates an empty table of VERSION with a reference count of 1.  */
 struct route_table *route_table_create (uint64_t version);
 
@@ -99,8 +121,8 @@
     targets.  */
 void route_table_add (struct route_table *t, const struct route *route);
 
-/** Adds a copy of SERVICE to T, which takes ownership of its strings.  A
-    service of the same name is replaced.  */
+/** Adds a copy of SERVICE to T, which takes ownership of its strings and
+    failure domains.  A service of the same name is replaced.  */
 void route_table_add_service (struct route_table *t,
                               const struct route_service *service);
 
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -265,6 +265,7 @@
          && strcmp (a->address, b->address) == 0
          && strcmp (a->failure_domain, b->failure_domain) == 0
          && a->slots == b->slots && a->leaving == b->leaving
+         && a->spot == b->spot && a->leave_ms == b->leave_ms
          && a->role == b->role && a->start_wall_ms == b->start_wall_ms;
 }
 
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -36,6 +36,9 @@
   char *software_version; /**< version of its program */
   unsigned slots;         /**< requests that it runs concurrently */
   bool leaving;           /**< shutting down: gets no new requests */
+  bool spot;              /**< spot instance: cheaper, may be reclaimed */
+  uint64_t leave_ms;      /**< stated only for a spot instance that is being
+                               reclaimed: when it leaves; 0 otherwise */
   enum upstream_role role;
   unsigned warmup_ms; /**< remaining warm-up time, during which it is slower */
   int64_t start_wall_ms; /**< start time on the wall clock; 0 if unknown */
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -72,6 +72,15 @@
   char *failure_domain;
 };
 
+/** Order for the number of instances of one kind.  */
+struct scale_order
+{
+  const char *service;
+  const char *failure_domain;
+  bool spot;        /**< spot instances; otherwise regular ones */
+  unsigned desired; /**< all instances of that kind there */
+};
+
 /** Functions that read and set the header fields of callers' requests and
     upstreams' responses.  */
 struct request_ops
@@ -121,6 +130,11 @@
                                          const char *holder, uint64_t fencing,
                                          char **body);
 
+  /** Returns the head of the call that makes ORDER, without the fields that
+      all calls of a duty have.  The calling code frees BODY.  */
+  struct http_head *(*write_scale_order) (const struct scale_order *order,
+                                          char **body);
+
   /** Decodes the routes.  Returns NULL if DATA is invalid, and ERROR then
       names the faulty object and field, or the line of a syntax error.  */
   struct route_table *(*decode_routes) (const void *data, size_t size,
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -99,6 +99,38 @@
   route_table_unref (t);
 }
 
+#define SCALING                                                               \
+  "\"scaling\":{\"min\":1,\"max\":16,\"bootS\":4.5,\"spotPrice\":0.15,"       \
+  "\"zonePrices\":{\"a\":0.8,\"b\":1.25}},"
+
+/* Guards against orders beyond the bounds that the configuration states, and
+   against orders for services whose number of instances is fixed.  */
+static void
+test_scaling (void)
+{
+  g_autoptr (GError) error = NULL;
+  g_autoptr (GString) text = g_string_new (config);
+  struct route_table *t
+      = platform_decode_routes (text->str, text->len, &error);
+  g_assert_no_error (error);
+  g_assert_null (route_table_service (t, "m")->scaling.domains);
+  route_table_unref (t);
+  g_string_replace (text, "\"healthPath\"", SCALING "\"healthPath\"", 1);
+  t = platform_decode_routes (text->str, text->len, &error);
+  g_assert_no_error (error);
+  const struct route_scaling *s = &route_table_service (t, "m")->scaling;
+  g_assert_cmpuint (s->min, ==, 1);
+  g_assert_cmpuint (s->max, ==, 16);
+  g_assert_cmpuint (s->boot_ms, ==, 4500);
+  g_assert_cmpfloat (s->spot_price, ==, 0.15);
+  g_assert_cmpuint (s->domains->len, ==, 2);
+  const struct scaling_domain *d
+      = &g_array_index (s->domains, struct scaling_domain, 1);
+  g_assert_cmpstr (d->name, ==, "b");
+  g_assert_cmpfloat (d->price, ==, 1.25);
+  route_table_unref (t);
+}
+
 /* Returns the key that is read from AUTHORIZATION, and checks that the
    caller's own account field is removed.  */
 static char *
@@ -150,6 +182,15 @@
   expect_config_error ("\"host\":\"a.example\"", "\"host\":5", "routes[0]");
   expect_config_error ("2000", "-1", "routes[1]: 'timeoutMs'");
   expect_config_error ("160", "\"many\"", "services[0]: 'maxConns'");
+  expect_config_error ("\"healthPath\"", "\"scaling\":7,\"healthPath\"",
+                       "services[0]: 'scaling'");
+  expect_config_error ("\"healthPath\"",
+                       "\"scaling\":{\"min\":3,\"max\":2},\"healthPath\"",
+                       "services[0]: 'min'");
+  expect_config_error ("\"healthPath\"",
+                       "\"scaling\":{\"min\":1,\"max\":2,\"zonePrices\":"
+                       "{\"a\":-1}},\"healthPath\"",
+                       "services[0]: 'a'");
   expect_config_error ("\"version\":7", "\"version\":\"7\"", "version");
   expect_config_error ("}}", "}", "line 1");
 }
@@ -204,6 +245,36 @@
     g_assert_false (check_decode (invalid[i], &info));
 }
 
+/* A spot instance that is reclaimed must be told from one that an order
+   removes: the failure domain then has none for some seconds.  */
+static void
+test_spot_entries (void)
+{
+  static const char entry[]
+      = "{\"service\":\"m\",\"address\":\"10.0.0.9:8080\",\"zone\":\"a\","
+        "\"version\":\"v1\",\"slots\":1,\"coldLeftMs\":0,\"seq\":1,%s}";
+  struct upstream_info info;
+  g_autofree char *plain = g_strdup_printf (entry, "\"state\":\"ready\"");
+  g_assert_true (check_decode (plain, &info));
+  g_assert_false (info.spot || info.leaving);
+  upstream_info_clear (&info);
+  g_autofree char *reclaimed = g_strdup_printf (
+      entry,
+      "\"state\":\"draining\",\"spot\":true,\"leaves_ms\":1700000002500");
+  g_assert_true (check_decode (reclaimed, &info));
+  g_assert_true (info.spot && info.leaving);
+  g_assert_cmpuint (info.leave_ms, ==, 1700000002500);
+  upstream_info_clear (&info);
+  g_autofree char *ordered
+      = g_strdup_printf (entry, "\"state\":\"draining\",\"spot\":true");
+  g_assert_true (check_decode (ordered, &info));
+  g_assert_true (info.spot && info.leaving && info.leave_ms == 0);
+  upstream_info_clear (&info);
+  g_autofree char *invalid
+      = g_strdup_printf (entry, "\"state\":\"ready\",\"spot\":\"yes\"");
+  g_assert_false (check_decode (invalid, &info));
+}
+
 #define ENTRY(more)                                                           \
   "{\"service\":\"m\",\"address\":\"10.0.0.9:8080\",\"zone\":\"a\","          \
   "\"version\":\"v1\",\"slots\":1,\"state\":\"ready\",\"coldLeftMs\":0,"      \
@@ -524,6 +595,38 @@
   http_head_destroy (h);
 }
 
+/* Checks the body of the order for DESIRED instances, SPOT or regular.  */
+static void
+check_scale_order (unsigned desired, bool spot)
+{
+  struct scale_order order = {
+    .service = "m", .failure_domain = "a", .spot = spot, .desired = desired
+  };
+  g_autofree char *body = NULL;
+  struct http_head *h = platform_adapter.write_scale_order (&order, &body);
+  json_t *root = json_loads (body, 0, NULL);
+  g_assert_cmpstr (h->method, ==, "POST");
+  g_assert_cmpstr (h->target, ==, "/scale");
+  g_assert_cmpstr (json_string_value (json_object_get (root, "service")), ==,
+                   "m");
+  g_assert_cmpstr (json_string_value (json_object_get (root, "zone")), ==,
+                   "a");
+  g_assert_cmpint (json_integer_value (json_object_get (root, "desired")), ==,
+                   desired);
+  /* An order without the field is one for regular instances.  */
+  g_assert_true (spot ? json_is_true (json_object_get (root, "spot"))
+                      : json_object_get (root, "spot") == NULL);
+  json_decref (root);
+  http_head_destroy (h);
+}
+
+static void
+test_scale_order (void)
+{
+  check_scale_order (6, false);
+  check_scale_order (0, true);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -548,5 +651,8 @@
   g_test_add_func ("/platform/entry-query", test_entry_query);
   g_test_add_func ("/platform/prefill-handle", test_prefill_handle);
   g_test_add_func ("/platform/role-order", test_role_order);
+  g_test_add_func ("/platform/scaling", test_scaling);
+  g_test_add_func ("/platform/spot-entries", test_spot_entries);
+  g_test_add_func ("/platform/scale-order", test_scale_order);
   return g_test_run ();
 }
