Sizing as a duty of the fleet

Cause: decide/staffing had no caller. Change: staffing_link lists instances and loads twice a second while this VM is the holder, logs each change, and sends what is recorded as the orders of a duty; metrics of what is needed, wanted and ready.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -52,6 +52,9 @@
   X (far_region_bytes_total, "Bytes sent to other regions")                   \
   X (orders_sent_total, "Orders sent to engines")                             \
   X (orders_confirmed_total, "Orders confirmed by engines")                   \
+  X (scale_orders_total, "Orders for a number of instances")                  \
+  X (scale_orders_unavailable_total,                                          \
+     "Orders for a number of instances that were not to be had")              \
   X (role_changes_total, "Role changes ordered")                              \
   X (applies_total, "Files applied through this VM")                          \
   X (responses_paused_total, "Times that an upstream was paused as its "      \
@@ -98,6 +101,12 @@
   X (home_running, "Requests at engines of this home VM")                     \
   X (home_waiting, "Requests that wait at this home VM")                      \
   X (order_holder, "Failure domains whose orders this VM gives")              \
+  X (instances_needed, "Instances of sized services that the demand needs, "  \
+                       "as the duty holder sees it")                          \
+  X (regular_wanted, "Regular instances ordered by the duty holder")          \
+  X (regular_ready, "Regular instances ready, as the duty holder sees it")    \
+  X (spot_wanted, "Spot instances ordered by the duty holder")                \
+  X (spot_ready, "Spot instances ready, as the duty holder sees it")          \
   X (behind, "1 where this VM knows that its file may be old")                \
   X (routed_open, "Routed requests under way")                                \
   X (responses_waiting_bytes, "Response bytes that wait for slow callers")    \
--- a/src/daemon/fleet_duties.c
+++ b/src/daemon/fleet_duties.c
@@ -1,8 +1,11 @@
 #include "daemon/fleet_duties.h"
 
+#include "daemon/staffing_link.h"
+
 struct fleet_duties
 {
   struct duty_link *link;
+  struct staffing_link *staffing;
 };
 
 struct fleet_duties *
@@ -21,6 +24,11 @@
           .calls_per_s = (unsigned)s->duty_calls_per_s };
   struct fleet_duties *d = g_new0 (struct fleet_duties, 1);
   d->link = duty_link_create (&link);
+  struct staffing_link_parts staffing = { .base = parts->base,
+                                          .platform = parts->platform,
+                                          .upstreams = parts->upstreams,
+                                          .duties = d->link };
+  d->staffing = staffing_link_create (&staffing);
   return d;
 }
 
@@ -30,6 +38,7 @@
   if (d == NULL)
     return;
   duty_link_destroy (d->link);
+  staffing_link_destroy (d->staffing);
   g_free (d);
 }
 
@@ -39,6 +48,13 @@
   duty_link_set_lease (d->link, (int64_t)s->order_lease_ms);
 }
 
+void
+fleet_duties_set_routes (struct fleet_duties *d,
+                         const struct route_table *routes)
+{
+  staffing_link_set_routes (d->staffing, routes);
+}
+
 void
 fleet_duties_leave (struct fleet_duties *d)
 {
--- a/src/daemon/fleet_duties.h
+++ b/src/daemon/fleet_duties.h
@@ -18,6 +18,7 @@
   struct pool *pool;
   const struct platform_ops *platform;
   struct vm_registry *vm_registry;
+  const struct upstreams *upstreams;
   const struct settings *settings;
 };
 
@@ -31,6 +32,10 @@
 /** Applies the settings that have changed.  */
 void fleet_duties_set (struct fleet_duties *d, const struct settings *s);
 
+/** The configuration ROUTES is in force.  */
+void fleet_duties_set_routes (struct fleet_duties *d,
+                              const struct route_table *routes);
+
 /** Ends the candidacy of this VM as holder, because it leaves the fleet.  */
 void fleet_duties_leave (struct fleet_duties *d);
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -136,6 +136,7 @@
   struct gateway *g = arg;
   set_caller_limits (g, route_table_limits (table));
   route_table_each_service (table, set_engine_limits, g);
+  fleet_duties_set_routes (g->duties, table);
   proxy_set_routes (g->proxy, table);
 }
 
@@ -538,6 +539,7 @@
                                        .pool = g->pool,
                                        .platform = g->platform,
                                        .vm_registry = g->vm_registry,
+                                       .upstreams = g->upstreams,
                                        .settings = s };
   g->duties = fleet_duties_create (&duties);
   struct discovery_times times = discovery_times (s);
