--- a/src/daemon/fleet_duties.c
+++ b/src/daemon/fleet_duties.c
@@ -1,12 +1,14 @@
 #include "daemon/fleet_duties.h"
 
 #include "daemon/usage_link.h"
+#include "daemon/staffing_link.h"
 
 struct fleet_duties
 {
   struct vm_registry *vm_registry;
   struct duty_link *link;
   struct usage_link *usage; /* NULL without usage reports */
+  struct staffing_link *staffing;
 };
 
 static struct usage_link *
@@ -46,6 +48,11 @@
   d->link = duty_link_create (&link);
   d->usage = create_usage (d, parts);
   vm_registry_set_usage (d->vm_registry, d->usage);
+  struct staffing_link_parts staffing = { .base = parts->base,
+                                          .platform = parts->platform,
+                                          .upstreams = parts->upstreams,
+                                          .duties = d->link };
+  d->staffing = staffing_link_create (&staffing);
   return d;
 }
 
@@ -69,6 +76,7 @@
   vm_registry_set_usage (d->vm_registry, NULL);
   duty_link_destroy (d->link);
   usage_link_destroy (d->usage);
+  staffing_link_destroy (d->staffing);
   g_free (d);
 }
 
@@ -78,6 +86,13 @@
   duty_link_set_lease (d->link, (int64_t)s->order_lease_ms);
 }
 
+void
+fleet_duties_set_routes (struct fleet_duties *d,
+                         const struct route_table *routes)
+{
+  staffing_link_set_routes (d->staffing, routes);
+}
+
 void
 fleet_duties_leave (struct fleet_duties *d)
 {
--- a/src/daemon/fleet_duties.h
+++ b/src/daemon/fleet_duties.h
@@ -18,6 +18,7 @@
   struct pool *pool;
   const struct platform_ops *platform;
   struct vm_registry *vm_registry;
+  const struct upstreams *upstreams;
   const struct settings *settings;
 };
 
@@ -38,6 +39,10 @@
 /** Sends the other VMs what this one has not told them yet, as it stops.  */
 void fleet_duties_stop (struct fleet_duties *d);
 
+/** The configuration ROUTES is in force.  */
+void fleet_duties_set_routes (struct fleet_duties *d,
+                              const struct route_table *routes);
+
 /** Ends the candidacy of this VM as holder, because it leaves the fleet.  */
 void fleet_duties_leave (struct fleet_duties *d);
 
