Responses that are not valid: status lines, and a part during the upload

Cause: http_parser accepts codes up to 999, leading zeros, fewer than three digits and HTTP/0.9 or HTTP/2.0, so 600 and 999 reached callers and 099 was skipped as an interim response. And an unframed 200 whose connection was half-closed while the VM still wrote the upload counted as complete: the caller got the part with status 200, on all kinds of route. Ruled out: a check of the parsed status only (0200 and "20" parse to plausible numbers, 2000 to an error only later); refusing unframed responses to uploads (valid HTTP); applying the rule for uploads to errors, which an upstream may send before it has read the request. Resets and plain closes were right already, for all framings, with and without a hedge; tests guard them. Change: http_codec checks the start of the status line as it arrives: HTTP/1.x, one space, three digits from 100 to 599, a space or the end of the line; pool, and with it http_client, rejects the response, closes the connection, and the attempt ends. pool takes the end of a connection for the end of a successful response only once the upstream has acknowledged the whole request.

--- a/src/links/http_codec.c
+++ b/src/links/http_codec.c
@@ -8,6 +8,8 @@
 #define HEAD_MAX_BYTES (64U * 1024)
 /* Most body bytes passed to http_parser in one call.  */
 #define FEED_BYTES (64U * 1024)
+/* Length of the version and the status code, with the separator after each. */
+#define STATUS_LINE_BYTES (sizeof "HTTP/1.1 200 " - 1)
 
 struct http_codec
 {
@@ -228,6 +230,47 @@
     refuse (c, 400, "protocol upgrades are not supported");
 }
 
+/* Whether the N bytes at LINE are, as far as they go, the start of a status
+   line of HTTP/1: one digit of a minor version, one space, a status code of
+   three digits from 100 to 599, and a space or the end of the line.
+   http_parser also accepts other versions, more spaces and leading zeros, and
+   codes up to 999.  */
+static bool
+status_line_is_valid (const char *line, size_t n)
+{
+  static const char pattern[STATUS_LINE_BYTES + 1] = "HTTP/1.0 100 ";
+  for (size_t i = 0; i < n; i++)
+    {
+      bool is_end = i == STATUS_LINE_BYTES - 1;
+      bool is_first_digit = i == STATUS_LINE_BYTES - 4;
+      if (is_first_digit && (line[i] < '1' || line[i] > '5'))
+        return false;
+      if (is_end && line[i] == '\r')
+        continue;
+      if (g_ascii_isdigit (pattern[i]) && i != sizeof "HTTP/" - 1)
+        {
+          if (!g_ascii_isdigit (line[i]))
+            return false;
+        }
+      else if (line[i] != pattern[i])
+        return false;
+    }
+  return true;
+}
+
+/* Refuses the response if the part of its status line that is in IN is
+   invalid.  */
+static void
+check_status_line (struct http_codec *c, struct evbuffer *in)
+{
+  char line[STATUS_LINE_BYTES];
+  ev_ssize_t n = evbuffer_copyout (in, line, sizeof line);
+  if (n > 0 && !status_line_is_valid (line, (size_t)n))
+    refuse (c, 400,
+            "the status line must be HTTP/1.x and a status of 100 "
+            "to 599");
+}
+
 /* Whether every line of HEAD ends in CR LF and none contains NUL or continues
    on the next line (obsolete line folding).  Parsers disagree on other
    heads.  */
@@ -293,6 +336,8 @@
          && evbuffer_copyout (in, start, sizeof start) == 2 && start[0] == '\r'
          && start[1] == '\n')
     evbuffer_drain (in, 2);
+  if (c->side == HTTP_SIDE_RESPONSES)
+    check_status_line (c, in);
   size_t limit = head_limit (c);
   struct evbuffer_ptr end = evbuffer_search (in, "\r\n\r\n", 4, NULL);
   size_t size = end.pos < 0 ? evbuffer_get_length (in) : (size_t)end.pos + 4;
--- a/src/links/http_codec.h
+++ b/src/links/http_codec.h
@@ -2,7 +2,8 @@
     Incremental HTTP/1.1 parser for one direction of a connection, on top of
     http_parser.  Parses a head only when it has arrived completely, and
     rejects messages that two parsers could interpret differently (request
-    smuggling).  */
+    smuggling).  A response whose status line is not of HTTP/1 or has no status
+    from 100 to 599 is rejected as soon as that shows.  */
 #ifndef LINKS_HTTP_CODEC_H
 #define LINKS_HTTP_CODEC_H
 
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -5,9 +5,11 @@
 
 #include <errno.h>
 #include <event2/bufferevent.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 /* Time limit for opening a connection: two round trips between regions and one
@@ -31,6 +33,7 @@
 #define RECEIVE_BUFFER_BYTES (128 * 1024)
 /* Most interim (1xx) and stray responses before the response to a call.  */
 #define SKIPPED_MAX 32
+#define FIRST_ERROR_STATUS 400
 
 /* Connections to one upstream.  */
 struct host
@@ -354,6 +357,33 @@
   return POOL_DISCONNECTED;
 }
 
+/* Whether the upstream has acknowledged all bytes of the request on C.  */
+static bool
+request_has_arrived (const struct conn *c)
+{
+  int unacked = 0;
+  return evbuffer_get_length (bufferevent_get_output (c->bev)) == 0
+         && ioctl (bufferevent_getfd (c->bev), SIOCOUTQ, &unacked) == 0
+         && unacked == 0;
+}
+
+/* Whether the end of the connection completes the response to the call of C:
+   nothing else delimits it, and the end was read.  An upstream that has not
+   got the whole request cannot have handled it, so a successful response then
+   counts as broken off; an error may come before the request was read.  */
+static bool
+end_completes_response (struct conn *c, short what)
+{
+  const struct pool_call *call = c->call;
+  short at_end = BEV_EVENT_EOF | BEV_EVENT_READING;
+  if ((what & at_end) != at_end || !call->head_seen || call->stray)
+    return false;
+  if (http_codec_head (c->codec)->status < FIRST_ERROR_STATUS
+      && !request_has_arrived (c))
+    return false;
+  return http_codec_eof (c->codec) == HTTP_COMPLETE;
+}
+
 static void
 on_event (struct bufferevent *bev, short what, void *arg)
 {
@@ -369,8 +399,7 @@
   c->in_callback = true;
   if (c->call == NULL)
     c->close_pending = true;
-  else if ((what & BEV_EVENT_EOF) && c->call->head_seen && !c->call->stray
-           && http_codec_eof (c->codec) == HTTP_COMPLETE)
+  else if (end_completes_response (c, what))
     {
       c->no_reuse = true;
       response_complete (c);
--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -23,6 +23,7 @@
       leaving        as "ok", with "Server-Leaving: 1"
       early          as "not-run", sent before the body has arrived; the body
                      is not read
+      early-KIND, status-STATUS and others: see upstream_invalid.h
       busy           503 without that header field
       error          500
       unsigned       200 without the seal of the instance
@@ -112,6 +113,7 @@
     each request, clients that closed the connection before their response
     ended, and the request heads as received.  */
 #include "fakes/prefill_model.h"
+#include "fakes/upstream_invalid.h"
 #include "fakes/upstream_response.h"
 
 #include "base/http_head.h"
@@ -366,17 +368,26 @@
   g_hash_table_replace (heads, g_strdup (c->id), g_strdup (text->str));
 }
 
-/* Handles a head whose body has not arrived: "early" refuses the request.  */
+/* Handles a head whose body has not arrived: "early" refuses the request,
+   "early-KIND" runs it.  */
 static void
 handle_head (struct conn *c)
 {
   const struct http_head *h = http_codec_head (c->codec);
   const char *id = http_head_get (h, "X-Request-Id");
   g_autofree char *directive = parse_directive (h->target);
-  if (strcmp (directive, "early") != 0)
+  bool runs_early = response_is_early (directive);
+  if (strcmp (directive, "early") != 0 && !runs_early)
     return;
   c->id = g_strdup (id ? id : "-");
   record_head (c);
+  if (runs_early)
+    {
+      c->directive = g_steal_pointer (&directive);
+      record_run (c);
+      response_start_early (c);
+      return;
+    }
   response_refuse (c, "503 Full");
   c->close_after = true;
 }
--- a/tests/fakes/upstream_response.c
+++ b/tests/fakes/upstream_response.c
@@ -1,4 +1,5 @@
 #include "fakes/upstream_response.h"
+#include "fakes/upstream_invalid.h"
 
 #include "base/http_head.h"
 
@@ -114,8 +115,8 @@
               sizeof linger);
 }
 
-static void
-conn_reset (struct conn *c)
+void
+response_conn_reset (struct conn *c)
 {
   set_reset_on_close (c, true);
   response_conn_free (c);
@@ -136,10 +137,8 @@
                     : g_strdup ("");
 }
 
-/* Returns the start of a response head for the request ID.  The caller appends
-   more fields and the empty line.  */
-static char *
-format_head (const char *id, const char *status, bool seal)
+char *
+response_format_head (const char *id, const char *status, bool seal)
 {
   g_autofree char *line
       = seal && fields->seal
@@ -173,7 +172,7 @@
 response_send (struct conn *c, const char *id, const char *status, bool seal,
                const char *body, size_t content_length)
 {
-  g_autofree char *head = format_head (id, status, seal);
+  g_autofree char *head = response_format_head (id, status, seal);
   g_autofree char *text = g_strdup_printf ("%sContent-Length: %zu\r\n\r\n%s",
                                            head, content_length, body);
   send_text (c, text);
@@ -203,7 +202,7 @@
 send_chunked (struct conn *c)
 {
   g_autofree char *body = format_echo (c);
-  g_autofree char *head = format_head (c->id, "200 OK", true);
+  g_autofree char *head = response_format_head (c->id, "200 OK", true);
   g_autofree char *text
       = g_strdup_printf ("%sTransfer-Encoding: "
                          "chunked\r\n\r\n3\r\n%.3s\r\n%zx\r\n%s\r\n0\r\n\r\n",
@@ -243,7 +242,7 @@
 send_unframed (struct conn *c)
 {
   g_autofree char *body = format_echo (c);
-  g_autofree char *head = format_head (c->id, "200 OK", true);
+  g_autofree char *head = response_format_head (c->id, "200 OK", true);
   g_autofree char *text = g_strdup_printf ("%s\r\n%s", head, body);
   send_text (c, text);
 }
@@ -314,7 +313,7 @@
 static void
 start_stream (struct conn *c, const struct stream_variant *v)
 {
-  g_autofree char *head = format_head (c->id, "200 OK", true);
+  g_autofree char *head = response_format_head (c->id, "200 OK", true);
   const char *after
       = http_head_get (http_codec_head (c->codec), "Last-Event-Id");
   g_autofree char *text
@@ -339,7 +338,7 @@
 void
 response_send_events (struct conn *c, unsigned count, bool held)
 {
-  g_autofree char *head = format_head (c->id, "200 OK", true);
+  g_autofree char *head = response_format_head (c->id, "200 OK", true);
   g_autofree char *text
       = g_strdup_printf ("%sContent-Type: text/event-stream\r\n"
                          "Transfer-Encoding: chunked\r\n\r\n",
@@ -362,7 +361,7 @@
 {
   if (end == STREAM_END_RESET)
     {
-      conn_reset (c);
+      response_conn_reset (c);
       return;
     }
   set_reset_on_close (c, false);
@@ -415,7 +414,7 @@
 static bool
 start_endless_bytes (struct conn *c)
 {
-  g_autofree char *head = format_head (c->id, "200 OK", true);
+  g_autofree char *head = response_format_head (c->id, "200 OK", true);
   g_autofree char *text = NULL;
   if (strcmp (c->directive, "endless-body") == 0)
     text = g_strdup_printf ("%sContent-Type: text/plain\r\n\r\n", head);
@@ -436,7 +435,7 @@
 start_endless (struct conn *c, bool error)
 {
   g_autofree char *head
-      = format_head (c->id, error ? "500 Failed" : "200 OK", true);
+      = response_format_head (c->id, error ? "500 Failed" : "200 OK", true);
   g_autofree char *text = g_strdup_printf (
       "%sContent-Type: %s\r\n\r\n%s", head,
       error ? "text/plain" : "text/event-stream", error ? "" : "data: ");
@@ -490,7 +489,7 @@
 static void
 send_part_of_head (struct conn *c, const char *percent, bool events)
 {
-  g_autofree char *head = format_head (c->id, "200 OK", true);
+  g_autofree char *head = response_format_head (c->id, "200 OK", true);
   g_autofree char *text = g_strdup_printf (
       "%s%s\r\n\r\n", head,
       events ? "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
@@ -527,7 +526,7 @@
 {
   const char *d = c->directive;
   if (strcmp (d, "reset") == 0)
-    conn_reset (c);
+    response_conn_reset (c);
   else if (strcmp (d, "lost") == 0)
     response_conn_free (c);
   else if (strcmp (d, "silent") == 0)
@@ -572,7 +571,8 @@
       if (!start_endless_bytes (c))
         start_endless (c, strcmp (d, "endless-error") == 0);
     }
-  else if (!send_faulty_response (c, d) && !send_closing_response (c, d))
+  else if (!send_faulty_response (c, d) && !send_closing_response (c, d)
+           && !response_send_invalid (c, d))
     {
       response_send_ok (c);
       response_finish (c, false);
@@ -594,9 +594,12 @@
 void
 response_continue (struct conn *c)
 {
-  if (strcmp (c->directive, "slow") == 0 || strcmp (c->directive, "late") == 0
-      || g_str_has_prefix (c->directive, WAIT)
-      || strcmp (c->directive, "again") == 0)
+  if (response_is_early (c->directive))
+    response_continue_early (c);
+  else if (strcmp (c->directive, "slow") == 0
+           || strcmp (c->directive, "late") == 0
+           || g_str_has_prefix (c->directive, WAIT)
+           || strcmp (c->directive, "again") == 0)
     {
       response_send_ok (c);
       response_finish (c, false);
@@ -607,7 +610,7 @@
       response_finish (c, false);
     }
   else if (strcmp (c->directive, "unframed-reset") == 0)
-    conn_reset (c);
+    response_conn_reset (c);
   else if (is_endless (c->directive))
     send_endless_part (c);
   else
--- a/tests/fakes/upstream_response.h
+++ b/tests/fakes/upstream_response.h
@@ -12,6 +12,15 @@
 #include <glib.h>
 #include <stdbool.h>
 
+/** Progress of a response that is sent before the request's body has
+    arrived.  */
+enum early_progress
+{
+  EARLY_WAITING,    /**< nothing was sent */
+  EARLY_SENT,       /**< head and part of the body were sent */
+  EARLY_HALF_CLOSED /**< the sending side was closed */
+};
+
 /** One connection, and the request in progress on it.  */
 struct conn
 {
@@ -26,6 +35,7 @@
   char *previous;  /**< latest response on this connection that has a length;
                       NULL for none */
   unsigned next_event_id;
+  enum early_progress early; /**< see upstream_invalid.h */
   bool in_request;  /**< a request has arrived, its response has not ended */
   bool close_after; /**< close once the output is written */
 };
@@ -47,6 +57,13 @@
     NULL.  */
 void response_set_limit (const char *text);
 
+/** Returns the start of a response head for the request ID.  The caller
+   appends more fields and the empty line.  SEAL: add the seal of the instance.
+ */
+char *response_format_head (const char *id, const char *status, bool seal);
+
+/** Resets the connection and releases C.  */
+void response_conn_reset (struct conn *c);
 /** Closes the connection and releases C.  */
 void response_conn_free (struct conn *c);
 
--- a/tests/fuzz/fuzz_http.c
+++ b/tests/fuzz/fuzz_http.c
@@ -2,7 +2,8 @@
     Fuzz target: HTTP from a caller or an upstream.  The codec must give the
     same progress, and the same body of a complete message, whether it gets
     the input at once or byte by byte.  A head that it accepts must parse
-    again, with as many fields, after it has been written out.  */
+    again, with as many fields, after it has been written out.  The status of
+   an accepted response is from 100 to 599.  */
 #include "links/http_codec.h"
 
 #include <string.h>
@@ -70,6 +71,8 @@
   g_autoptr (GString) text = g_string_new (NULL);
   if (h == NULL || a->progress == HTTP_REJECTED)
     return;
+  if (side == HTTP_SIDE_RESPONSES && (h->status < 100 || h->status > 599))
+    __builtin_trap ();
   http_head_write (h, text);
   parser_init (&again, side);
   feed (&again, (const uint8_t *)text->str, text->len, text->len);
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -213,6 +213,61 @@
     }
 }
 
+/* Status lines, each with whether it starts a response.  */
+struct status_line
+{
+  const char *text;
+  bool valid;
+};
+
+static const struct status_line status_lines[] = {
+  { "HTTP/1.1 200 OK", true },      { "HTTP/1.0 200 OK", true },
+  { "HTTP/1.1 200 ", true },        { "HTTP/1.1 200", true },
+  { "HTTP/1.1 599 Odd", true },     { "HTTP/1.1 100 Continue", true },
+  { "HTTP/1.1 600 Odd", false },    { "HTTP/1.1 999 Odd", false },
+  { "HTTP/1.1 000 Odd", false },    { "HTTP/1.1 099 Odd", false },
+  { "HTTP/1.1 2OO OK", false },     { "HTTP/1.1 2000 OK", false },
+  { "HTTP/1.1 -200 OK", false },    { "HTTP/1.1 0200 OK", false },
+  { "HTTP/1.1 +200 OK", false },    { "HTTP/1.1 20 OK", false },
+  { "HTTP/1.1  200 OK", false },    { "HTTP/1.1\t200 OK", false },
+  { "HTTP/1.1 200\tOK", false },    { "HTTP/1.1 200OK", false },
+  { "HTTP/1.1 ", false },           { "HTTP/1.1", false },
+  { "HTTP/0.9 200 OK", false },     { "HTTP/2.0 200 OK", false },
+  { "HTTP/1 200 OK", false },       { "HTTP/1.01 200 OK", false },
+  { "HTTP/01.1 200 OK", false },    { "HTTP/11.1 200 OK", false },
+  { "http/1.1 200 OK", false },     { "ICY 200 OK", false },
+  { " HTTP/1.1 200 OK", false },    { "200 OK", false },
+  { "\r\nHTTP/1.1 200 OK", false },
+};
+
+/* Guards against a status that is passed on although it is outside 100 to 599
+   or not exactly three digits, and against other versions than HTTP/1.  An
+   invalid line is noticed without the rest of the head.  */
+static void
+test_status_lines (void)
+{
+  for (size_t i = 0; i < G_N_ELEMENTS (status_lines); i++)
+    for (size_t step = 1; step < 3; step++)
+      {
+        const struct status_line *l = &status_lines[i];
+        struct http_codec *c
+            = http_codec_create (HTTP_SIDE_RESPONSES, &limits);
+        struct evbuffer *body = evbuffer_new ();
+        g_autofree char *start = g_strdup_printf ("%s\r\n", l->text);
+        g_autofree char *text
+            = g_strdup_printf ("%sContent-Length: 0\r\n\r\n", start);
+        g_test_message ("%s", l->text);
+        g_assert_cmpint (feed (c, start, strlen (start), step, body), ==,
+                         l->valid ? HTTP_IN_HEAD : HTTP_REJECTED);
+        http_codec_destroy (c);
+        c = http_codec_create (HTTP_SIDE_RESPONSES, &limits);
+        g_assert_cmpint (feed (c, text, strlen (text), strlen (text), body),
+                         ==, l->valid ? HTTP_COMPLETE : HTTP_REJECTED);
+        evbuffer_free (body);
+        http_codec_destroy (c);
+      }
+}
+
 /* Fields that Connection names are removed, except protected ones.  */
 static void
 test_strip_hop_fields (void)
@@ -245,6 +300,7 @@
   g_test_add_func ("/http/bounds", test_size_limits);
   g_test_add_func ("/http/next-message", test_next_message);
   g_test_add_func ("/http/answers", test_responses);
+  g_test_add_func ("/http/status-lines", test_status_lines);
   g_test_add_func ("/http/hop-fields", test_strip_hop_fields);
   return g_test_run ();
 }
