--- a/src/decide/route_table.c
+++ b/src/decide/route_table.c
@@ -1,12 +1,10 @@
 #include "decide/route_table.h"
 
 #include <string.h>
-#include <sys/random.h>
 #include <xxhash.h>
 
-/* Keys of accounts are stored and looked up as their HMAC-SHA-256 under a
-   random secret, so that the time of a lookup tells nothing about a key.  */
-#define SECRET_BYTES 32
+/* Keys of accounts are stored and looked up as their HMAC-SHA-256 under the
+   secret, so that the time of a lookup tells nothing about a key.  */
 #define DIGEST_BYTES 32
 
 struct route_table
@@ -20,6 +18,7 @@
   GHashTable *services; /* name -> struct route_service */
   GPtrArray *accounts;  /* struct route_account */
   GHashTable *keys;     /* digest of a key -> struct route_account */
+  guint8 secret[ROUTE_SECRET_BYTES];
 };
 
 static void
@@ -86,23 +85,12 @@
   return memcmp (a, b, DIGEST_BYTES) == 0;
 }
 
-/* Returns the secret of this process.  */
-static const guint8 *
-digest_secret (void)
-{
-  static guint8 secret[SECRET_BYTES];
-  static bool drawn;
-  if (!drawn && getrandom (secret, sizeof secret, 0) != sizeof secret)
-    g_error ("getrandom failed: no secret for the keys of accounts");
-  drawn = true;
-  return secret;
-}
-
 static void
-digest_key (const char *key, guint8 out[DIGEST_BYTES])
+digest_key (const struct route_table *t, const char *key,
+            guint8 out[DIGEST_BYTES])
 {
   gsize size = DIGEST_BYTES;
-  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, digest_secret (), SECRET_BYTES);
+  GHmac *hmac = g_hmac_new (G_CHECKSUM_SHA256, t->secret, sizeof t->secret);
   g_hmac_update (hmac, (const guchar *)key, -1);
   g_hmac_get_digest (hmac, out, &size);
   g_hmac_unref (hmac);
@@ -183,6 +171,13 @@
   g_hash_table_replace (t->services, s->name, s);
 }
 
+void
+route_table_set_secret (struct route_table *t,
+                        const guint8 secret[ROUTE_SECRET_BYTES])
+{
+  memcpy (t->secret, secret, sizeof t->secret);
+}
+
 void
 route_table_add_account (struct route_table *t,
                          const struct route_account *account)
@@ -198,7 +193,7 @@
   struct route_account *last
       = g_ptr_array_index (t->accounts, t->accounts->len - 1);
   guint8 digest[DIGEST_BYTES];
-  digest_key (key, digest);
+  digest_key (t, key, digest);
   const struct route_account *other = g_hash_table_lookup (t->keys, digest);
   if (other && other != last)
     return false;
@@ -218,7 +213,7 @@
   guint8 digest[DIGEST_BYTES];
   if (key == NULL || t->accounts->len == 0)
     return NULL;
-  digest_key (key, digest);
+  digest_key (t, key, digest);
   return g_hash_table_lookup (t->keys, digest);
 }
 
--- a/src/decide/route_table.h
+++ b/src/decide/route_table.h
@@ -4,7 +4,7 @@
 
     The table also knows the client accounts that may use the routes.  It holds
     one version of the configuration and is not changed once it is in use.  The
-    module reads no clock, and does no I/O except to draw one random key.  */
+    module does no I/O and reads no clock.  */
 #ifndef DECIDE_ROUTE_TABLE_H
 #define DECIDE_ROUTE_TABLE_H
 
@@ -103,6 +103,9 @@
   unsigned idle_ms;    /**< between two requests on a connection */
 };
 
+/** Bytes of the secret under which the keys of accounts are hashed.  */
+#define ROUTE_SECRET_BYTES 32
+
 struct route_table;
 
 /** Frees what a struct scaling_domain refers to; for a GArray of these.  */
@@ -126,6 +129,11 @@
 void route_table_add_service (struct route_table *t,
                               const struct route_service *service);
 
+/** Sets the secret under which the keys of accounts are hashed; to be called
+    before a key is added.  */
+void route_table_set_secret (struct route_table *t,
+                             const guint8 secret[ROUTE_SECRET_BYTES]);
+
 /** Adds a copy of ACCOUNT to T, which takes ownership of its name.  */
 void route_table_add_account (struct route_table *t,
                               const struct route_account *account);
