--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -105,6 +105,8 @@
       (int)s->max_connections / ENGINE_CONNECTIONS_DIVISOR, "engine", engine,
       "limits", "maxHeaderBytes", 8192, "maxBodyBytes", (int)s->max_body_bytes,
       "headerTimeoutMs", 1000, "idleTimeoutMs", 4000);
+  if (s->accounts)
+    json_object_set_new (root, "tenants", json_loads (s->accounts, 0, NULL));
   char *text = json_dumps (root, 0);
   json_decref (root);
   site_put (s, "op/config", text);
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -62,6 +62,8 @@
                                to an engine */
   const char *crash_part; /**< instances end when they run a request with this
                              prompt part; NULL for none */
+  const char *accounts;   /**< JSON array of the accounts in the configuration;
+                             NULL for none */
   unsigned slots;         /**< request slots in the entries of instances */
   bool quiet;             /**< VMs log warnings only */
 };
