Duties: a holder goes on after a restore of the store only if it was one then

A record of an earlier era can come from a VM that had lost the lease: its write compared revisions of that era and was applied by chance in the copy, and the text in it was never sent. The simulation of test_duties found two different reports for one window this way. Repeating such records was ruled out; leaving out all windows that had ended at each restore would lose one or two for each.

A record of another era is no longer used. A VM that held the lease at the restore, less than the takeover time after its last renewal, knows what was sent and goes on from its memory. A holder that does not know the outcome of a renewal goes on only if the key is as that renewal or the one before left it.

The test fails without the era check, without the limit on the age of a renewal, and if the restore does not forget an unknown renewal.

--- a/src/daemon/duty_link.c
+++ b/src/daemon/duty_link.c
@@ -50,7 +50,8 @@
   int64_t load_at_ms;   /* no record is read before this time */
   bool loading;         /* a read of a record is in flight */
   bool held;            /* this VM holds the lease */
-  bool begun;           /* the duties were begun */
+  bool was_begun; /* the duties were begun when the lease was last lost */
+  bool begun;     /* the duties were begun */
   int64_t not_before_ms; /* no calls before this time: the platform is busy */
 };
 
@@ -315,6 +316,8 @@
     log_event (LOG_INFO, held ? "duties_taken" : "duties_lost", "fencing",
                log_num ((long long)lease_link_fence (l->lease)), "revision",
                log_num (revision), "status", log_num (status), NULL);
+  if (l->held)
+    l->was_begun = l->begun;
   end_duties (l);
   l->held = held;
   l->tenure++;
@@ -408,3 +411,9 @@
 {
   return l->parts.address[0] != '\0';
 }
+
+bool
+duty_link_is_resumed (const struct duty_link *l)
+{
+  return l->lease && l->was_begun && lease_link_is_resumed (l->lease);
+}
--- a/src/daemon/duty_link.h
+++ b/src/daemon/duty_link.h
@@ -108,6 +108,11 @@
 /** Changes the least time between calls of two holders.  */
 void duty_link_set_lease (struct duty_link *l, int64_t lease_ms);
 
+/** Whether this VM, the holder, already was when the store was last restored,
+   so that no other VM can have sent what the store has lost.  A VM that became
+   the holder since then has written its record in the new era.  */
+bool duty_link_is_resumed (const struct duty_link *l);
+
 /** Whether the platform's address is set.  */
 bool duty_link_is_enabled (const struct duty_link *l);
 
--- a/src/daemon/lease_link.c
+++ b/src/daemon/lease_link.c
@@ -18,12 +18,13 @@
 
 static void lease_step (struct lease_link *l);
 
-static void
-note_restores (struct lease_link *l)
+/* Returns whether the key-value service was restored since the last call.  */
+static bool
+was_restored (struct lease_link *l)
 {
-  if (l->restores != l->parts.kv->restores)
-    order_lease_store_restored (l->lease);
+  bool restored = l->restores != l->parts.kv->restores;
   l->restores = l->parts.kv->restores;
+  return restored;
 }
 
 /* Reports that the lease was acquired or lost, or that a write failed.  */
@@ -41,10 +42,12 @@
          size_t n)
 {
   struct lease_link *l = arg;
-  note_restores (l);
+  int64_t now = clock_boot_ms ();
+  if (was_restored (l))
+    order_lease_store_restored (l->lease, now);
   order_lease_read_done (l->lease, status == KV_OK,
                          n > 0 ? values[0].revision : 0,
-                         n > 0 ? values[0].value : NULL, clock_boot_ms ());
+                         n > 0 ? values[0].value : NULL, now);
   if (order_lease_is_held (l->lease))
     report_change (l, false, n > 0 ? values[0].revision : 0, status);
   lease_step (l);
@@ -60,9 +63,16 @@
           [KV_UNKNOWN] = ORDER_LEASE_WRITE_UNKNOWN };
   struct lease_link *l = arg;
   bool held_before = order_lease_is_held (l->lease);
-  order_lease_write_done (l->lease, outcomes[status], revision,
-                          clock_boot_ms ());
-  note_restores (l);
+  int64_t now = clock_boot_ms ();
+  enum order_lease_write_outcome outcome = outcomes[status];
+  if (was_restored (l))
+    {
+      if (status == KV_OK)
+        order_lease_store_restored (l->lease, now);
+      else
+        outcome = ORDER_LEASE_WRITE_RESTORED;
+    }
+  order_lease_write_done (l->lease, outcome, revision, now);
   report_change (l, held_before, revision, status);
   lease_step (l);
 }
@@ -209,3 +219,9 @@
 {
   return fence == lease_link_fence (l) && now_ms <= l->send_until_ms;
 }
+
+bool
+lease_link_is_resumed (const struct lease_link *l)
+{
+  return order_lease_is_resumed (l->lease);
+}
--- a/src/daemon/lease_link.h
+++ b/src/daemon/lease_link.h
@@ -70,6 +70,9 @@
 /** Fencing token of this VM, 0 if it never held the lease.  */
 uint64_t lease_link_fence (const struct lease_link *l);
 
+/** See order_lease_is_resumed.  */
+bool lease_link_is_resumed (const struct lease_link *l);
+
 /** Whether FENCE is the token of this VM, and calls with it may be started at
     NOW_MS, on the last renewal.  */
 bool lease_link_may_start (const struct lease_link *l, uint64_t fence,
--- a/src/daemon/usage_link.c
+++ b/src/daemon/usage_link.c
@@ -251,6 +251,7 @@
   struct usage_holder holder
       = { .era = l->parts.kv->era,
           .saw_restore = l->parts.kv->restores > 0,
+          .is_resumed = duty_link_is_resumed (l->parts.duties),
           .started_ms = time - (now_ms - l->started_ms) };
   usage_reports_begin (l->reports, record, &holder, time);
 }
--- a/src/decide/order_lease.c
+++ b/src/decide/order_lease.c
@@ -33,8 +33,11 @@
   int64_t takeover_ms;
   int64_t renew_ms; /* interval of renewals without orders; 0 for none */
   enum state state;
-  int64_t revision; /* of the key, as last read or written; -1: unknown */
-  char *holder;     /* named by the key, NULL for none */
+  int64_t revision;      /* of the key, as last read or written; -1: unknown */
+  char *holder;          /* named by the key, NULL for none */
+  uint64_t holder_count; /* in the key, if it names a holder */
+  int64_t
+      renewed_revision; /* of the key after the last write that succeeded */
   uint64_t fencing_token;
   uint64_t write_count;
   int64_t unchanged_since_ms; /* when the key was last seen to change, or
@@ -42,11 +45,16 @@
   int64_t observed_ms;        /* when the key was first read as it is now */
   int64_t read_ms;            /* when the key was last read */
   int64_t write_started_ms;   /* when the last write was started */
+  int64_t held_from_ms; /* start of the last write by which this VM acquired or
+                           renewed the lease; 0 if another may hold it */
   int64_t send_not_before_ms; /* no orders are sent before this time */
   int64_t io_not_before_ms; /* no read or write of the key before this time */
   bool renewed;             /* the lease was renewed and nothing sent since */
   bool renewal_unknown; /* a renewal failed, and the key was not read since:
                            if it names this VM, no other acquired it */
+  bool held_at_restore; /* the key-value service was restored while this VM
+                           held the lease, and was not restored again */
+  bool is_resumed;      /* the lease was acquired again after that */
 };
 
 struct order_lease *
@@ -180,6 +188,7 @@
   if (g_strv_length (words) < 2 || words[0][0] == '\0')
     return;
   l->holder = g_strndup (words[0], VM_MAX_BYTES);
+  l->holder_count = g_ascii_strtoull (words[1], NULL, 10);
 }
 
 GBytes *
@@ -199,6 +208,17 @@
 
 /* Results of reads and writes.  */
 
+/* Whether the key, as read, is as this VM's last write that succeeded left it,
+   or as the one after it, whose outcome is unknown.  An earlier write that is
+   late may be applied if the service was restored in between.  */
+static bool
+is_own_write (const struct order_lease *l)
+{
+  return l->holder && strcmp (l->holder, l->vm) == 0
+         && (l->revision == l->renewed_revision
+             || l->holder_count == l->write_count);
+}
+
 void
 order_lease_read_done (struct order_lease *l, bool ok, int64_t revision,
                        GBytes *value, int64_t now_ms)
@@ -214,8 +234,7 @@
   l->revision = revision;
   l->read_ms = now_ms;
   read_page (l, value);
-  bool still_held
-      = l->renewal_unknown && l->holder && strcmp (l->holder, l->vm) == 0;
+  bool still_held = l->renewal_unknown && is_own_write (l);
   l->renewal_unknown = false;
   l->state = still_held ? STATE_HOLDING : STATE_OBSERVING;
   /* Without a holder the key may be acquired at once.  Sending is delayed all
@@ -225,8 +244,11 @@
 }
 
 void
-order_lease_store_restored (struct order_lease *l)
+order_lease_store_restored (struct order_lease *l, int64_t now_ms)
 {
+  l->held_at_restore
+      = l->held_from_ms != 0 && now_ms - l->held_from_ms < l->takeover_ms;
+  l->held_from_ms = 0;
   l->renewal_unknown = false;
 }
 
@@ -240,9 +262,29 @@
       = l->renew_ms > 0
             ? l->observed_ms + ORDER_LEASE_SEND_WITHIN_MS + l->lease_ms
             : now_ms + SEND_DELAY_LEASES * l->lease_ms;
+  l->is_resumed = l->held_at_restore;
+  l->held_at_restore = false;
   l->renewed = false;
 }
 
+/* Another VM has written the key, or the last write may still be applied.  The
+   lease counts as lost, and the next read as a change of the key.  */
+static void
+lose_lease (struct order_lease *l, enum order_lease_write_outcome outcome,
+            int64_t now_ms)
+{
+  if (outcome == ORDER_LEASE_WRITE_RESTORED)
+    order_lease_store_restored (l, now_ms);
+  if (outcome == ORDER_LEASE_WRITE_CONFLICT)
+    l->held_from_ms = 0;
+  l->renewal_unknown = outcome == ORDER_LEASE_WRITE_UNKNOWN
+                       && l->state == STATE_RENEWING && l->renew_ms > 0;
+  l->state = STATE_IDLE;
+  l->revision = -1;
+  l->io_not_before_ms
+      = now_ms + (l->renewal_unknown ? RENEWAL_READ_MS : IO_RETRY_MS);
+}
+
 void
 order_lease_write_done (struct order_lease *l,
                         enum order_lease_write_outcome outcome,
@@ -253,6 +295,7 @@
     {
       l->state = STATE_IDLE;
       l->revision = -1;
+      l->held_from_ms = 0;
       return;
     }
   switch (outcome)
@@ -260,6 +303,8 @@
     case ORDER_LEASE_WRITE_OK:
       l->revision = revision;
       l->state = STATE_HOLDING;
+      l->held_from_ms = l->write_started_ms;
+      l->renewed_revision = revision;
       if (state == STATE_ACQUIRING)
         become_holder (l, now_ms);
       else
@@ -270,17 +315,16 @@
       l->state = state == STATE_RENEWING ? STATE_HOLDING : STATE_IDLE;
       return;
     default:
-      /* Another VM has written the key, or this write may still be applied.
-         The lease counts as lost, and the next read as a change of the
-         key.  */
-      l->state = STATE_IDLE;
-      l->revision = -1;
-      l->renewal_unknown = state == STATE_RENEWING && l->renew_ms > 0;
-      l->io_not_before_ms
-          = now_ms + (l->renewal_unknown ? RENEWAL_READ_MS : IO_RETRY_MS);
+      lose_lease (l, outcome, now_ms);
     }
 }
 
+bool
+order_lease_is_resumed (const struct order_lease *l)
+{
+  return order_lease_is_held (l) && l->is_resumed;
+}
+
 bool
 order_lease_may_send (const struct order_lease *l, int64_t now_ms)
 {
--- a/src/decide/order_lease.h
+++ b/src/decide/order_lease.h
@@ -30,9 +30,10 @@
    after that start.  The lease time must then exceed the time for which an
    order may be in flight.
 
-    If the outcome of such a holder's renewal is unknown, it reads the key.  A
-    key that names it was last written by it: a write of another VM would have
-    made its own fail.  It then holds the lease as before.  This does not hold
+    If the outcome of such a holder's renewal is unknown, it reads the key.  If
+    that renewal or the one before was the last write of the key, it holds the
+    lease as before: a write of another VM would have made its own fail.  This
+    does not hold
     once the key-value service was restored from a copy, which may have lost
     another VM's writes: see order_lease_store_restored.
 
@@ -70,6 +71,8 @@
   ORDER_LEASE_WRITE_OK,
   ORDER_LEASE_WRITE_CONFLICT, /**< another VM has written the key */
   ORDER_LEASE_WRITE_NOT_DONE, /**< the write was not applied */
+  ORDER_LEASE_WRITE_RESTORED, /**< the key-value service was restored from a
+                                   copy since the last read or write */
   ORDER_LEASE_WRITE_UNKNOWN   /**< it may have been applied, or may be later */
 };
 
@@ -111,9 +114,15 @@
 enum order_lease_action order_lease_release (struct order_lease *l,
                                              int64_t now_ms);
 
-/** Reports that the key-value service was restored from a copy.  To be called
-    before order_lease_read_done if the read may show it.  */
-void order_lease_store_restored (struct order_lease *l);
+/** Reports that the key-value service was restored from a copy, before the end
+    of a read or of a successful write that follows.  */
+void order_lease_store_restored (struct order_lease *l, int64_t now_ms);
+
+/** Whether this VM holds the lease and already held it when the key-value
+    service was last restored: less than the takeover time after the start of
+    its last renewal, so that no other VM can have acquired the lease before
+   the restore.  Another may have held it since.  */
+bool order_lease_is_resumed (const struct order_lease *l);
 
 /** Reports the end of the read of ORDER_LEASE_READ.  OK: the read succeeded,
     and the key has VALUE at REVISION, or NULL and 0 if it does not
--- a/src/decide/usage_reports.c
+++ b/src/decide/usage_reports.c
@@ -49,35 +49,44 @@
   return (int64_t)(window + 1) * r->window_ms;
 }
 
-/* Reads RECORD into the page.  Returns false if there is none or it is
-   malformed.  */
-static bool
-read_record (struct usage_reports *r, GBytes *record)
+/* Takes PAGE, of which nothing is left.  */
+static void
+take_page (struct usage_reports *r, struct usage_page *page)
 {
-  gsize size = 0;
-  const void *data = record ? g_bytes_get_data (record, &size) : NULL;
   record_clear (&usage_page_record, &r->page);
-  bool ok = data && record_decode (&usage_page_record, data, size, &r->page);
+  r->page = *page;
   record_init (&usage_page_record, &r->page);
-  return ok;
 }
 
 void
 usage_reports_begin (struct usage_reports *r, GBytes *record,
                      const struct usage_holder *holder, int64_t now_ms)
 {
-  bool known = read_record (r, record);
-  /* Without a record no holder has reported in this era, and this process has
-     seen no other.  */
-  bool is_first = record == NULL && !holder->saw_restore;
-  if (is_first)
-    r->page.next = window_at (r, MIN (holder->started_ms, now_ms));
-  else if (!known || r->page.era != holder->era)
-    r->page.next = MAX (r->page.next, window_at (r, now_ms));
-  r->changed = r->page.era != holder->era;
-  r->page.era = holder->era;
+  struct usage_page page = { 0 };
+  gsize size = 0;
+  const void *data = record ? g_bytes_get_data (record, &size) : NULL;
+  bool is_current = data
+                    && record_decode (&usage_page_record, data, size, &page)
+                    && page.era == holder->era;
+  r->changed = !is_current;
   r->in_flight = false;
   r->retry_ms = 0;
+  if (is_current)
+    {
+      take_page (r, &page);
+      return;
+    }
+  record_clear (&usage_page_record, &page);
+  if (!holder->is_resumed)
+    {
+      /* Without a record no holder has reported in this era, and this process
+         has seen no other.  */
+      bool is_first = record == NULL && !holder->saw_restore;
+      int64_t from_ms = is_first ? MIN (holder->started_ms, now_ms) : now_ms;
+      page.next = window_at (r, from_ms);
+      take_page (r, &page);
+    }
+  r->page.era = holder->era;
 }
 
 static bool
--- a/src/decide/usage_reports.h
+++ b/src/decide/usage_reports.h
@@ -35,6 +35,8 @@
   uint64_t era;       /**< of the key-value service */
   bool saw_restore;   /**< the service was restored since this process
                            started */
+  bool is_resumed;    /**< it already was the holder at the last restore
+                           (order_lease_is_resumed) */
   int64_t started_ms; /**< when this process started */
 };
 
@@ -50,7 +52,7 @@
 void usage_reports_destroy (struct usage_reports *r);
 
 /** This VM became the holder.  RECORD is the duty's record, NULL if there is
-    none.  What R held is discarded.  */
+    none.  What R held is discarded, unless the holder is resumed.  */
 void usage_reports_begin (struct usage_reports *r, GBytes *record,
                           const struct usage_holder *holder, int64_t now_ms);
 
--- a/tests/unit/test_usage.c
+++ b/tests/unit/test_usage.c
@@ -284,7 +284,8 @@
        int64_t now_ms)
 {
   struct usage_reports *r = usage_reports_create (WINDOW_MS);
-  struct usage_holder holder = { era, saw_restore, started_ms };
+  struct usage_holder holder
+      = { .era = era, .saw_restore = saw_restore, .started_ms = started_ms };
   usage_reports_begin (r, record, &holder, now_ms);
   return r;
 }
