Sizing: an order of the record that would remove instances is decided anew

Cause: a store that was restored from a copy may hold an older record; its successor would have ordered instances away that were ordered since. Change: an order read from the record that is below what is ready is dropped, and the plan decides.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -475,6 +475,19 @@
   proxy_tokens_arrived (g->proxy);
 }
 
+static void
+create_duties (struct gateway *g)
+{
+  struct fleet_duties_parts duties = { .base = g->base,
+                                       .kv = g->kv,
+                                       .pool = g->pool,
+                                       .platform = g->platform,
+                                       .vm_registry = g->vm_registry,
+                                       .upstreams = g->upstreams,
+                                       .settings = g->settings };
+  g->duties = fleet_duties_create (&duties);
+}
+
 static void
 create_components (struct gateway *g)
 {
@@ -508,14 +521,7 @@
   quarantine_link_set_canary_s (vm_registry_quarantine (g->vm_registry),
                                 (unsigned)s->quarantine_s);
   g->prefill_split = prefill_split_create ();
-  struct fleet_duties_parts duties = { .base = g->base,
-                                       .kv = g->kv,
-                                       .pool = g->pool,
-                                       .platform = g->platform,
-                                       .vm_registry = g->vm_registry,
-                                       .upstreams = g->upstreams,
-                                       .settings = s };
-  g->duties = fleet_duties_create (&duties);
+  create_duties (g);
   struct proxy_parts parts
       = { .base = g->base,
           .requests = g->platform->requests,
--- a/src/decide/staffing_orders.c
+++ b/src/decide/staffing_orders.c
@@ -59,6 +59,11 @@
     p->ready_since_ms = now_ms;
   if (p->ready != before)
     p->changed_ms = now_ms;
+  /* The record may be of an older copy of the store.  An order that would
+     remove instances is decided anew.  */
+  if (p->is_restored && (int)p->ready > p->wanted)
+    p->is_ordered = false;
+  p->is_restored = false;
   if (p->reclaimed || (p->is_ordered && lacks_instances (v, p, now_ms)))
     mark_unavailable (v, p, now_ms);
   if (!p->is_ordered)
--- a/src/decide/staffing_plan.c
+++ b/src/decide/staffing_plan.c
@@ -81,13 +81,11 @@
            || out[i].regular < b->min_regular)
       {
         bool regular_first = out[i].regular < b->min_regular;
-        if (out[i].regular < sites[i].now.regular
-            && (regular_first || !sites[i].has_spot))
-          out[i].regular++;
-        else if (regular_first && sites[i].has_regular)
-          out[i].regular++;
-        else if (!regular_first && sites[i].has_spot)
+        bool keeps = out[i].regular < sites[i].now.regular;
+        if (!regular_first && sites[i].has_spot)
           out[i].spot++;
+        else if (keeps || (regular_first && sites[i].has_regular))
+          out[i].regular++;
         else
           break;
       }
--- a/src/decide/staffing_record.c
+++ b/src/decide/staffing_record.c
@@ -69,6 +69,7 @@
     return;
   p->wanted = wanted;
   p->is_ordered = true;
+  p->is_restored = true;
   p->accepted = STAFFING_NO_ORDER;
   p->changed_ms = now_ms;
 }
--- a/src/decide/staffing_state.h
+++ b/src/decide/staffing_state.h
@@ -22,10 +22,12 @@
   int64_t unavailable_until_ms;
   bool was_complete; /**< all that were wanted have been ready */
   /* Order.  */
-  int wanted;      /**< STAFFING_NO_ORDER before the first decision */
-  bool is_ordered; /**< an order of a holder is wanted */
-  int recorded;    /**< in the latest record */
-  int accepted;    /**< last accepted by the platform */
+  int wanted;       /**< STAFFING_NO_ORDER before the first decision */
+  bool is_ordered;  /**< an order of a holder is wanted */
+  bool is_restored; /**< the order is from the record, not yet compared with
+                         what is there */
+  int recorded;     /**< in the latest record */
+  int accepted;     /**< last accepted by the platform */
   bool in_flight;
   int64_t not_before_ms; /**< no order before this time */
 };
--- a/tests/unit/test_staffing.c
+++ b/tests/unit/test_staffing.c
@@ -214,13 +214,14 @@
 {
   double mean = w->load * STEP_MS / SERVICE_MS;
   double limit = exp (-mean);
-  for (double p = g_rand_double (w->random); p > limit;
-       p *= g_rand_double (w->random))
+  double product = g_rand_double (w->random);
+  while (product > limit)
     {
       int64_t *at = g_new (int64_t, 1);
       *at = w->now_ms;
       g_queue_push_tail (w->waiting, at);
       w->arrived++;
+      product *= g_rand_double (w->random);
     }
 }
 
@@ -697,6 +698,31 @@
     }
 }
 
+/* A record from an older copy of the store must not remove instances that were
+   ordered since.  */
+static void
+test_old_record (void)
+{
+  struct world *w = world_create ();
+  struct holder *h = holder_create (NULL, w->now_ms);
+  run (w, h, 3000);
+  g_autoptr (GBytes) old = g_bytes_ref (h->record);
+  run (w, h, 30000);
+  reclaim (w, 2, false);
+  run (w, h, 20000);
+  unsigned before = count_ready (w, true, true);
+  g_assert_cmpuint (before, >, INITIAL + DOMAINS);
+  holder_destroy (h);
+  h = holder_create (old, w->now_ms);
+  for (unsigned i = 0; i < 100; i++)
+    {
+      run (w, h, 100);
+      g_assert_cmpuint (count_ready (w, true, true), >=, before);
+    }
+  holder_destroy (h);
+  world_destroy (w);
+}
+
 /* A holder whose renewal fails sends nothing, and an order that changed after
    the record was written waits for the next one.  */
 static void
@@ -869,6 +895,7 @@
   g_test_add_func ("/staffing/unavailable", test_unavailable);
   g_test_add_func ("/staffing/retry", test_retry);
   g_test_add_func ("/staffing/holder-loss", test_holder_loss);
+  g_test_add_func ("/staffing/old-record", test_old_record);
   g_test_add_func ("/staffing/unrecorded", test_unrecorded);
   g_test_add_func ("/staffing/bad-record", test_bad_record);
   g_test_add_func ("/staffing/fixed-service", test_fixed_service);
