--- a/src/daemon/fleet_duties.c
+++ b/src/daemon/fleet_duties.c
@@ -1,14 +1,14 @@
 #include "daemon/fleet_duties.h"
 
-#include "daemon/usage_link.h"
 #include "daemon/staffing_link.h"
+#include "daemon/usage_link.h"
 
 struct fleet_duties
 {
   struct vm_registry *vm_registry;
   struct duty_link *link;
-  struct usage_link *usage; /* NULL without usage reports */
   struct staffing_link *staffing;
+  struct usage_link *usage; /* NULL without usage reports */
 };
 
 static struct usage_link *
@@ -46,13 +46,13 @@
   struct fleet_duties *d = g_new0 (struct fleet_duties, 1);
   d->vm_registry = parts->vm_registry;
   d->link = duty_link_create (&link);
-  d->usage = create_usage (d, parts);
-  vm_registry_set_usage (d->vm_registry, d->usage);
   struct staffing_link_parts staffing = { .base = parts->base,
                                           .platform = parts->platform,
                                           .upstreams = parts->upstreams,
                                           .duties = d->link };
   d->staffing = staffing_link_create (&staffing);
+  d->usage = create_usage (d, parts);
+  vm_registry_set_usage (d->vm_registry, d->usage);
   return d;
 }
 
@@ -75,8 +75,8 @@
     return;
   vm_registry_set_usage (d->vm_registry, NULL);
   duty_link_destroy (d->link);
-  usage_link_destroy (d->usage);
   staffing_link_destroy (d->staffing);
+  usage_link_destroy (d->usage);
   g_free (d);
 }
 
--- a/src/daemon/fleet_duties.h
+++ b/src/daemon/fleet_duties.h
@@ -32,6 +32,10 @@
 /** Applies the settings that have changed.  */
 void fleet_duties_set (struct fleet_duties *d, const struct settings *s);
 
+/** The configuration ROUTES is in force.  */
+void fleet_duties_set_routes (struct fleet_duties *d,
+                              const struct route_table *routes);
+
 /** Counts of the usage of client accounts; NULL if the settings ask for no
     reports.  */
 struct usage_link *fleet_duties_usage (const struct fleet_duties *d);
@@ -39,10 +43,6 @@
 /** Sends the other VMs what this one has not told them yet, as it stops.  */
 void fleet_duties_stop (struct fleet_duties *d);
 
-/** The configuration ROUTES is in force.  */
-void fleet_duties_set_routes (struct fleet_duties *d,
-                              const struct route_table *routes);
-
 /** Ends the candidacy of this VM as holder, because it leaves the fleet.  */
 void fleet_duties_leave (struct fleet_duties *d);
 
