Sizing: regular instances stay while spot ones do not come

Cause: a trial with a platform that accepts orders and provides nothing lowered 6 regular instances to 3 under load: only the number that survives a reclaim was kept, and 11 of 45 in the test. A VM that no longer ranked first went on to decide and to log. Change: a firm number, the need up to the initial number, must be there with regular instances if need be; decisions are made when the holder is asked for orders; gauge instances_busy_pct; regular instances are raised by no more than the plan has in all. Result: /staffing/never-come and /staffing/reclaim-everywhere-under-load fail before and pass; test_staffing 20 of 20 groups.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -103,6 +103,8 @@
   X (order_holder, "Failure domains whose orders this VM gives")              \
   X (instances_needed, "Instances of sized services that the demand needs, "  \
                        "as the duty holder sees it")                          \
+  X (instances_busy_pct, "Instances of sized services that the demand keeps " \
+                         "busy, in hundredths, as the duty holder sees it")   \
   X (regular_wanted, "Regular instances ordered by the duty holder")          \
   X (regular_ready, "Regular instances ready, as the duty holder sees it")    \
   X (spot_wanted, "Spot instances ordered by the duty holder")                \
--- a/src/daemon/fleet_duties.c
+++ b/src/daemon/fleet_duties.c
@@ -46,8 +46,7 @@
   struct fleet_duties *d = g_new0 (struct fleet_duties, 1);
   d->vm_registry = parts->vm_registry;
   d->link = duty_link_create (&link);
-  struct staffing_link_parts staffing = { .base = parts->base,
-                                          .platform = parts->platform,
+  struct staffing_link_parts staffing = { .platform = parts->platform,
                                           .upstreams = parts->upstreams,
                                           .duties = d->link };
   d->staffing = staffing_link_create (&staffing);
--- a/src/daemon/staffing_link.c
+++ b/src/daemon/staffing_link.c
@@ -16,9 +16,8 @@
 {
   struct staffing_link_parts parts;
   struct staffing *staffing;
-  struct event *timer;
-  GHashTable *calls; /* set of struct scale_call in progress */
-  bool holds;        /* this VM is the holder */
+  GHashTable *calls;    /* set of struct scale_call in progress */
+  int64_t decide_at_ms; /* no decision before this time */
 };
 
 /* An order in progress.  */
@@ -143,6 +142,7 @@
 static void
 add_decision (struct staffing_decision *sum, const struct staffing_decision *d)
 {
+  sum->busy += d->busy;
   sum->needed += d->needed;
   sum->ready.regular += d->ready.regular;
   sum->ready.spot += d->ready.spot;
@@ -154,6 +154,7 @@
 set_metrics (const struct staffing_decision *sum)
 {
   metrics_set (METRIC_instances_needed, sum->needed);
+  metrics_set (METRIC_instances_busy_pct, (int64_t)(sum->busy * 100));
   metrics_set (METRIC_regular_ready, sum->ready.regular);
   metrics_set (METRIC_spot_ready, sum->ready.spot);
   metrics_set (METRIC_regular_wanted, sum->wanted.regular);
@@ -161,7 +162,7 @@
 }
 
 static void
-decide_all (struct staffing_link *l)
+decide_all (struct staffing_link *l, int64_t now_ms)
 {
   struct staffing_decision sum = { 0 };
   g_autoptr (GPtrArray) ids = upstreams_ids (l->parts.upstreams);
@@ -175,7 +176,7 @@
       list_instances (l, service, ids, instances);
       staffing_decide (l->staffing, service,
                        (const struct staffing_instance *)instances->data,
-                       instances->len, clock_boot_ms (), &d);
+                       instances->len, now_ms, &d);
       if (d.reason != STAFFING_NO_CHANGE)
         log_decision (service, &d);
       add_decision (&sum, &d);
@@ -183,16 +184,6 @@
   set_metrics (&sum);
 }
 
-static void
-on_tick (evutil_socket_t fd, short what, void *arg)
-{
-  (void)fd;
-  (void)what;
-  struct staffing_link *l = arg;
-  if (l->holds)
-    decide_all (l);
-}
-
 /* The duty.  */
 
 static void
@@ -200,7 +191,6 @@
 {
   struct staffing_link *l = arg;
   bool ok = staffing_restore (l->staffing, record, now_ms);
-  l->holds = true;
   log_event (ok ? LOG_INFO : LOG_ERROR, "sizing_begins", "record",
              record == NULL ? "none"
              : ok           ? "read"
@@ -208,10 +198,17 @@
              NULL);
 }
 
+/* Decides too: the duties are asked several times a second, and only at the VM
+   that holds the lease and still ranks first.  */
 static bool
 duty_is_due (void *arg, int64_t now_ms)
 {
-  const struct staffing_link *l = arg;
+  struct staffing_link *l = arg;
+  if (now_ms >= l->decide_at_ms)
+    {
+      l->decide_at_ms = now_ms + DECIDE_MS;
+      decide_all (l, now_ms);
+    }
   return staffing_is_due (l->staffing, now_ms);
 }
 
@@ -239,7 +236,6 @@
 {
   struct staffing_link *l = arg;
   const struct staffing_decision none = { 0 };
-  l->holds = false;
   staffing_forget (l->staffing);
   set_metrics (&none);
 }
@@ -253,13 +249,10 @@
 struct staffing_link *
 staffing_link_create (const struct staffing_link_parts *parts)
 {
-  static const struct timeval tick = { 0, DECIDE_MS * 1000 };
   struct staffing_link *l = g_new0 (struct staffing_link, 1);
   l->parts = *parts;
   l->staffing = staffing_create ();
   l->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
-  l->timer = event_new (parts->base, -1, EV_PERSIST, on_tick, l);
-  event_add (l->timer, &tick);
   duty_link_add (parts->duties, &duty_ops, l);
   return l;
 }
@@ -269,7 +262,6 @@
 {
   if (l == NULL)
     return;
-  event_free (l->timer);
   g_hash_table_destroy (l->calls);
   staffing_destroy (l->staffing);
   g_free (l);
--- a/src/daemon/staffing_link.h
+++ b/src/daemon/staffing_link.h
@@ -15,7 +15,6 @@
     be destroyed first.  */
 struct staffing_link_parts
 {
-  struct event_base *base;
   const struct platform_ops *platform;
   const struct upstreams *upstreams;
   struct duty_link *duties;
--- a/src/decide/staffing.c
+++ b/src/decide/staffing.c
@@ -297,21 +297,25 @@
   return (int)MIN (planned, v->max > taken ? v->max - taken : 0);
 }
 
-/* Raises what is wanted to PLAN.  */
+/* Raises what is wanted to PLAN; of regular instances no more than PLAN has in
+   all.  */
 static bool
 raise_to_plan (struct staffing_service *v, const struct staffing_counts *plan,
                int64_t now_ms)
 {
   bool raised = false;
   guint n = v->domains->len;
-  bool more_regular = sum_regular (plan, n) > sum_wanted (v).regular;
+  int missing = (int)sum_regular (plan, n) - (int)sum_wanted (v).regular;
   for (guint i = 0; i < n; i++)
     {
       struct staffing_domain *d = staffing_domain_at (v, i);
       int regular = fit (v, plan[i].regular, &d->spot);
-      if (more_regular && regular > d->regular.wanted)
+      int more = MIN (regular - d->regular.wanted, missing);
+      if (more > 0)
         {
-          staffing_want (&d->regular, (unsigned)regular, now_ms);
+          missing -= more;
+          staffing_want (&d->regular, (unsigned)(d->regular.wanted + more),
+                         now_ms);
           raised = true;
         }
       int spot = fit (v, plan[i].spot, &d->regular);
@@ -326,10 +330,12 @@
   return raised;
 }
 
-/* Instances that the spot instances which have been ready for a while leave
-   after the loss of one failure domain.  */
+/* Regular instances that V must keep beside the spot instances that have been
+   ready for a while: the firm number must be there, and after the loss of a
+   failure domain as many as PLAN covers of those needed.  */
 static unsigned
-settled_spot_cover (const struct staffing_service *v, int64_t now_ms)
+regular_to_keep (const struct staffing_service *v,
+                 const struct staffing_counts *plan, int64_t now_ms)
 {
   unsigned sum = 0;
   unsigned most = 0;
@@ -341,7 +347,13 @@
       sum += p->ready;
       most = MAX (most, p->ready);
     }
-  return sum - most;
+  unsigned needed = v->demand.needed;
+  unsigned covered
+      = MIN (needed, staffing_plan_covered (plan, v->domains->len));
+  unsigned firm = v->demand.firm;
+  unsigned missing = firm > sum ? firm - sum : 0;
+  unsigned uncovered = covered > sum - most ? covered - (sum - most) : 0;
+  return MAX (missing, uncovered);
 }
 
 /* Gives V TOTAL regular instances, those of PLAN first and the others where
@@ -382,11 +394,7 @@
 {
   unsigned planned = sum_regular (plan, v->domains->len);
   unsigned wanted = sum_wanted (v).regular;
-  unsigned cover = settled_spot_cover (v, now_ms);
-  unsigned goal
-      = MIN (v->demand.needed, staffing_plan_covered (plan, v->domains->len));
-  unsigned uncovered = goal > cover ? goal - cover : 0;
-  unsigned total = MAX (planned, uncovered);
+  unsigned total = MAX (planned, regular_to_keep (v, plan, now_ms));
   if (total >= wanted || (wanted - total) * 100 < wanted * STEP_MIN_PERCENT)
     return false;
   lower_regular_to (v, plan, total, now_ms);
@@ -469,6 +477,7 @@
                                     .base = MIN (base, domains),
                                     .min_regular = v->min_regular,
                                     .needed = needed,
+                                    .firm = v->demand.firm,
                                     .surviving = v->demand.surviving };
   fill_sites (v, now_ms, sites);
   staffing_plan (&bounds, sites, domains, plan);
--- a/src/decide/staffing_demand.c
+++ b/src/decide/staffing_demand.c
@@ -98,6 +98,7 @@
            && highest * 100 < d->needed * (100 - FALL_MIN_PERCENT))
     set_needed (d, lowered, low, most, now_ms);
   d->surviving = MIN (d->needed, short_need (peak));
+  d->firm = MIN (d->needed, MAX (d->surviving, d->initial));
 }
 
 void
@@ -109,7 +110,8 @@
     {
       d->initial = MAX (d->initial, count);
       set_needed (d, MAX (d->needed, d->initial), least, most, now_ms);
-      d->surviving = d->needed;
+      d->surviving = d->firm = d->needed;
+      d->sampled_ms = now_ms;
       return;
     }
   if (!d->has_traffic)
@@ -131,7 +133,7 @@
 {
   memset (d, 0, sizeof *d);
   d->initial = initial;
-  d->needed = d->surviving = needed;
+  d->needed = d->surviving = d->firm = needed;
   d->has_traffic = has_traffic;
   d->steady_since_ms = now_ms;
 }
--- a/src/decide/staffing_demand.h
+++ b/src/decide/staffing_demand.h
@@ -26,6 +26,9 @@
   bool has_traffic;   /**< a request was seen */
   unsigned initial;   /**< instances before the first request */
   unsigned needed;    /**< instances needed */
+  unsigned firm;      /**< of these, those that are worth the price of regular
+                           instances: up to the initial number, or what
+                           suffices for a short time */
   unsigned surviving; /**< instances that suffice for the boot time of
                            others */
   double busy;        /**< smoothed number of busy instances */
--- a/src/decide/staffing_plan.c
+++ b/src/decide/staffing_plan.c
@@ -110,6 +110,20 @@
     ;
 }
 
+/* Instances that COUNTS lack of those that must be there now, and that must
+   remain after a reclaim.  */
+static unsigned
+shortfall (const struct staffing_bounds *b,
+           const struct staffing_counts *counts, unsigned n)
+{
+  unsigned covered = staffing_plan_covered (counts, n);
+  unsigned total = 0;
+  for (unsigned i = 0; i < n; i++)
+    total += counts[i].regular + counts[i].spot;
+  return (b->firm > total ? b->firm - total : 0)
+         + (b->surviving > covered ? b->surviving - covered : 0);
+}
+
 void
 staffing_plan (const struct staffing_bounds *bounds,
                const struct staffing_site *sites, unsigned n,
@@ -117,20 +131,18 @@
 {
   g_autofree struct staffing_counts *trial
       = g_new0 (struct staffing_counts, n);
-  unsigned best_covered = 0;
+  unsigned best_lack = 0;
   double best_price = 0;
   for (unsigned regular = bounds->base;
        regular <= MAX (bounds->base, bounds->needed); regular++)
     {
       plan_with (bounds, sites, n, regular, trial);
-      unsigned covered
-          = MIN (staffing_plan_covered (trial, n), bounds->surviving);
+      unsigned lack = shortfall (bounds, trial, n);
       double price = staffing_plan_price (bounds, sites, trial, n);
       if (regular > bounds->base
-          && (covered < best_covered
-              || (covered == best_covered && price >= best_price)))
+          && (lack > best_lack || (lack == best_lack && price >= best_price)))
         continue;
-      best_covered = covered;
+      best_lack = lack;
       best_price = price;
       memcpy (out, trial, n * sizeof *out);
     }
--- a/src/decide/staffing_plan.h
+++ b/src/decide/staffing_plan.h
@@ -5,8 +5,9 @@
     All spot instances of one failure domain may be reclaimed at once.  A plan
     covers a number if as many instances remain after any one such loss.  A
     margin of spot instances, which are cheap, covers the need.  Regular
-    instances are added only for the smaller number that must remain until the
-    instances which replace the lost ones have booted.
+    instances are added only for smaller numbers: those that must be there in
+    any case, and those that must remain until the instances which replace the
+    lost ones have booted.
 
     No I/O, no state.  */
 #ifndef DECIDE_STAFFING_PLAN_H
@@ -40,7 +41,8 @@
   unsigned base;        /**< least number of regular instances in all */
   unsigned min_regular; /**< regular instances in a failure domain */
   unsigned needed;      /**< instances that should remain after a reclaim */
-  unsigned surviving;   /**< of these, those that must remain, if need be by
+  unsigned firm; /**< instances that must be there, if need be regular ones */
+  unsigned surviving; /**< of these, those that must remain, if need be by
                              regular instances */
 };
 
