Duties: the lease's key is written last; a failed renewal reads the key

In a process test the holder lost the lease after each report. The store's stand-in gives each value of a transaction a revision of its own and returns the last; the key was the first value, so that the next renewal compared a revision that the key did not have. No component had written two values in one transaction at the platform's store before, and what the real one returns is not known here.

The key is now the last value, which is right with one revision for each transaction as well. A holder whose renewal failed reads the key, and goes on if it is as its last write left it. A record that was read after a further restore does not begin the duties: the simulation found two different reports for one window without that.

--- a/src/daemon/duty_link.c
+++ b/src/daemon/duty_link.c
@@ -44,6 +44,7 @@
   GArray *starts;       /* int64_t: when the latest calls were started; ring of
                            calls_per_s */
   guint next_start;     /* oldest element of the ring */
+  uint64_t restores;    /* of the store, when the lease was acquired */
   uint64_t tenure;      /* raised when the lease is acquired or lost */
   uint64_t load_tenure; /* tenure for which a record is being read */
   guint loaded;         /* records read in this tenure */
@@ -233,7 +234,9 @@
   l->loading = false;
   if (l->load_tenure != l->tenure)
     return;
-  if (status != KV_OK)
+  /* After a restore the record says nothing about what was written before this
+     VM acquired the lease, which it loses with its next renewal.  */
+  if (status != KV_OK || l->restores != l->parts.kv->restores)
     {
       l->load_at_ms = clock_boot_ms () + LOAD_RETRY_MS;
       return;
@@ -320,6 +323,7 @@
     l->was_begun = l->begun;
   end_duties (l);
   l->held = held;
+  l->restores = l->parts.kv->restores;
   l->tenure++;
   l->loaded = 0;
   l->load_at_ms = 0;
--- a/src/daemon/lease_link.c
+++ b/src/daemon/lease_link.c
@@ -92,10 +92,12 @@
   g_autoptr (GArray) puts = g_array_new (FALSE, FALSE, sizeof (struct kv_put));
   struct kv_put lease = { l->parts.key, order_lease_value (l->lease) };
   g_array_set_clear_func (puts, kv_put_clear);
-  g_array_append_val (puts, lease);
   if (!l->release && l->parts.ops->add_records
       && order_lease_may_send (l->lease, now_ms))
     l->parts.ops->add_records (l->parts.arg, puts, now_ms);
+  /* The key comes last: a store that numbers each value of a transaction
+     returns the revision of the last one.  */
+  g_array_append_val (puts, lease);
   kv_txn (l->parts.kv, l->parts.key, order_lease_revision (l->lease),
           (const struct kv_put *)puts->data, puts->len, on_written, l);
 }
--- a/src/decide/order_lease.c
+++ b/src/decide/order_lease.c
@@ -36,8 +36,7 @@
   int64_t revision;      /* of the key, as last read or written; -1: unknown */
   char *holder;          /* named by the key, NULL for none */
   uint64_t holder_count; /* in the key, if it names a holder */
-  int64_t
-      renewed_revision; /* of the key after the last write that succeeded */
+  uint64_t renewed_count; /* in the last write that succeeded */
   uint64_t fencing_token;
   uint64_t write_count;
   int64_t unchanged_since_ms; /* when the key was last seen to change, or
@@ -215,7 +214,7 @@
 is_own_write (const struct order_lease *l)
 {
   return l->holder && strcmp (l->holder, l->vm) == 0
-         && (l->revision == l->renewed_revision
+         && (l->holder_count == l->renewed_count
              || l->holder_count == l->write_count);
 }
 
@@ -277,7 +276,7 @@
     order_lease_store_restored (l, now_ms);
   if (outcome == ORDER_LEASE_WRITE_CONFLICT)
     l->held_from_ms = 0;
-  l->renewal_unknown = outcome == ORDER_LEASE_WRITE_UNKNOWN
+  l->renewal_unknown = outcome != ORDER_LEASE_WRITE_RESTORED
                        && l->state == STATE_RENEWING && l->renew_ms > 0;
   l->state = STATE_IDLE;
   l->revision = -1;
@@ -304,7 +303,7 @@
       l->revision = revision;
       l->state = STATE_HOLDING;
       l->held_from_ms = l->write_started_ms;
-      l->renewed_revision = revision;
+      l->renewed_count = l->write_count;
       if (state == STATE_ACQUIRING)
         become_holder (l, now_ms);
       else
--- a/src/decide/order_lease.h
+++ b/src/decide/order_lease.h
@@ -30,7 +30,8 @@
    after that start.  The lease time must then exceed the time for which an
    order may be in flight.
 
-    If the outcome of such a holder's renewal is unknown, it reads the key.  If
+    If such a holder's renewal fails, or its outcome is unknown, it reads the
+    key.  If
     that renewal or the one before was the last write of the key, it holds the
     lease as before: a write of another VM would have made its own fail.  This
     does not hold
--- a/tests/unit/test_duties.c
+++ b/tests/unit/test_duties.c
@@ -93,6 +93,7 @@
   int64_t era; /* as last seen */
   uint64_t restores;
   uint64_t noted_restores;
+  uint64_t held_restores; /* when the lease was acquired */
   bool held;
   bool loading;
   bool begun;
@@ -232,6 +233,7 @@
   if (v->held)
     v->was_begun = v->begun;
   v->held = order_lease_is_held (v->lease);
+  v->held_restores = v->restores;
   v->begun = false;
 }
 
@@ -300,7 +302,8 @@
   if (responded)
     see_era (v, op->era);
   v->loading = false;
-  if (!responded || op->era != v->era || !v->held)
+  if (!responded || op->era != v->era || !v->held
+      || v->held_restores != v->restores)
     return;
   holder.era = (uint64_t)v->era;
   holder.saw_restore = v->restores > 0;
