--- a/src/daemon/lease_link.c
+++ b/src/daemon/lease_link.c
@@ -95,8 +95,8 @@
   if (!l->release && l->parts.ops->add_records
       && order_lease_may_send (l->lease, now_ms))
     l->parts.ops->add_records (l->parts.arg, puts, now_ms);
-  /* The last one: a store may give each value of a transaction a revision of
-     its own, and then returns that of the last.  */
+  /* The key comes last: a store that numbers each value of a transaction
+     returns the revision of the last one.  */
   g_array_append_val (puts, lease);
   kv_txn (l->parts.kv, l->parts.key, order_lease_revision (l->lease),
           (const struct kv_put *)puts->data, puts->len, on_written, l);
