Estimates of expected events, and of the time between them at each engine

Cause: the events of a stream and the pace of an engine's decode steps were not measured, so nothing could tell that long answers run on slow engines. Ruled out: a mean by route only (sizes differ by a hundred); a regression for each engine (a VM of 89 sees one stream in 3 s), so the growth with the batch is learned for the service and an engine has one pace beside it; trusting the stated maximum of tokens, which bounds the estimate and selects a class of its own histogram. Load reports carry expected further events, mean gap and its number of events: upstream_share has three more fields, so VMs of both versions do not read each other's reports. Nothing places requests by them yet.

--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -24,6 +24,7 @@
 #include "decide/response_times.h"
 #include "decide/route_table.h"
 #include "decide/token_queue.h"
+#include "decide/work_estimate.h"
 #include "links/http_listener.h"
 
 /** Most instances that one request is sent to, remote prefill included.  */
@@ -49,6 +50,7 @@
   GHashTable *open;             /* set of struct exchange in progress */
   struct token_queue *waiting;  /* requests that wait for a token */
   struct response_times *times; /* longest responses of each route */
+  struct work_estimates *work;  /* events of the answers of each route */
   struct memory_budget *memory; /* of response bytes that wait for callers */
   struct event *timer;          /* checks for unresponsive upstreams */
   int64_t usage_logged_ms;      /* when the retry budgets were last logged */
@@ -148,6 +150,9 @@
                               memory budget knows them */
   char *last_event_id;     /* of the last event sent to the caller, or NULL */
   int64_t first_ms;        /* first byte of a trusted success; 0: none */
+  unsigned events;         /* of the response, over all attempts */
+  int64_t first_event_ms;  /* when the first one arrived; 0: none has */
+  int64_t event_ms;        /* when the latest one arrived */
 };
 
 /* Attempts.  */
@@ -265,6 +270,19 @@
     A belongs.  */
 void exchange_finish_response (struct attempt *a);
 
+/* Work of a request.  */
+
+/** Sets OUT to the expected answer of E.  Returns false if E is not placed by
+    its answer: its route has no target for gaps, or nothing is known of it. */
+bool exchange_expect_stream (const struct exchange *e, int64_t now,
+                             struct placement_stream *out);
+/** Records that COUNT events of the response of A arrived.  */
+void exchange_record_events (struct attempt *a, unsigned count);
+/** Records the events of E's response.  If it IS_COMPLETE they are all;
+    otherwise it was cut off at its deadline and counts with the events that
+    were still expected, as large answers would be left out otherwise.  */
+void exchange_record_work (struct exchange *e, bool is_complete);
+
 /* A second attempt beside one whose upstream is silent.  */
 
 /** Starts a hedge for E if its upstream is silent at NOW and a further attempt
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -56,6 +56,7 @@
   if (a == NULL || !a->paused)
     return;
   a->paused = false;
+  upstreams_ignore_gap (&a->work);
   if (a->call)
     pool_pause (a->call, false);
 }
@@ -89,6 +90,7 @@
   gsize size = 0;
   const void *bytes = g_bytes_get_data (events, &size);
   metrics_add (METRIC_events_total, count);
+  exchange_record_events (a, count);
   start_response (a);
   if (a->events.last_id)
     {
@@ -273,6 +275,8 @@
   if (is_trusted_success (a))
     quarantine_link_record_answer (e->proxy->parts.quarantine, e->service,
                                    &e->facts.prompt);
+  if (is_trusted_success (a) && a->is_events)
+    exchange_record_work (e, true);
   int64_t now = clock_ms ();
   metrics_add (METRIC_answered_total, 1);
   metrics_observe (METRIC_request_seconds, (now - e->since_ms) * US_PER_MS);
--- a/src/daemon/load_link.c
+++ b/src/daemon/load_link.c
@@ -41,7 +41,10 @@
   struct upstream_share s = { .running = load->running,
                               .generating = load->generating,
                               .tokens = load->tokens,
-                              .quiet_ms = load->quiet_ms };
+                              .quiet_ms = load->quiet_ms,
+                              .events_left = load->events_left,
+                              .gap_us = load->gap_us,
+                              .gap_events = load->gap_events };
   if (load->running == 0 && load->tokens == 0)
     return;
   s.upstream = g_strdup (upstream);
@@ -84,6 +87,7 @@
   struct own_load_visit *v = arg;
   struct upstream_load load = upstreams_own_load (v->upstreams, h);
   load.quiet_ms = upstreams_last_byte_age_ms (v->upstreams, h, v->now_ms);
+  upstreams_add_stream_load (v->upstreams, h, v->now_ms, &load);
   load_table_add (v->table, id, &load);
 }
 
@@ -208,7 +212,10 @@
   return (struct upstream_load){ .running = (uint32_t)s->running,
                                  .generating = (uint32_t)s->generating,
                                  .tokens = s->tokens,
-                                 .quiet_ms = (uint32_t)s->quiet_ms };
+                                 .quiet_ms = (uint32_t)s->quiet_ms,
+                                 .events_left = (uint32_t)s->events_left,
+                                 .gap_us = (uint32_t)s->gap_us,
+                                 .gap_events = (uint32_t)s->gap_events };
 }
 
 /* Replaces the report of M's sender in SUMS.  */
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -80,6 +80,7 @@
           LOAD_SHED_RETRY_AFTER_MIN_MS };
   (void)fd;
   (void)what;
+  exchange_record_work (arg, false);
   end_early (arg, &why);
 }
 
@@ -284,6 +285,7 @@
   p->open = g_hash_table_new (NULL, NULL);
   p->waiting = token_queue_create ();
   p->times = response_times_create ();
+  p->work = work_estimates_create ();
   p->memory = memory_budget_create (RESPONSE_MEMORY_BYTES);
   p->timer = event_new (parts->base, -1, EV_PERSIST, on_unresponsive_check, p);
   event_add (p->timer, &tick);
@@ -307,6 +309,7 @@
   g_hash_table_destroy (p->open);
   token_queue_destroy (p->waiting);
   response_times_destroy (p->times);
+  work_estimates_destroy (p->work);
   memory_budget_destroy (p->memory);
   route_table_unref (p->table);
   g_free (p);
--- a/src/decide/load_reports.c
+++ b/src/decide/load_reports.c
@@ -85,6 +85,37 @@
   return g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
 }
 
+/* Sum of the gaps that LOAD reports, in us.  */
+static uint64_t
+gap_sum (const struct upstream_load *load)
+{
+  return (uint64_t)load->gap_us * load->gap_events;
+}
+
+static void
+set_gap (struct upstream_load *load, uint64_t sum, uint32_t events)
+{
+  load->gap_us = events > 0 ? (uint32_t)(sum / events) : 0;
+  load->gap_events = events;
+}
+
+/* Makes the gap of SUM the mean over the events of SUM and LOAD.  */
+static void
+add_gap (struct upstream_load *sum, const struct upstream_load *load)
+{
+  set_gap (sum, gap_sum (sum) + gap_sum (load),
+           sum->gap_events + load->gap_events);
+}
+
+/* Removes the events of LOAD, part of SUM, from the gap of SUM.  */
+static void
+subtract_gap (struct upstream_load *sum, const struct upstream_load *load)
+{
+  uint64_t all = gap_sum (sum);
+  set_gap (sum, all - MIN (all, gap_sum (load)),
+           sum->gap_events - MIN (sum->gap_events, load->gap_events));
+}
+
 void
 load_table_add (GHashTable *table, const char *upstream,
                 const struct upstream_load *load)
@@ -101,6 +132,8 @@
   sum->running += load->running;
   sum->generating += load->generating;
   sum->tokens += load->tokens;
+  sum->events_left += load->events_left;
+  add_gap (sum, load);
 }
 
 void
@@ -113,4 +146,6 @@
   sum->running -= MIN (sum->running, load->running);
   sum->generating -= MIN (sum->generating, load->generating);
   sum->tokens -= MIN (sum->tokens, load->tokens);
+  sum->events_left -= MIN (sum->events_left, load->events_left);
+  subtract_gap (sum, load);
 }
--- a/src/decide/placement.h
+++ b/src/decide/placement.h
@@ -12,18 +12,33 @@
       with short prompts need.
     - The load of an engine is estimated, as its own reports arrive late.
 
+    Streams with a target for the gap between events are placed by their whole
+    answer: expected events times the time between events at the engine.
+
     Does no I/O.  */
 #ifndef DECIDE_PLACEMENT_H
 #define DECIDE_PLACEMENT_H
 
 #include "decide/upstreams.h"
 
+/** The answer that a request is expected to get, if that is a stream with a
+    target for the gaps in it.  */
+struct placement_stream
+{
+  double events;        /**< expected events */
+  double events_median; /**< median and upper estimate of their number */
+  double events_high;
+  double gap_ms;  /**< target for the longest time between two */
+  double left_ms; /**< time to the deadline of the last one */
+};
+
 /** A request to place.  */
 struct placement_request
 {
   const char *service;
-  const struct prompt *prompt;  /**< NULL for plain requests */
-  const upstream_handle *tried; /**< upstreams to exclude */
+  const struct prompt *prompt;           /**< NULL for plain requests */
+  const struct placement_stream *stream; /**< NULL: not placed by its answer */
+  const upstream_handle *tried;          /**< upstreams to exclude */
   unsigned n_tried;
   bool repeatable;                /**< may run more than once */
   bool exclude_prefill_engines;   /**< exclude engines that only prefill */
--- a/src/decide/upstreams.c
+++ b/src/decide/upstreams.c
@@ -61,6 +61,7 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   u->short_demand
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  u->streams = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return u;
 }
 
@@ -75,6 +76,7 @@
   g_hash_table_destroy (u->by_id);
   g_hash_table_destroy (u->engine_limits);
   g_hash_table_destroy (u->short_demand);
+  g_hash_table_destroy (u->streams);
   g_ptr_array_unref (u->domains);
   g_free (u);
 }
@@ -188,6 +190,7 @@
     engine_model_init (&x->prefill, kind);
   engine_model_init (&x->decode, ENGINE_MODEL_DECODE);
   x->residence_ms = 0;
+  x->pace = (struct step_pace){ 0 };
 }
 
 struct engine_model *
@@ -411,7 +414,9 @@
 upstreams_total_load (const struct upstream *x, int64_t now_ms)
 {
   struct upstream_load sum = x->own;
-  if (upstreams_has_home_load (x, now_ms))
+  bool has_home_load = upstreams_has_home_load (x, now_ms);
+  sum.events_left = (uint32_t)MIN (x->events_left, UINT32_MAX);
+  if (has_home_load)
     {
       const struct upstream_load *home = &x->home_load;
       const struct upstream_load *own_before = &x->own_at_report;
@@ -421,7 +426,6 @@
           home->generating, own_before->generating, x->own.generating);
       sum.tokens
           = adjust_total (home->tokens, own_before->tokens, x->own.tokens);
-      return sum;
     }
   GHashTableIter it;
   gpointer value;
@@ -431,6 +435,9 @@
       const struct peer_load *p = value;
       if (now_ms - p->at_ms > PEER_LOAD_MAX_AGE_MS)
         continue;
+      sum.events_left += p->load.events_left;
+      if (has_home_load)
+        continue;
       sum.running += p->load.running;
       sum.generating += p->load.generating;
       sum.tokens += p->load.tokens;
@@ -531,6 +538,7 @@
     }
   p->load = *load;
   p->at_ms = now_ms;
+  upstreams_learn_reported_gap (u, x, load, now_ms);
   /* An upstream that answers another VM is responsive.  */
   if (load->running > 0)
     x->active_ms = MAX (x->active_ms, now_ms - load->quiet_ms);
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -77,6 +77,9 @@
   unsigned role_change_ms;     /**< time for which an engine that changes its
                                     role takes no requests, after its running
                                     ones */
+  unsigned event_gap_ms; /**< target for the longest gap between two events of
+                              its streams; 0: none, streams are placed by the
+                              time to their first event only */
 };
 
 /** Sets the LIMITS of each engine of SERVICE, present and future.  */
@@ -167,7 +170,14 @@
   bool remote_prefill; /**< HANDLE only prefills; the engine that decodes is
                             chosen after the prefill */
   enum upstream_occupancy occupancy;
-  unsigned candidates; /**< eligible upstreams that were compared */
+  double events; /**< stream: expected events; 0 if unknown or no stream */
+  double event_gap_ms;   /**< stream: expected mean time between events; 0 if
+                              unknown */
+  double done_ms;        /**< stream: expected time to its last event; 0 if
+                              unknown */
+  double median_done_ms; /**< the same for a request of median size, if recent
+                              streams of the service tell it; otherwise 0 */
+  unsigned candidates;   /**< eligible upstreams that were compared */
 };
 
 /** Name of WORK for logs.  */
@@ -186,9 +196,15 @@
   int64_t sent_ms;
   int64_t active_ms; /**< when its last byte arrived; sent_ms before */
   double expected_ms;
-  bool open;       /**< counted in the load's running */
-  bool generating; /**< counted in the load's generating */
-  bool prefilling; /**< its tokens are counted as not yet prefilled */
+  double events;          /**< events that have arrived */
+  double events_left;     /**< expected events, counted in the load */
+  int64_t first_event_ms; /**< when the first event arrived; 0: none has, or
+                               the time since was interrupted */
+  int64_t event_ms;       /**< when the latest one arrived */
+  int64_t longest_gap_ms; /**< longest time between two */
+  bool open;              /**< counted in the load's running */
+  bool generating;        /**< counted in the load's generating */
+  bool prefilling;        /**< its tokens are counted as not yet prefilled */
 };
 
 /** Records that a request was sent to the upstream of CHOICE, and fills WORK.
@@ -212,6 +228,13 @@
     The ratio corrects later estimates for long prompts.  */
 void upstreams_record_latency (struct upstreams *u, double expected_ms,
                                int64_t since_ms, int64_t now_ms);
+/** Records that COUNT events of the response to WORK arrived, and that LEFT
+    more are expected.  */
+void upstreams_record_events (struct upstreams *u, struct upstream_work *work,
+                              unsigned count, double left, int64_t now_ms);
+/** The caller of WORK did not take its response for a while, so that the next
+    gap between events tells nothing about the upstream.  */
+void upstreams_ignore_gap (struct upstream_work *work);
 /** Records that bytes of the response to WORK arrived.  */
 void upstreams_record_bytes (struct upstreams *u, struct upstream_work *work,
                              int64_t now_ms);
@@ -292,6 +315,9 @@
                               something only while running is above 0 */
   uint32_t link_wait_ms; /**< time until the transfers on its link are done;
                               only known of engines, from their home VM */
+  uint32_t events_left;  /**< expected further events of running streams */
+  uint32_t gap_us;       /**< recent mean time between events of a stream */
+  uint32_t gap_events;   /**< recent events behind gap_us; 0: none */
 };
 
 /** Calls VISIT for each upstream that has load from this VM.  */
@@ -299,9 +325,14 @@
                                void (*visit) (void *arg, const char *id,
                                               upstream_handle h),
                                void *arg);
-/** Returns the load of this VM on H; its quiet_ms is 0.  */
+/** Returns the load of this VM on H; its quiet_ms is 0, and what it tells of
+    streams is left out.  */
 struct upstream_load upstreams_own_load (const struct upstreams *u,
                                          upstream_handle h);
+/** Adds what this VM's streams tell of H to LOAD: events_left, gap_us and
+    gap_events.  */
+void upstreams_add_stream_load (const struct upstreams *u, upstream_handle h,
+                                int64_t now_ms, struct upstream_load *load);
 /** Returns the milliseconds since H last sent a byte to this VM or, by their
     reports, to another VM.  */
 uint32_t upstreams_last_byte_age_ms (const struct upstreams *u,
--- a/src/decide/upstreams_outcomes.c
+++ b/src/decide/upstreams_outcomes.c
@@ -208,6 +208,8 @@
                      && x->info.role == UPSTREAM_DECODE;
   x->own.running++;
   x->own.generating += work->generating;
+  work->events_left = choice->events;
+  x->events_left += work->events_left;
   if (work->generating)
     add_short_demand (u, x->info.service, choice->compute_ms, now_ms);
   x->own.tokens += work->tokens;
@@ -326,6 +328,7 @@
   end_prefill (x, work);
   x->own.running -= MIN (x->own.running, 1);
   x->own.generating -= MIN (x->own.generating, work->generating ? 1 : 0);
+  upstreams_end_stream (u, x, work);
   work->open = false;
   return x;
 }
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -1,11 +1,13 @@
 /** @file
     Internal structures of the upstream table, for the modules of decide/ that
     read it directly.  upstreams.c implements the table and the loads,
-    upstreams_outcomes.c records outcomes of requests and learns from them.  */
+    upstreams_outcomes.c records outcomes of requests and learns from them,
+    upstreams_streams.c learns from the events of streams.  */
 #ifndef DECIDE_UPSTREAMS_TABLE_H
 #define DECIDE_UPSTREAMS_TABLE_H
 
 #include "decide/engine_model.h"
+#include "decide/step_model.h"
 #include "decide/upstreams.h"
 
 /* Assumed round-trip times from this VM to an upstream.  */
@@ -34,6 +36,23 @@
   int64_t at_ms;  /* when it was last updated */
 };
 
+/** Recent gaps between events of this VM's streams at one upstream.  */
+struct stream_gaps
+{
+  double sum_ms; /* decayed */
+  double events; /* decayed */
+  int64_t at_ms; /* latest event */
+};
+
+/** What is known of the streams of one service.  */
+struct stream_state
+{
+  struct step_curve curve;
+  double queue_ms;   /* moving average of the wait for prefill at engines that
+                        are not reserved */
+  int64_t marked_ms; /* when engines were last marked by their pace */
+};
+
 /** Table entry of one upstream.  */
 struct upstream
 {
@@ -55,9 +74,12 @@
   struct engine_model prefill;        /* of prompts that it prefills */
   struct engine_model decode; /* of prompts that another engine prefilled,
                                  without the transfer */
-  double residence_ms;        /* moving average of the time that a request
-                                 occupies a slot; 0 without samples */
-  double service_ms;          /* learned time of a plain request */
+  struct step_pace pace;      /* of the streams of all VMs */
+  struct stream_gaps gaps;    /* of this VM's streams */
+  double events_left;  /* expected further events of this VM's streams */
+  double residence_ms; /* moving average of the time that a request
+                          occupies a slot; 0 without samples */
+  double service_ms;   /* learned time of a plain request */
   int64_t sampled_ms;  /* when service_ms was last updated; 0 for never */
   double failure_rate; /* moving average over outcomes, 0 to 1 */
   int64_t outcome_ms;  /* when failure_rate was last updated */
@@ -81,6 +103,7 @@
   GHashTable *by_id; /* id -> index in slots */
   GHashTable *engine_limits; /* service -> struct engine_limits */
   GHashTable *short_demand;  /* service -> struct short_demand */
+  GHashTable *streams;       /* service -> struct stream_state */
   unsigned vms;              /* running VMs, this one included; at least 1 */
   double token_turn;         /* 0 to 1: which limited upstream a waiting
                                 request asks for a token next */
@@ -131,6 +154,16 @@
     with prefill.  */
 double upstreams_short_demand (const struct upstreams *u, const char *service,
                                int64_t now_ms);
+/** Returns the curve of the streams of SERVICE; all 0 if there were none.  */
+const struct step_curve *upstreams_step_curve (const struct upstreams *u,
+                                               const char *service);
+/** Learns from the gaps in LOAD, which another VM reported of X.  */
+void upstreams_learn_reported_gap (struct upstreams *u, struct upstream *x,
+                                   const struct upstream_load *load,
+                                   int64_t now_ms);
+/** WORK at X has ended: its events_left count no longer.  */
+void upstreams_end_stream (struct upstreams *u, struct upstream *x,
+                           struct upstream_work *work);
 /** Returns whether the home VM of X has just reported its load.  */
 bool upstreams_has_home_load (const struct upstream *x, int64_t now_ms);
 /** Returns the load of all VMs on X, as far as it is known.  */
--- a/tests/unit/test_loads.c
+++ b/tests/unit/test_loads.c
@@ -15,8 +15,17 @@
 test_sums (void)
 {
   struct load_reports *l = load_reports_create (1000);
-  struct upstream_load a = { 1, 1, 100, 0, 0 };
-  struct upstream_load b = { 2, 0, 50, 0, 0 };
+  struct upstream_load a = { .running = 1,
+                             .generating = 1,
+                             .tokens = 100,
+                             .events_left = 40,
+                             .gap_us = 30000,
+                             .gap_events = 10 };
+  struct upstream_load b = { .running = 2,
+                             .tokens = 50,
+                             .events_left = 5,
+                             .gap_us = 60000,
+                             .gap_events = 20 };
   load_reports_begin (l, "x", 0);
   load_reports_add (l, "x", "e1", &a);
   load_reports_begin (l, "y", 500);
@@ -28,6 +37,9 @@
   g_assert_cmpuint (e1->running, ==, 3);
   g_assert_cmpuint (e1->generating, ==, 1);
   g_assert_cmpuint (e1->tokens, ==, 150);
+  g_assert_cmpuint (e1->events_left, ==, 45);
+  g_assert_cmpuint (e1->gap_us, ==, 50000);
+  g_assert_cmpuint (e1->gap_events, ==, 30);
   /* At 1300 ms, the report of x has expired, and that of y is replaced by an
      empty one.  */
   load_reports_begin (l, "y", 1200);
@@ -36,8 +48,13 @@
   g_assert_cmpuint (g_hash_table_size (later), ==, 0);
   load_table_subtract (sum, "e1", &a);
   g_assert_cmpuint (e1->tokens, ==, 50);
+  g_assert_cmpuint (e1->events_left, ==, 5);
+  g_assert_cmpuint (e1->gap_us, ==, 60000);
   load_table_subtract (sum, "e1", &a);
   g_assert_cmpuint (e1->tokens, ==, 0);
+  load_table_subtract (sum, "e1", &b);
+  g_assert_cmpuint (e1->gap_events, ==, 0);
+  g_assert_cmpuint (e1->gap_us, ==, 0);
   load_reports_destroy (l);
 }
 
