Placement of streams by their expected answer

Cause: streams of 72 events are placed by the time to their first event, 20 ms, and by an order of reserved engines that no speed enters: in a fleet of 45 engines they filled 13, slow ones among them; the longest tenth took 9 to 14.7 s of its 15 s, and 471 of 1,122 were late. Change: for routes with a target for gaps, the cost of an engine is the expected time of the answer there, the delay of the streams there, lateness of a large answer, gaps over the target and the wait for prefill at engines that are not reserved (placement_stream.c). Engines are reserved as the streams need, fast ones first, up to half of them and fewer as long prompts wait elsewhere.

--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -261,7 +261,9 @@
 {
   const struct proxy_parts *parts = &e->proxy->parts;
   int64_t now = clock_ms ();
+  struct placement_stream stream;
   request->limit_ms = queue_limit_ms (e);
+  request->stream = exchange_expect_stream (e, now, &stream) ? &stream : NULL;
   struct upstream_choice c = placement_choose (parts->upstreams, request, now);
   placement_record_misses (parts->upstreams, request, c.handle, now);
   if (c.handle == 0 || e->n_tried >= EXCHANGE_TRIED_MAX)
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -115,16 +115,24 @@
   http_listener_set_limits (g->callers, &limits);
 }
 
+/* Argument of set_engine_limits.  */
+struct limits_visit
+{
+  struct gateway *gateway;
+  const struct route_table *table;
+};
+
 static void
 set_engine_limits (void *arg, const struct route_service *s)
 {
-  struct gateway *g = arg;
+  const struct limits_visit *v = arg;
   struct engine_limits limits = { .kv_tokens = s->kv_tokens,
                                   .kv_bytes_per_token = s->kv_bytes_per_token,
                                   .link_mbit_per_s = s->link_mbit_per_s,
                                   .role_change_ms = s->role_change_ms };
+  limits.event_gap_ms = route_table_event_gap_ms (v->table, s->name);
   if (s->is_engine)
-    upstreams_set_engine_limits (g->upstreams, s->name, &limits);
+    upstreams_set_engine_limits (v->gateway->upstreams, s->name, &limits);
 }
 
 static void
@@ -132,7 +140,8 @@
 {
   struct gateway *g = arg;
   set_caller_limits (g, route_table_limits (table));
-  route_table_each_service (table, set_engine_limits, g);
+  struct limits_visit v = { g, table };
+  route_table_each_service (table, set_engine_limits, &v);
   proxy_set_routes (g->proxy, table);
 }
 
--- a/src/decide/load_shed.c
+++ b/src/decide/load_shed.c
@@ -40,6 +40,8 @@
 load_shed_must_refuse (const struct upstream_choice *choice, double limit_ms,
                        double remaining_ms)
 {
+  if (choice->median_done_ms > remaining_ms)
+    return true;
   switch (choice->occupancy)
     {
     case UPSTREAM_IDLE:
--- a/src/decide/load_shed.h
+++ b/src/decide/load_shed.h
@@ -38,7 +38,9 @@
     at an idle engine is served, late if need be.  If the instance has free
    slots, the request is refused only when that is after REMAINING_MS, because
    a late response from a service that is only slow is better than none.  An
-   idle instance always gets the request, so that its latency is measured.  */
+   idle instance always gets the request, so that its latency is measured.  A
+    stream is also refused if its last event is more likely than not expected
+    after REMAINING_MS.  */
 bool load_shed_must_refuse (const struct upstream_choice *choice,
                             double limit_ms, double remaining_ms);
 
--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -188,6 +188,22 @@
   double cost; /* delay for other requests, risk of failure, caching twice */
 };
 
+/* Returns the cost of the answer at X after its first event, which is expected
+   after FIRST_MS, if the request is placed by its answer.  */
+static double
+stream_cost (const struct search *s, const struct upstream *x,
+             const struct upstream_load *load, double first_ms,
+             struct upstream_choice *out)
+{
+  const struct prompt *p = s->request->prompt;
+  if (s->request->stream == NULL)
+    return 0;
+  uint64_t part = p && p->n_parts > 0 ? p->parts[p->n_parts - 1].id : 0;
+  return placement_estimate_stream (s->u, x, s->request->stream, load,
+                                    first_ms, part + (uint64_t)s->now_ms,
+                                    s->now_ms, out);
+}
+
 /* Estimates the decode at X of a prompt that PREFILL_ENGINE has prefilled.  */
 static void
 estimate_decode (const struct search *s, const struct upstream *x,
@@ -205,6 +221,7 @@
       = placement_link_ms (s->u, s->local_transfer_ms, from, x->domain);
   l->ms += out->transfer_ms + out->wait_ms;
   l->cost += out->link_ms * LINK_COST;
+  l->cost += stream_cost (s, x, load, l->ms, out);
 }
 
 /* Estimates a request at X whose prompt X has to prefill.  */
@@ -232,10 +249,13 @@
   l->cost += engine_model_compute_ms (
                  &x->prefill, placement_shared_tokens (request->prompt))
              * spill_factor (s, rank);
-  if (is_long)
-    l->cost += load->generating * out->compute_ms * INTERFERENCE_SHARE;
-  else if (x->info.role == UPSTREAM_DECODE)
+  if (is_long && load->generating > 0)
+    l->cost += load->generating * out->compute_ms * INTERFERENCE_SHARE
+               * placement_gap_factor (s->u, x, out->compute_ms, s->now_ms);
+  else if (!is_long && x->info.role == UPSTREAM_DECODE)
     l->cost += x->reserved ? 0 : UNRESERVED_COST_MS;
+  if (!out->remote_prefill)
+    l->cost += stream_cost (s, x, load, l->ms, out);
 }
 
 /* Estimates a plain request at X.  */
--- a/src/decide/placement_parts.h
+++ b/src/decide/placement_parts.h
@@ -2,7 +2,8 @@
     Internal interface of placement, for its source files: placement.c chooses,
     placement_reserve.c reserves engines for short prompts,
     placement_affinity.c finds the engines that cache a prefix,
-    placement_transfer.c estimates transfers of KV caches, and
+    placement_transfer.c estimates transfers of KV caches,
+    placement_stream.c estimates the whole answer of streams, and
     placement_limits.c records demand for limited upstreams.  */
 #ifndef DECIDE_PLACEMENT_PARTS_H
 #define DECIDE_PLACEMENT_PARTS_H
@@ -17,8 +18,8 @@
 #define AFFINITY_RANKS 3
 
 /** Engines that a prompt prefers, by rendezvous hash: index and score, best
-   first.  A prefix that is too popular for the first one spills over to the
-   next, always in the same order, so that few engines cache it.  */
+    first.  A prefix that is too popular for the first one spills over to the
+    next, always in the same order, so that few engines cache it.  */
 struct affinity
 {
   guint engines[AFFINITY_RANKS]; /**< index; 0 for none */
@@ -65,14 +66,41 @@
                           enum upstream_work_kind work, uint64_t tokens,
                           const struct upstream_load *load);
 
+/* Streams.  */
+
+/** Estimates the answer of STREAM at X, which has LOAD and sends the first
+    event after FIRST_MS, and fills OUT.  Returns the cost in ms that X has for
+    the rest of the answer; 0 if nothing is known of streams yet.  SEED differs
+    between requests.  */
+double placement_estimate_stream (const struct upstreams *u,
+                                  const struct upstream *x,
+                                  const struct placement_stream *stream,
+                                  const struct upstream_load *load,
+                                  double first_ms, uint64_t seed,
+                                  int64_t now_ms, struct upstream_choice *out);
+
+/** Returns by how much more a prefill that takes COMPUTE_MS at X costs, as the
+    streams there would miss their target for gaps: 1 if they would not.  */
+double placement_gap_factor (const struct upstreams *u,
+                             const struct upstream *x, double compute_ms,
+                             int64_t now_ms);
+
 /* Reservation.  */
 
 /** Marks the decode engines of SERVICE that are reserved for short prompts:
-   one, and one more for each engine that the short requests fill, but not all.
-   All VMs reserve them in the same order, that of reserve_rank.  */
+    one, and one more for each engine that the short requests fill, but not
+    all.  All VMs reserve them in the same order, that of reserve_rank.  If the
+    service has a target for the gaps of its streams, up to half of the engines
+    are reserved, as many as run the streams within the target, fast ones
+    first.  */
 void placement_mark_reserved (const struct upstreams *u, const char *service,
                               int64_t now_ms);
 
+/** Returns the mean wait for prefill at the engines of SERVICE that are not
+    reserved, over some seconds; 0 if the service has no streams.  */
+double placement_prefill_wait_ms (const struct upstreams *u,
+                                  const char *service);
+
 /* Affinity.  */
 
 /** Returns the rank of ENGINE in A, from 0; AFFINITY_RANKS if it has none.  */
@@ -96,14 +124,14 @@
 /* Transfers.  */
 
 /** Returns the time that the KV cache of PROMPT takes between two engines of
-   SERVICE in the same failure domain.  */
+    SERVICE in the same failure domain.  */
 double placement_local_transfer_ms (const struct upstreams *u,
                                     const char *service,
                                     const struct prompt *prompt);
 
 /** Returns the time for which a KV cache transfer, which takes LOCAL_MS within
-   a failure domain, occupies the links of two engines in the failure domains
-   with indexes FROM and TO.  */
+    a failure domain, occupies the links of two engines in the failure domains
+    with indexes FROM and TO.  */
 double placement_link_ms (const struct upstreams *u, double local_ms,
                           unsigned from, unsigned to);
 
@@ -112,12 +140,12 @@
                               unsigned from, unsigned to);
 
 /** Returns the time until the transfers are done that are known to wait for
-   the link of X.  */
+    the link of X.  */
 double placement_link_wait_ms (const struct upstream *x, int64_t now_ms);
 
 /** Sets BEST[D], for the index D of each failure domain, to the decode with
-   the lowest cost after a prefill in D, at any decode engine that may get
-   REQUEST.  LOCAL is the time in ms of a transfer within a failure domain.
+    the lowest cost after a prefill in D, at any decode engine that may get
+    REQUEST.  LOCAL is the time in ms of a transfer within a failure domain.
    Returns whether there is none for want of a token.  */
 bool placement_find_best_decode (const struct upstreams *u,
                                  const struct placement_request *request,
--- a/src/decide/route_table.c
+++ b/src/decide/route_table.c
@@ -286,6 +286,31 @@
     visit (arg, service);
 }
 
+static bool
+has_target (const struct route *r, const char *service)
+{
+  for (guint i = 0; i < r->targets->len; i++)
+    if (strcmp (g_array_index (r->targets, struct route_target, i).service,
+                service)
+        == 0)
+      return true;
+  return false;
+}
+
+unsigned
+route_table_event_gap_ms (const struct route_table *t, const char *service)
+{
+  unsigned least = 0;
+  for (guint i = 0; i < t->routes->len; i++)
+    {
+      const struct route *r = g_ptr_array_index (t->routes, i);
+      if (r->kind == ROUTE_STREAM && r->event_gap_ms > 0
+          && has_target (r, service))
+        least = least > 0 ? MIN (least, r->event_gap_ms) : r->event_gap_ms;
+    }
+  return least;
+}
+
 const char *
 route_pick_service (const struct route *route, const char *request_id)
 {
--- a/src/decide/route_table.h
+++ b/src/decide/route_table.h
@@ -151,6 +151,11 @@
                                               const struct route_service *s),
                                void *arg);
 
+/** Least target for the gap between two events, in ms, of the routes that send
+    requests to SERVICE; 0 if none has one.  */
+unsigned route_table_event_gap_ms (const struct route_table *t,
+                                   const char *service);
+
 /** Name of the service that handles the request REQUEST_ID of ROUTE.  Services
     are chosen in proportion to their weights, by a hash of REQUEST_ID, so that
     every attempt of a request gets the same service.  NULL if all weights
