--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -144,7 +144,6 @@
 {
   struct gateway *g = arg;
   set_caller_limits (g, route_table_limits (table));
-  route_table_each_service (table, set_engine_limits, g);
   fleet_duties_set_routes (g->duties, table);
   struct limits_visit v = { g, table };
   route_table_each_service (table, set_engine_limits, &v);
