--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -261,9 +261,7 @@
 {
   const struct proxy_parts *parts = &e->proxy->parts;
   int64_t now = clock_ms ();
-  struct placement_stream stream;
   request->limit_ms = queue_limit_ms (e);
-  request->stream = exchange_expect_stream (e, now, &stream) ? &stream : NULL;
   struct upstream_choice c = placement_choose (parts->upstreams, request, now);
   placement_record_misses (parts->upstreams, request, c.handle, now);
   if (c.handle == 0 || e->n_tried >= EXCHANGE_TRIED_MAX)
@@ -339,9 +337,12 @@
 void
 exchange_start_attempt (struct exchange *e)
 {
+  struct placement_stream stream;
+  bool has_stream = exchange_expect_stream (e, clock_ms (), &stream);
   struct placement_request request
       = { .service = e->service,
           .prompt = e->facts.has_prompt ? &e->facts.prompt : NULL,
+          .stream = has_stream ? &stream : NULL,
           .tried = e->tried,
           .repeatable = e->attempts.repeatable };
   exchange_drop_token (e, &e->token);
--- a/src/daemon/exchange_work.c
+++ b/src/daemon/exchange_work.c
@@ -9,7 +9,8 @@
 {
   return (struct work_key){ .route = e->route->name,
                             .service = e->service,
-                            .max_tokens = e->facts.prompt.out_tokens };
+                            .max_tokens = e->facts.prompt.out_tokens,
+                            .hint = e->facts.prompt.length_hint };
 }
 
 bool
--- a/src/decide/prefix_index.h
+++ b/src/decide/prefix_index.h
@@ -32,6 +32,8 @@
   bool has_more_parts; /**< the prompt has further parts, which are not kept */
   uint64_t tokens;     /**< of the whole prompt */
   uint64_t out_tokens; /**< maximum number of tokens to generate */
+  uint64_t length_hint; /**< expected length of the answer, as stated by the
+                             caller; 0 if not stated */
 };
 
 /** Returns how many of the parts of P, from the first one, may be shared with
--- a/src/decide/work_estimate.c
+++ b/src/decide/work_estimate.c
@@ -9,8 +9,10 @@
    and tokens of any response and the milliseconds of any time-out.  */
 #define BUCKETS_PER_OCTAVE 4
 #define BUCKETS 72
-/* Classes of the stated maximum of output tokens: one for each octave.  */
-#define CLASSES 20
+/* Classes of the stated maximum of output tokens, and as many of the stated
+   length: one for each octave.  */
+#define OCTAVES 20
+#define CLASSES (2 * OCTAVES)
 /* Each request divides the weight of all earlier ones by 1 / FORGETTING: the
    estimate rests on the latest few hundred requests.  */
 #define FORGETTING 0.998
@@ -153,11 +155,15 @@
 
 /* Routes and classes.  */
 
-static unsigned
-class_of (uint64_t max_tokens)
+/* Returns the class of KEY; -1 if it states neither length nor maximum.  */
+static int
+class_of (const struct work_key *key)
 {
-  unsigned bits = g_bit_storage (max_tokens);
-  return MIN (bits, CLASSES - 1);
+  uint64_t size = key->hint > 0 ? key->hint : key->max_tokens;
+  if (size == 0)
+    return -1;
+  int octave = (int)MIN (g_bit_storage (size), OCTAVES) - 1;
+  return key->hint > 0 ? OCTAVES + octave : octave;
 }
 
 /* Returns the entry of NAME in TABLE, a new one if there is none.  */
@@ -190,9 +196,10 @@
   struct work_route *r = get_route (w->routes, key->route);
   route_add (r, done);
   route_add (get_route (w->services, key->service), done);
-  if (key->max_tokens == 0 || done->values[WORK_EVENTS] <= 0)
+  int class = class_of (key);
+  if (class < 0 || done->values[WORK_EVENTS] <= 0)
     return;
-  struct histogram **events = &r->events[class_of (key->max_tokens)];
+  struct histogram **events = &r->events[class];
   if (*events == NULL)
     *events = g_new0 (struct histogram, 1);
   histogram_add (*events, done->values[WORK_EVENTS]);
@@ -211,8 +218,9 @@
     above = route->all[measure];
   histogram_add_prior (&above, service ? &service->all[measure] : NULL);
   const struct histogram *events = NULL;
-  if (route && measure == WORK_EVENTS && key->max_tokens > 0)
-    events = route->events[class_of (key->max_tokens)];
+  int class = class_of (key);
+  if (route && measure == WORK_EVENTS && class >= 0)
+    events = route->events[class];
   if (events == NULL)
     {
       *out = above;
--- a/src/decide/work_estimate.h
+++ b/src/decide/work_estimate.h
@@ -3,11 +3,12 @@
     how long its response will take, by the answered requests of its route.
 
     Each route has a histogram for each measure, with buckets of a quarter of a
-    power of two, in which old requests lose weight with each new one. Requests
-    that state a maximum of output tokens are also counted by the size of that
-    maximum, so that it refines the estimate as far as it tells anything.  What
-    is not known of a class is taken from its route, and of a route from its
-    service.  No I/O, no clock.  */
+    power of two, in which old requests lose weight with each new one.
+    Requests that state an expected length, or else a maximum of output tokens,
+    are also counted by the size of that number: it refines the estimate as far
+    as it tells anything, and is not trusted itself.  What is not known of a
+    class is taken from its route, and of a route from its service.  No I/O, no
+   clock.  */
 #ifndef DECIDE_WORK_ESTIMATE_H
 #define DECIDE_WORK_ESTIMATE_H
 
@@ -30,6 +31,7 @@
   const char *route;
   const char *service;
   uint64_t max_tokens; /**< most output tokens, as stated; 0 if not stated */
+  uint64_t hint; /**< expected length of the answer, as stated; 0 if not */
 };
 
 /** Measures of an answered request; a value of 0 is not known.  */
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -316,6 +316,7 @@
   http_head_add (h, "X-Request-Id", "9c41");
   http_head_add (h, "X-Deadline-Ms", "2000");
   http_head_add (h, "X-Token-Counts", "1460,80");
+  http_head_add (h, "X-Length-Hint", "37");
   http_head_add (h, "X-Prompt-Prefix", "5c1e07a2:800, 91bd3f06:410,e4:250");
   for (size_t i = 0; i < G_N_ELEMENTS (reserved_fields); i++)
     http_head_add (h, reserved_fields[i], "1");
@@ -327,6 +328,7 @@
   g_assert_cmpuint (info.prompt.parts[1].id, ==, 0x91bd3f06);
   g_assert_cmpuint (info.prompt.tokens, ==, 1460);
   g_assert_cmpuint (info.prompt.out_tokens, ==, 80);
+  g_assert_cmpuint (info.prompt.length_hint, ==, 37);
   for (size_t i = 0; i < G_N_ELEMENTS (reserved_fields); i++)
     g_assert_null (http_head_get (h, reserved_fields[i]));
   struct forwarded_info forwarded
--- a/tests/unit/test_work_estimate.c
+++ b/tests/unit/test_work_estimate.c
@@ -11,7 +11,7 @@
 record (struct work_estimates *w, const char *route, uint64_t max_tokens,
         double events)
 {
-  struct work_key key = { route, "s", max_tokens };
+  struct work_key key = { route, "s", max_tokens, 0 };
   struct work_done done = { .values = { events, events * 40, events * 50 } };
   work_estimates_record (w, &key, &done);
 }
@@ -19,7 +19,7 @@
 static struct work_estimate
 find (const struct work_estimates *w, const char *route, uint64_t max_tokens)
 {
-  struct work_key key = { route, "s", max_tokens };
+  struct work_key key = { route, "s", max_tokens, 0 };
   return work_estimates_find (w, &key, WORK_EVENTS);
 }
 
@@ -29,7 +29,7 @@
 test_estimate (void)
 {
   struct work_estimates *w = work_estimates_create ();
-  struct work_key key = { "r", "s", 0 };
+  struct work_key key = { "r", "s", 0, 0 };
   g_assert_cmpfloat (find (w, "r", 0).samples, ==, 0);
   g_assert_cmpfloat (work_estimates_left (w, &key, 5), ==, 0);
   for (unsigned i = 1; i <= 200; i++)
@@ -53,8 +53,8 @@
 test_left (void)
 {
   struct work_estimates *w = work_estimates_create ();
-  struct work_key key = { "r", "s", 0 };
-  struct work_key bounded = { "r", "s", 30 };
+  struct work_key key = { "r", "s", 0, 0 };
+  struct work_key bounded = { "r", "s", 30, 0 };
   for (unsigned i = 0; i < 100; i++)
     record (w, "r", 0, i % 10 == 0 ? 160 : 10);
   g_assert_cmpfloat (work_estimates_left (w, &key, 0), <, 40);
@@ -86,6 +86,39 @@
   work_estimates_destroy (w);
 }
 
+/* A length that callers state is used as far as it goes with the events: those
+   that state 3000 get 150 events, those that state 100 get 10, and the stated
+   lengths of a route with answers of one size change nothing.  */
+static void
+test_hints (void)
+{
+  struct work_estimates *w = work_estimates_create ();
+  for (unsigned i = 0; i < 100; i++)
+    {
+      bool is_large = i % 2;
+      struct work_key key = { "r", "s", 20000, is_large ? 3000 : 100 };
+      struct work_key same = { "same", "t", 20000, is_large ? 3000 : 100 };
+      struct work_done done = { .values = { is_large ? 150 : 10 } };
+      struct work_done one = { .values = { 50 } };
+      work_estimates_record (w, &key, &done);
+      work_estimates_record (w, &same, &one);
+    }
+  struct work_key large = { "r", "s", 20000, 3000 };
+  struct work_key small = { "r", "s", 20000, 100 };
+  struct work_key same = { "same", "t", 20000, 3000 };
+  struct work_key unstated = { "r", "s", 20000, 0 };
+  g_assert_cmpfloat (work_estimates_find (w, &large, WORK_EVENTS).median, >,
+                     120);
+  g_assert_cmpfloat (work_estimates_find (w, &small, WORK_EVENTS).median, <,
+                     20);
+  g_assert_cmpfloat (work_estimates_find (w, &same, WORK_EVENTS).median, <,
+                     70);
+  double mean = work_estimates_find (w, &unstated, WORK_EVENTS).mean;
+  g_assert_cmpfloat (mean, >, 60);
+  g_assert_cmpfloat (mean, <, 100);
+  work_estimates_destroy (w);
+}
+
 /* Guards against growth without bound by routes that come and go.  */
 static void
 test_many_routes (void)
@@ -208,6 +241,7 @@
   g_test_add_func ("/work-estimate/quantiles", test_estimate);
   g_test_add_func ("/work-estimate/left", test_left);
   g_test_add_func ("/work-estimate/priors", test_priors);
+  g_test_add_func ("/work-estimate/hints", test_hints);
   g_test_add_func ("/work-estimate/many-routes", test_many_routes);
   g_test_add_func ("/step-model/pace", test_steps);
   g_test_add_func ("/step-model/wild-samples", test_wild_samples);
