Test of the way from a stream's events to its placement

Cause: the unit tests play placement without a daemon; nothing showed that the configuration's target for gaps reaches it.

--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -59,17 +59,17 @@
 {
   bool model = g_str_has_prefix (name, "model");
   g_autofree char *prefix = g_strdup_printf ("/%s/", name);
-  json_array_append_new (
-      routes,
-      json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b, s:b}",
-                 "name", name, "host", SITE_HOST, "pathPrefix", prefix, "kind",
-                 kind, "timeoutMs",
-                 strcmp (kind, "streaming") == 0 && !model
-                     ? 60000
-                     : (int)s->timeout_ms,
-                 "targetLatencyMs", SITE_TARGET_MS, "priority", 0, "service",
-                 model ? "m" : "s", "maxAttempts", 2, "resumable", resumable,
-                 "sticky", model));
+  json_t *route = json_pack (
+      "{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b, s:b}", "name", name,
+      "host", SITE_HOST, "pathPrefix", prefix, "kind", kind, "timeoutMs",
+      strcmp (kind, "streaming") == 0 && !model ? 60000 : (int)s->timeout_ms,
+      "targetLatencyMs", SITE_TARGET_MS, "priority", 0, "service",
+      model ? "m" : "s", "maxAttempts", 2, "resumable", resumable, "sticky",
+      model);
+  if (model && s->event_gap_ms > 0)
+    json_object_set_new (route, "gapAimMs",
+                         json_integer ((json_int_t)s->event_gap_ms));
+  json_array_append_new (routes, route);
 }
 
 void
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -53,10 +53,12 @@
   unsigned leave_s;           /**< longest time that a VM may take to stop */
   unsigned upstream_leave_ms; /**< time after which a draining instance gets
                                  no more requests */
-  unsigned kv_fetch_ms; /**< time in which an engine fetches the KV cache of
-                           KV_FETCH_TOKENS tokens; 0: a few ms */
-  unsigned timeout_ms;  /**< time-out of the routes except /stream/, /live/ */
-  unsigned retry_slack; /**< retries per window that need no requests */
+  unsigned kv_fetch_ms;  /**< time in which an engine fetches the KV cache of
+                            KV_FETCH_TOKENS tokens; 0: a few ms */
+  unsigned timeout_ms;   /**< time-out of the routes except /stream/, /live/ */
+  unsigned event_gap_ms; /**< target for gaps of the streams of engines; 0:
+                            none, as at first; set before site_write_routes */
+  unsigned retry_slack;  /**< retries per window that need no requests */
   unsigned max_body_bytes;  /**< longest body of a request */
   unsigned max_connections; /**< to an instance of the service; a tenth of it
                                to an engine */
