Load reports are split to fit a datagram

Cause: a report of all upstreams goes in one datagram, and VMs receive at most 2,048 bytes of one. With the three fields for streams, 80 upstreams with names of 25 bytes take more than that, and a fleet that is scaled up has more than 51; the whole report was lost then, without a log line. Ruled out: a larger receive buffer, as fragments are lost together on a lossy link; splitting by domain, which does not bound the size. Change: a report is continued in further messages of about 1,000 bytes; only the first one (continues is false) clears what the sender reported before.

--- a/src/daemon/load_link.c
+++ b/src/daemon/load_link.c
@@ -9,6 +9,11 @@
 #define FULL_MESH_VMS_MAX 12
 /* Reports that are older do not count in the sums.  */
 #define REPORT_TTL_MS 1500
+/* A report is continued in another message beyond this size, estimated from
+   the names of the upstreams and SHARE_BYTES for the numbers of each: a
+   datagram has to fit GOSSIP_DATAGRAM_MAX_BYTES.  */
+#define REPORT_BYTES 1000
+#define SHARE_BYTES 35
 /* Source name in the table of upstreams for the summed load of all other
    VMs.  */
 #define ALL_OTHERS "all-others"
@@ -62,17 +67,6 @@
   m->scope = scope;
 }
 
-static void
-add_table (struct upstream_shares *m, GHashTable *table)
-{
-  GHashTableIter it;
-  gpointer id;
-  gpointer load;
-  g_hash_table_iter_init (&it, table);
-  while (g_hash_table_iter_next (&it, &id, &load))
-    add_share (m, id, load);
-}
-
 /* Argument of add_own_load.  */
 struct own_load_visit
 {
@@ -135,10 +129,63 @@
     }
 }
 
+/* Receivers of a report: VM, unless it is NULL; or else the aggregators of the
+   other failure domains; or else the VMs of DOMAIN, or all if it is NULL.  */
+struct receivers
+{
+  const struct member *vm;
+  bool aggregators;
+  const char *domain;
+};
+
+static void
+send_message (struct load_link *l, const struct upstream_shares *m,
+              const struct receivers *to)
+{
+  if (to->vm)
+    l->parts.send (l->parts.arg, to->vm, m);
+  else if (to->aggregators)
+    send_to_aggregators (l, m);
+  else
+    send_to_domain (l, m, to->domain);
+}
+
+/* Sends TABLE as a report, also if it is empty.  */
+static void
+send_report (struct load_link *l, enum scope scope, GHashTable *table,
+             const struct receivers *to)
+{
+  struct upstream_shares m;
+  GHashTableIter it;
+  gpointer id;
+  gpointer load;
+  size_t size = 0;
+  message_init (l, scope, &m);
+  g_hash_table_iter_init (&it, table);
+  while (g_hash_table_iter_next (&it, &id, &load))
+    {
+      size_t more = strlen (id) + SHARE_BYTES;
+      if (size > 0 && size + more > REPORT_BYTES)
+        {
+          send_message (l, &m, to);
+          record_clear (&upstream_shares_record, &m);
+          message_init (l, scope, &m);
+          m.continues = true;
+          size = 0;
+        }
+      add_share (&m, id, load);
+      size += more;
+    }
+  send_message (l, &m, to);
+  record_clear (&upstream_shares_record, &m);
+}
+
 /* Sets the load of all other VMs: TABLE, the sum of all VMs, less this VM's
-   own load.  Changes TABLE.  */
+   own load.  If it CONTINUES a report, the upstreams that it does not name
+   keep their load.  Changes TABLE.  */
 static void
-set_others_load (struct load_link *l, GHashTable *table, int64_t now_ms)
+set_others_load (struct load_link *l, GHashTable *table, bool continues,
+                 int64_t now_ms)
 {
   g_autoptr (GHashTable) own = create_own_table (l, now_ms);
   GHashTableIter it;
@@ -147,7 +194,8 @@
   g_hash_table_iter_init (&it, own);
   while (g_hash_table_iter_next (&it, &id, &load))
     load_table_subtract (table, id, load);
-  upstreams_clear_peer_loads (l->parts.upstreams, ALL_OTHERS);
+  if (!continues)
+    upstreams_clear_peer_loads (l->parts.upstreams, ALL_OTHERS);
   g_hash_table_iter_init (&it, table);
   while (g_hash_table_iter_next (&it, &id, &load))
     upstreams_set_peer_load (l->parts.upstreams, ALL_OTHERS, id, load, now_ms);
@@ -158,19 +206,14 @@
 static void
 send_sums (struct load_link *l, int64_t now_ms)
 {
-  struct upstream_shares m;
+  static const struct receivers aggregators = { .aggregators = true };
+  struct receivers domain = { .domain = l->parts.failure_domain };
   g_autoptr (GHashTable) sum = create_own_table (l, now_ms);
   load_reports_sum_into (l->domain_loads, now_ms, sum);
-  message_init (l, SCOPE_DOMAIN, &m);
-  add_table (&m, sum);
-  send_to_aggregators (l, &m);
-  record_clear (&upstream_shares_record, &m);
+  send_report (l, SCOPE_DOMAIN, sum, &aggregators);
   load_reports_sum_into (l->remote_loads, now_ms, sum);
-  message_init (l, SCOPE_ALL, &m);
-  add_table (&m, sum);
-  send_to_domain (l, &m, l->parts.failure_domain);
-  record_clear (&upstream_shares_record, &m);
-  set_others_load (l, sum, now_ms);
+  send_report (l, SCOPE_ALL, sum, &domain);
+  set_others_load (l, sum, false, now_ms);
 }
 
 /* Sends this VM's own load to AGGREGATOR, or to all VMs if it is NULL.  */
@@ -178,15 +221,9 @@
 send_own (struct load_link *l, enum scope scope,
           const struct member *aggregator, int64_t now_ms)
 {
-  struct upstream_shares m;
+  struct receivers to = { .vm = aggregator };
   g_autoptr (GHashTable) own = create_own_table (l, now_ms);
-  message_init (l, scope, &m);
-  add_table (&m, own);
-  if (aggregator)
-    l->parts.send (l->parts.arg, aggregator, &m);
-  else
-    send_to_domain (l, &m, NULL);
-  record_clear (&upstream_shares_record, &m);
+  send_report (l, scope, own, &to);
 }
 
 void
@@ -218,12 +255,13 @@
                                  .gap_events = (uint32_t)s->gap_events };
 }
 
-/* Replaces the report of M's sender in SUMS.  */
+/* Replaces the report of M's sender in SUMS, or continues it.  */
 static void
 store_report (struct load_reports *sums, const struct upstream_shares *m,
               int64_t now_ms)
 {
-  load_reports_begin (sums, m->from, now_ms);
+  if (!m->continues)
+    load_reports_begin (sums, m->from, now_ms);
   for (guint i = 0; i < m->shares->len; i++)
     {
       const struct upstream_share *s
@@ -237,7 +275,8 @@
 handle_vm_load (struct load_link *l, const struct upstream_shares *m,
                 int64_t now_ms)
 {
-  upstreams_clear_peer_loads (l->parts.upstreams, m->from);
+  if (!m->continues)
+    upstreams_clear_peer_loads (l->parts.upstreams, m->from);
   for (guint i = 0; i < m->shares->len; i++)
     {
       const struct upstream_share *s
@@ -260,7 +299,7 @@
       struct upstream_load load = share_load (s);
       load_table_add (table, s->upstream, &load);
     }
-  set_others_load (l, table, now_ms);
+  set_others_load (l, table, m->continues, now_ms);
 }
 
 void
--- a/tests/unit/test_loads.c
+++ b/tests/unit/test_loads.c
@@ -1,6 +1,7 @@
 /** @file
     Load reports between VMs: their sums, and their exchange in a small and a
     large fleet, simulated on virtual time, with VMs that stop sending.  */
+#include "daemon/gossip_link.h"
 #include "daemon/load_link.h"
 #include "decide/load_reports.h"
 
@@ -8,6 +9,10 @@
 
 #define VMS_MAX 40
 #define STEP_MS 100
+#define FLEET_KEY "0123456789abcdef0123456789abcdef"
+/* An Ethernet frame without fragmentation, with some reserve.  */
+#define DATAGRAM_BYTES_MAX 1300
+#define MANY_UPSTREAMS 80
 
 /* Sums of load reports.  */
 
@@ -85,7 +90,8 @@
   return failure_domain;
 }
 
-/* Delivers MESSAGE to the VM TO at once.  */
+/* Delivers MESSAGE to the VM TO at once.  Guards against a report that is
+   larger than the datagrams that VMs receive.  */
 static void
 deliver (void *arg, const struct member *to,
          const struct upstream_shares *message)
@@ -93,6 +99,9 @@
   struct vm *from = arg;
   struct fleet *f = from->fleet;
   f->sent++;
+  g_autoptr (GByteArray) datagram
+      = gossip_datagram_encode (FLEET_KEY, MESSAGE_UPSTREAM_SHARES, message);
+  g_assert_cmpuint (datagram->len, <=, DATAGRAM_BYTES_MAX);
   for (unsigned i = 0; i < f->n; i++)
     if (strcmp (f->vms[i].name, to->info.id) == 0)
       load_link_handle_report (f->vms[i].link, message, f->now);
@@ -268,6 +277,64 @@
   check_fleet (40, 6, 2 * 40 + 6 * 5);
 }
 
+/* Returns the handle of engine NUMBER at VM, which gets to know it.  */
+static upstream_handle
+add_engine (struct vm *v, unsigned number)
+{
+  g_autofree char *id = g_strdup_printf ("i-%016x-engine", number);
+  struct upstream_info info = { .id = id,
+                                .service = (char *)"s",
+                                .address = (char *)"10.0.0.9:1",
+                                .failure_domain = v->domain,
+                                .software_version = (char *)"1",
+                                .slots = 1000 };
+  upstreams_put (v->upstreams, &info);
+  return upstreams_find (v->upstreams, id);
+}
+
+/* Guards against reports of many upstreams that are lost as a whole, and
+   against an upstream that is forgotten because another message of the same
+   report does not name it.  */
+static void
+check_many_upstreams (unsigned vms, unsigned domains)
+{
+  struct fleet *f = fleet_create (vms, domains);
+  struct prompt p = { .n_parts = 1, .tokens = 100 };
+  struct upstream_work works[MANY_UPSTREAMS];
+  for (unsigned k = 0; k < MANY_UPSTREAMS; k++)
+    for (unsigned i = 0; i < vms; i++)
+      {
+        struct upstream_choice c
+            = { .handle = add_engine (&f->vms[i], k), .tokens = 1000000 };
+        if (i == 0)
+          upstreams_record_sent (f->vms[0].upstreams, &c, &p, 0, &works[k]);
+      }
+  run_steps (f, 4, 0);
+  for (unsigned i = 1; i < vms; i++)
+    for (unsigned k = 0; k < MANY_UPSTREAMS; k++)
+      g_assert_cmpuint (upstreams_all_load (f->vms[i].upstreams,
+                                            add_engine (&f->vms[i], k), f->now)
+                            .running,
+                        ==, 1);
+  for (unsigned k = 0; k < MANY_UPSTREAMS; k++)
+    upstreams_record_cancel (f->vms[0].upstreams, &works[k]);
+  run_steps (f, 4, 0);
+  for (unsigned i = 1; i < vms; i++)
+    for (unsigned k = 0; k < MANY_UPSTREAMS; k++)
+      g_assert_cmpuint (upstreams_all_load (f->vms[i].upstreams,
+                                            add_engine (&f->vms[i], k), f->now)
+                            .running,
+                        ==, 0);
+  fleet_destroy (f);
+}
+
+static void
+test_many_upstreams (void)
+{
+  check_many_upstreams (9, 3);
+  check_many_upstreams (20, 6);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -275,5 +342,6 @@
   g_test_add_func ("/loads/sums", test_sums);
   g_test_add_func ("/loads/small-fleet", test_small_fleet);
   g_test_add_func ("/loads/large-fleet", test_large_fleet);
+  g_test_add_func ("/loads/many-upstreams", test_many_upstreams);
   return g_test_run ();
 }
