Duties: the second VM replaces a first one that is cut off

A VM that ranks first but is cut off from the store stays alive for the others, so that nobody held the duties. Ranking by who reaches the store was ruled out, as the VMs would disagree. The VM that ranks second now acquires the lease if nobody has renewed it for 1.5 s more than the takeover time. It waits for three settle times after it came to that place: a process test lost the counts of a killed holder when the third VM, to which they were not sent, came before the new first one.

A holder whose calls get no connection for 3 s releases the lease. A VM that held it at a restore of the store acquires it again at once, so that no window is left out although it ranks second.

Metrics of duties.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -88,6 +88,10 @@
   X (permits_asked_total, "Permits asked of the home VMs of engines")         \
   X (permits_refused_total, "Permits refused: the wait would be too long")    \
   X (permits_unanswered_total, "Permits not answered in time")                \
+  X (duty_calls_total, "Calls to the platform on behalf of the fleet")        \
+  X (duty_calls_failed_total, "Such calls that were not accepted")            \
+  X (usage_reports_total, "Usage reports that the platform accepted")         \
+  X (usage_windows_left_out_total, "Windows without a usage report")          \
   X (log_lines_dropped_total, "Log lines dropped over the bound")
 
 /** Gauges: name and help text.  */
@@ -110,6 +114,7 @@
   X (retry_shared_by, "VMs that share the fixed part of the retry budgets; "  \
                       "0 while this VM takes none of it")                     \
   X (upstreams_known, "Instances of all services")                            \
+  X (duty_holder, "1 where this VM makes the calls on behalf of the fleet")   \
   X (routes_version, "Version of the routes in force")
 
 /** Histograms of durations, in seconds: name and help text.  */
--- a/src/daemon/duty_link.c
+++ b/src/daemon/duty_link.c
@@ -2,10 +2,10 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/metrics.h"
+#include "daemon/duty_calls.h"
 #include "daemon/lease_link.h"
 
-#include <string.h>
-
 /* Key of the lease of all duties.  */
 #define DUTIES_KEY "buckthornstand/duties"
 #define TICK_MS 100
@@ -19,13 +19,12 @@
 /* VMs that observe the lease, so that two holders may be lost at once without
    a longer gap.  */
 #define OBSERVERS 3
-/* Pause after the platform refused a call as it is busy or over its rate.  */
-#define BUSY_PAUSE_MS 500
+/* A holder whose calls get no connection for UNREACHED_MS may be cut off from
+   the platform: it lets another VM try, and is no candidate for YIELD_MS.  */
+#define UNREACHED_MS 3000
+#define YIELD_MS 6000
 /* Pause before a record that could not be read is read again.  */
 #define LOAD_RETRY_MS 300
-/* The rate limit counts the calls of this time: a second, and what two calls
-   may differ in the time that they take to arrive.  */
-#define RATE_SPAN_MS 1100
 
 struct duty
 {
@@ -40,10 +39,7 @@
   struct duty_link_parts parts;
   struct lease_link *lease; /* NULL without duties or address */
   GArray *duties;           /* struct duty */
-  GHashTable *calls;        /* set of struct duty_call in progress */
-  GArray *starts;       /* int64_t: when the latest calls were started; ring of
-                           calls_per_s */
-  guint next_start;     /* oldest element of the ring */
+  struct duty_calls *calls;
   uint64_t restores;    /* of the store, when the lease was acquired */
   uint64_t tenure;      /* raised when the lease is acquired or lost */
   uint64_t load_tenure; /* tenure for which a record is being read */
@@ -53,143 +49,16 @@
   bool held;            /* this VM holds the lease */
   bool was_begun; /* the duties were begun when the lease was last lost */
   bool begun;     /* the duties were begun */
-  int64_t not_before_ms; /* no calls before this time: the platform is busy */
-};
-
-/* A call in progress.  */
-struct duty_call
-{
-  struct duty_link *link;
-  struct pool_call *call; /* NULL if the call was not started */
-  struct event *timer;
-  unsigned status;
-  void (*cb) (void *arg, unsigned status);
-  void *arg;
 };
 
-/* Calls.  */
-
-static void
-call_free (void *value)
-{
-  struct duty_call *c = value;
-  if (c->call)
-    pool_cancel (c->call);
-  event_free (c->timer);
-  g_free (c);
-}
-
-static void
-call_end (struct duty_call *c)
-{
-  struct duty_link *l = c->link;
-  unsigned status = c->status;
-  void (*cb) (void *, unsigned) = c->cb;
-  void *arg = c->arg;
-  if (status == 429 || status == 503)
-    l->not_before_ms = clock_boot_ms () + BUSY_PAUSE_MS;
-  g_hash_table_remove (l->calls, c);
-  cb (arg, status);
-}
-
-static void
-on_call_head (void *arg, struct http_head *head, enum http_framing framing,
-              uint64_t length)
-{
-  struct duty_call *c = arg;
-  (void)framing;
-  (void)length;
-  c->status = head->status;
-}
-
-static void
-on_call_data (void *arg, struct evbuffer *data)
-{
-  (void)arg;
-  evbuffer_drain (data, evbuffer_get_length (data));
-}
-
-static void
-on_call_end (void *arg, enum pool_outcome end)
-{
-  struct duty_call *c = arg;
-  c->call = NULL;
-  if (end != POOL_COMPLETE)
-    c->status = DUTY_NOT_SENT;
-  call_end (c);
-}
-
-static void
-on_call_timeout (evutil_socket_t fd, short what, void *arg)
-{
-  struct duty_call *c = arg;
-  (void)fd;
-  (void)what;
-  c->status = DUTY_NOT_SENT;
-  call_end (c);
-}
-
-static const struct pool_callbacks call_callbacks
-    = { on_call_head, on_call_data, on_call_end };
-
-/* Whether the rate allows a call at NOW_MS; if so, it is counted.  */
-static bool
-take_call (struct duty_link *l, int64_t now_ms)
-{
-  int64_t *oldest = &g_array_index (l->starts, int64_t, l->next_start);
-  if (*oldest != 0 && now_ms - *oldest < RATE_SPAN_MS)
-    return false;
-  *oldest = now_ms;
-  l->next_start = (l->next_start + 1) % l->starts->len;
-  return true;
-}
-
-static struct pool_call *
-start_call (struct duty_call *c, struct http_head *head, const char *body,
-            uint64_t fence)
-{
-  struct duty_link *l = c->link;
-  size_t size = strlen (body);
-  g_autofree char *length = g_strdup_printf ("%zu", size);
-  g_free (head->method);
-  head->method = g_strdup ("POST");
-  http_head_set (head, "Host", l->parts.address);
-  http_head_set (head, "Content-Type", "application/json");
-  http_head_set (head, "Content-Length", length);
-  l->parts.platform->set_duty_fields (head, l->parts.vm, fence);
-  struct evbuffer *data = evbuffer_new ();
-  evbuffer_add (data, body, size);
-  struct pool_request r = { .upstream = l->parts.address,
-                            .address = l->parts.address,
-                            .connections = G_MAXUINT16,
-                            .head = head,
-                            .body = data,
-                            .new_connection = true };
-  struct pool_call *call = pool_send (l->parts.pool, &r, &call_callbacks, c);
-  evbuffer_free (data);
-  return call;
-}
-
 void
 duty_link_post (struct duty_link *l, struct http_head *head, const char *body,
                 uint64_t fence, void (*cb) (void *arg, unsigned status),
                 void *arg)
 {
-  static const struct timeval timeout
-      = { DUTY_TIMEOUT_MS / 1000, DUTY_TIMEOUT_MS % 1000 * 1000 };
-  static const struct timeval at_once = { 0, 0 };
-  struct duty_call *c = g_new0 (struct duty_call, 1);
-  int64_t now = clock_boot_ms ();
-  c->link = l;
-  c->cb = cb;
-  c->arg = arg;
-  c->timer = evtimer_new (l->parts.base, on_call_timeout, c);
-  g_hash_table_add (l->calls, c);
-  if (l->held && lease_link_may_start (l->lease, fence, now)
-      && take_call (l, now))
-    c->call = start_call (c, head, body, fence);
-  evtimer_add (c->timer, c->call ? &timeout : &at_once);
-  http_head_destroy (head);
+  bool in_time
+      = l->held && lease_link_may_start (l->lease, fence, clock_boot_ms ());
+  duty_calls_post (l->calls, head, body, fence, in_time, cb, arg);
 }
 
 /* Duties.  */
@@ -264,6 +133,18 @@
           on_record, l);
 }
 
+/* Yields the lease if the platform does not respond.  */
+static void
+yield_if_unreached (struct duty_link *l, int64_t now)
+{
+  if (!l->held || duty_calls_unreached_ms (l->calls, now) < UNREACHED_MS)
+    return;
+  log_event (LOG_WARN, "duties_yielded", "unreached_ms",
+             log_num (duty_calls_unreached_ms (l->calls, now)), NULL);
+  duty_calls_forget_unreached (l->calls);
+  lease_link_yield (l->lease, YIELD_MS);
+}
+
 /* Functions of struct lease_link_ops.  */
 
 static bool
@@ -273,7 +154,8 @@
   int64_t now = clock_boot_ms ();
   if (l->held && !l->begun)
     load_step (l);
-  if (!l->begun || now < l->not_before_ms)
+  yield_if_unreached (l, now);
+  if (!l->begun || duty_calls_must_wait (l->calls, now))
     return false;
   for (guint i = 0; i < l->duties->len; i++)
     if (duty_at (l, i)->ops->is_due (duty_at (l, i)->arg, now))
@@ -285,7 +167,7 @@
 add_records (void *arg, GArray *puts, int64_t now_ms)
 {
   struct duty_link *l = arg;
-  bool may_send = l->begun && now_ms >= l->not_before_ms;
+  bool may_send = l->begun && !duty_calls_must_wait (l->calls, now_ms);
   for (guint i = 0; i < l->duties->len; i++)
     {
       struct duty *d = duty_at (l, i);
@@ -323,6 +205,7 @@
     l->was_begun = l->begun;
   end_duties (l);
   l->held = held;
+  metrics_set (METRIC_duty_holder, held);
   l->restores = l->parts.kv->restores;
   l->tenure++;
   l->loaded = 0;
@@ -356,6 +239,7 @@
           .takeover_ms = TAKEOVER_MS,
           .renew_ms = RENEW_MS,
           .settle_ms = SETTLE_MS,
+          .second_replaces = true,
           .observers = OBSERVERS,
           .tick_ms = TICK_MS };
   l->lease = lease_link_create (&lease);
@@ -368,9 +252,13 @@
   l->parts = *parts;
   l->duties = g_array_new (FALSE, FALSE, sizeof (struct duty));
   g_array_set_clear_func (l->duties, duty_clear);
-  l->calls = g_hash_table_new_full (NULL, NULL, call_free, NULL);
-  l->starts = g_array_new (FALSE, TRUE, sizeof (int64_t));
-  g_array_set_size (l->starts, MAX (parts->calls_per_s, 1));
+  struct duty_calls_parts calls = { .base = parts->base,
+                                    .platform = parts->platform,
+                                    .pool = parts->pool,
+                                    .vm = parts->vm,
+                                    .address = parts->address,
+                                    .calls_per_s = parts->calls_per_s };
+  l->calls = duty_calls_create (&calls);
   return l;
 }
 
@@ -380,8 +268,7 @@
   if (l == NULL)
     return;
   lease_link_destroy (l->lease);
-  g_hash_table_destroy (l->calls);
-  g_array_unref (l->starts);
+  duty_calls_destroy (l->calls);
   g_array_unref (l->duties);
   g_free (l);
 }
--- a/src/daemon/duty_link.h
+++ b/src/daemon/duty_link.h
@@ -20,6 +20,11 @@
       POOL_UNACKED_MS later.  A new holder starts calls no earlier than the
       lease time, at least DUTY_LEASE_MIN_MS, after its predecessor may have
       started the last one.
+    - The first VM is cut off from the store or the platform, and the others
+   are not.  The VM that ranks second acquires the lease if nobody renews it
+   for some time longer, and keeps it until it no longer ranks second.  A
+   holder whose calls get no connection releases the lease and lets another one
+   try.
     - The store does not respond: the holder sends nothing.  If it is unknown
       whether a renewal was applied, the holder reads the key: if it still
    names the holder, no other VM has acquired it.
@@ -33,6 +38,7 @@
 #define DAEMON_DUTY_LINK_H
 
 #include "base/http_head.h"
+#include "daemon/duty_calls.h"
 #include "decide/members.h"
 #include "links/kv.h"
 #include "links/platform.h"
@@ -43,10 +49,6 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/** Status given to the callback of a call that was not started, as it was over
-    the rate limit or too late after the renewal.  */
-#define DUTY_NOT_SENT 0
-
 /** One duty of the holder.  */
 struct duty_ops
 {
@@ -67,8 +69,6 @@
   void (*end) (void *arg);
 };
 
-/** A call without a response after this time is cancelled.  */
-#define DUTY_TIMEOUT_MS 1000
 /** Shortest lease time that is used: DUTY_TIMEOUT_MS, POOL_UNACKED_MS and the
     time that a datagram may take.  */
 #define DUTY_LEASE_MIN_MS 2500
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -6,6 +6,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/discovery.h"
+#include "daemon/domains.h"
 #include "daemon/entry_addresses.h"
 #include "daemon/fleet_duties.h"
 #include "daemon/settings_update.h"
@@ -385,23 +386,6 @@
 
 /* Creation, event loop and destruction.  */
 
-/* Parses DOMAIN=REGION,... and skips entries without '='.  */
-static GHashTable *
-parse_domains (const char *text)
-{
-  GHashTable *regions
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  g_auto (GStrv) parts = g_strsplit (text, ",", -1);
-  for (char **p = parts; *p; p++)
-    {
-      char *eq = strchr (*p, '=');
-      if (eq)
-        g_hash_table_replace (regions, g_strndup (*p, (gsize)(eq - *p)),
-                              g_strdup (eq + 1));
-    }
-  return regions;
-}
-
 static bool
 open_listeners (struct gateway *g, GError **error)
 {
@@ -483,7 +467,7 @@
                                      .region_of = region_of,
                                      .arg = g };
   struct retry_bounds bounds = { 0 };
-  g->regions = parse_domains (s->domains);
+  g->regions = domains_parse (s->domains);
   g->http = http_client_create (g->base);
   g->kv = g->platform->open_kv (g->base, g->http, s->kv);
   g->pool = pool_create (g->base);
--- a/src/daemon/lease_link.c
+++ b/src/daemon/lease_link.c
@@ -4,14 +4,21 @@
 #include "decide/order_lease.h"
 #include "decide/rank.h"
 
+/* A VM that has come to the second place, as the one that held the lease is
+   gone, must leave it to the new first one.  It waits for so many settle
+   times.  */
+#define SECOND_SETTLE_TIMES 3
+
 struct lease_link
 {
   struct lease_link_parts parts;
   struct order_lease *lease;
   struct event *timer;
-  int64_t ranked_first_since_ms; /* since when this VM ranks first, or 0 */
-  uint64_t restores;             /* of the key-value service, as last seen */
-  int64_t send_until_ms;         /* until when calls may be started */
+  unsigned place;         /* of this VM in the ranking; 0: it ranks first */
+  int64_t place_since_ms; /* since when */
+  uint64_t restores;      /* of the key-value service, as last seen */
+  int64_t send_until_ms;  /* until when calls may be started */
+  int64_t yield_until_ms; /* no candidate before this time */
   bool leaving;
   bool release; /* the lease is to be released */
 };
@@ -110,18 +117,29 @@
   return rank_order_place (l->parts.members, self->info.region, self->info.id);
 }
 
-/* Whether this VM, which is at PLACE, is to hold the lease: it has ranked
-   first among the usable members of its region for the settle time and is not
-   leaving.  */
+/* Returns how long this VM has been at PLACE of the ranking.  */
+static int64_t
+note_place (struct lease_link *l, unsigned place)
+{
+  int64_t now = clock_ms ();
+  if (place != l->place)
+    l->place_since_ms = now;
+  l->place = place;
+  return now - l->place_since_ms;
+}
+
+/* Whether this VM, which is at PLACE, is to hold the lease at NOW_MS.  */
 static bool
-should_be_holder (struct lease_link *l, unsigned place, int64_t now)
+should_be_holder (struct lease_link *l, unsigned place, int64_t now_ms)
 {
-  if (l->leaving || place != 0)
-    l->ranked_first_since_ms = 0;
-  else if (l->ranked_first_since_ms == 0)
-    l->ranked_first_since_ms = now;
-  return l->ranked_first_since_ms != 0
-         && now - l->ranked_first_since_ms >= l->parts.settle_ms;
+  int64_t place_ms = note_place (l, place);
+  if (l->leaving || now_ms < l->yield_until_ms)
+    return false;
+  if (place == 0)
+    return place_ms >= l->parts.settle_ms;
+  return place == 1 && l->parts.second_replaces
+         && place_ms >= l->parts.settle_ms * SECOND_SETTLE_TIMES
+         && order_lease_may_replace (l->lease, now_ms);
 }
 
 /* Returns what to do now.  */
@@ -131,7 +149,7 @@
   if (l->release)
     return order_lease_release (l->lease, now_ms);
   unsigned place = own_place (l);
-  bool candidate = should_be_holder (l, place, clock_ms ());
+  bool candidate = should_be_holder (l, place, now_ms);
   bool orders = candidate && order_lease_is_held (l->lease)
                 && l->parts.ops->has_orders (l->parts.arg);
   enum order_lease_action action
@@ -178,6 +196,7 @@
   struct timeval tick = { 0, parts->tick_ms * 1000 };
   struct lease_link *l = g_new0 (struct lease_link, 1);
   l->parts = *parts;
+  l->place = G_MAXUINT;
   l->lease
       = order_lease_create (parts->vm, parts->lease_ms, parts->takeover_ms);
   order_lease_keep_renewed (l->lease, parts->renew_ms);
@@ -209,6 +228,13 @@
   l->release = release;
 }
 
+void
+lease_link_yield (struct lease_link *l, int64_t for_ms)
+{
+  l->yield_until_ms = clock_boot_ms () + for_ms;
+  l->release = order_lease_is_held (l->lease);
+}
+
 uint64_t
 lease_link_fence (const struct lease_link *l)
 {
--- a/src/daemon/lease_link.h
+++ b/src/daemon/lease_link.h
@@ -43,12 +43,14 @@
   void *arg;        /**< first argument of the functions of OPS */
   int64_t lease_ms; /**< least time between orders of two holders */
   int64_t takeover_ms;
-  int64_t renew_ms;   /**< interval of renewals without orders; 0 for none */
-  int64_t settle_ms;  /**< how long a VM must rank first before it tries to
-                           acquire the lease, so that the VMs' views of the
-                           membership agree by then */
-  unsigned observers; /**< how many VMs, those that rank next, observe the
-                           key */
+  int64_t renew_ms;     /**< interval of renewals without orders; 0 for none */
+  int64_t settle_ms;    /**< how long a VM must rank first before it tries to
+                             acquire the lease, so that the VMs' views of the
+                             membership agree by then */
+  bool second_replaces; /**< the VM that ranks second acquires the lease if the
+                             first does not (order_lease_may_replace) */
+  unsigned observers;   /**< how many VMs, those that rank next, observe the
+                             key */
   unsigned tick_ms;
 };
 
@@ -67,6 +69,10 @@
     it holds it, by a write that names no holder.  */
 void lease_link_leave (struct lease_link *l, bool release);
 
+/** Releases the lease if this VM holds it, and ends its candidacy for FOR_MS,
+   so that another VM acquires the lease.  */
+void lease_link_yield (struct lease_link *l, int64_t for_ms);
+
 /** Fencing token of this VM, 0 if it never held the lease.  */
 uint64_t lease_link_fence (const struct lease_link *l);
 
--- a/src/daemon/usage_link.c
+++ b/src/daemon/usage_link.c
@@ -2,6 +2,7 @@
 
 #include "base/clock.h"
 #include "base/log.h"
+#include "base/metrics.h"
 #include "decide/fleet_clock.h"
 #include "decide/rank.h"
 #include "decide/usage.h"
@@ -297,6 +298,7 @@
   int64_t time = fleet_time (l);
   unsigned left_out = usage_reports_write (
       l->reports, counted_from_ms (l, time, now_ms), time, write_report, l);
+  metrics_add (METRIC_usage_windows_left_out_total, left_out);
   if (left_out > 0)
     log_event (LOG_WARN, "usage_windows_left_out", "windows",
                log_num (left_out), NULL);
@@ -323,6 +325,7 @@
              log_num ((long long)s->window), "accepted",
              accepted ? "true" : "false", "status", log_num (status),
              "late_ms", log_num (MAX (time - end - late_ms (l), 0)), NULL);
+  metrics_add (METRIC_usage_reports_total, accepted);
   g_hash_table_remove (l->sent, s);
 }
 
--- a/src/decide/order_lease.c
+++ b/src/decide/order_lease.c
@@ -53,6 +53,7 @@
                            if it names this VM, no other acquired it */
   bool held_at_restore; /* the key-value service was restored while this VM
                            held the lease, and was not restored again */
+  int64_t restored_ms;  /* when it was last seen to be restored */
   bool is_resumed;      /* the lease was acquired again after that */
 };
 
@@ -91,6 +92,16 @@
 
 /* Choice of the next action.  */
 
+/* Whether this VM held the lease, which is kept renewed, when the key-value
+   service was restored, a short time ago: it then acquires the key again at
+   once.  */
+static bool
+held_recently (const struct order_lease *l, int64_t now_ms)
+{
+  return l->renew_ms > 0 && l->held_at_restore
+         && now_ms - l->restored_ms < l->takeover_ms;
+}
+
 static enum order_lease_action
 start_read (struct order_lease *l, int64_t now_ms)
 {
@@ -141,7 +152,9 @@
     case STATE_IDLE:
       return is_leader ? start_read (l, now_ms) : ORDER_LEASE_NOTHING;
     case STATE_OBSERVING:
-      if (!is_leader || now_ms - l->unchanged_since_ms < l->takeover_ms)
+      if (!is_leader
+          || (now_ms - l->unchanged_since_ms < l->takeover_ms
+              && !held_recently (l, now_ms)))
         return ORDER_LEASE_NOTHING;
       return start_write (l, STATE_ACQUIRING, now_ms);
     case STATE_HOLDING:
@@ -248,6 +261,7 @@
   l->held_at_restore
       = l->held_from_ms != 0 && now_ms - l->held_from_ms < l->takeover_ms;
   l->held_from_ms = 0;
+  l->restored_ms = now_ms;
   l->renewal_unknown = false;
 }
 
@@ -318,6 +332,16 @@
     }
 }
 
+bool
+order_lease_may_replace (const struct order_lease *l, int64_t now_ms)
+{
+  if (order_lease_is_held (l) || l->state == STATE_ACQUIRING
+      || held_recently (l, now_ms))
+    return true;
+  int64_t wait_ms = (l->holder ? l->takeover_ms : 0) + ORDER_LEASE_REPLACE_MS;
+  return l->state == STATE_OBSERVING && now_ms - l->observed_ms >= wait_ms;
+}
+
 bool
 order_lease_is_resumed (const struct order_lease *l)
 {
--- a/src/decide/order_lease.h
+++ b/src/decide/order_lease.h
@@ -31,12 +31,13 @@
    order may be in flight.
 
     If such a holder's renewal fails, or its outcome is unknown, it reads the
-    key.  If
-    that renewal or the one before was the last write of the key, it holds the
-    lease as before: a write of another VM would have made its own fail.  This
-    does not hold
-    once the key-value service was restored from a copy, which may have lost
-    another VM's writes: see order_lease_store_restored.
+    key.  If that renewal or the one before was the last write of the key, it
+    holds the lease as before: a write of another VM would have made its own
+    fail.  This does not hold once the key-value service was restored from a
+    copy, which may have lost another VM's writes: see
+    order_lease_store_restored.  A VM that held the lease at the restore
+    acquires it again without waiting for the takeover time, and so before
+    others, as it knows what it has sent; its wait before it sends is the same.
 
     All times are of a clock that also advances while the machine is suspended.
     The module does no I/O: it takes events and the time, and returns the
@@ -54,6 +55,10 @@
 /** How long after the start of a renewal the holder may still send orders.  */
 #define ORDER_LEASE_SEND_WITHIN_MS 400
 
+/** How much longer the VM at the second place waits than the first, which is
+    alive but may be cut off from the key-value service.  */
+#define ORDER_LEASE_REPLACE_MS 1500
+
 /** Action that the calling code must take.  */
 enum order_lease_action
 {
@@ -115,6 +120,12 @@
 enum order_lease_action order_lease_release (struct order_lease *l,
                                              int64_t now_ms);
 
+/** Whether the VM that should hold the lease if the first one does not is to
+   do so: it already does, or nobody has renewed the lease for
+    ORDER_LEASE_REPLACE_MS more than the takeover time, or acquired it for that
+    time if the key names no holder.  */
+bool order_lease_may_replace (const struct order_lease *l, int64_t now_ms);
+
 /** Reports that the key-value service was restored from a copy, before the end
     of a read or of a successful write that follows.  */
 void order_lease_store_restored (struct order_lease *l, int64_t now_ms);
--- a/tests/process/test_usage_reports.c
+++ b/tests/process/test_usage_reports.c
@@ -1,9 +1,11 @@
 /** @file
     Process tests of usage reports: three VMs count the requests of client
-    accounts; one reports them to a stand-in for the platform's control
-   address, which is busy or silent; holders are killed or stop; the store is
-   restored from a copy.  After each test, each report that arrived for a
-   window must be the same, and the tokens must not fall.  */
+    accounts, and one reports them to a stand-in for the platform's control
+    address, which is busy or silent.  Holders are killed, stop or are cut off
+    from the store, and the store is restored from a copy.  After each test,
+   all reports that arrived for a window must be the same, and the tokens must
+   not fall.  */
+#include "harness/relay.h"
 #include "harness/site.h"
 #include "process/common.h"
 
@@ -22,6 +24,7 @@
 #define KEY_B "Authorization: Bearer key-b\r\n"
 
 static struct site *site;
+static struct relay *store_relays[VMS]; /* between each VM and the store */
 static struct proc *control;
 static char *control_address;
 static unsigned sent; /* requests sent, for their ids */
@@ -218,6 +221,25 @@
   check_reports ();
 }
 
+/* A request that an upstream refused as not run does not count; one that it
+   ran counts although the response is a failure or is lost.  Guards against
+   counts of answers instead of runs.  */
+static void
+test_failures (void)
+{
+  wait_for_current ();
+  json_int_t first = current_window ();
+  send_requests (0, "POST", "/once/not-run", KEY_A, 3, 503);
+  send_requests (1, "POST", "/once/error", KEY_B, 3, 500);
+  send_requests (2, "POST", "/once/lost", KEY_B, 2, 502);
+  send_requests (2, "GET", "/stream/stream-cut", KEY_B, 1, 200);
+  wait_for_current ();
+  g_assert_cmpint (reported ("a", first), ==, 0);
+  /* The stream is resumed at another instance, which is a second run.  */
+  g_assert_cmpint (reported ("b", first), ==, 3 + 2 + 2);
+  check_reports ();
+}
+
 /* The platform refuses calls, then takes them without an answer: each report
    is repeated exactly until it is accepted.  */
 static void
@@ -302,6 +324,29 @@
   check_reports ();
 }
 
+/* The holder's link to the store passes nothing for a while: another VM
+   reports all windows in time.  Guards against a fleet without reports because
+   of one VM that is alive but cut off.  */
+static void
+test_cut_off_holder (void)
+{
+  wait_for_current ();
+  json_int_t first = current_window ();
+  unsigned cut_off = holder ();
+  relay_hold (store_relays[cut_off], TRUE, TRUE);
+  for (unsigned vm = 0; vm < VMS; vm++)
+    send_requests (vm, "GET", "/safe/ok", KEY_A, 10, 200);
+  wait_for_current ();
+  g_assert_cmpuint (holder (), !=, cut_off);
+  check_windows (first, current_window () - 4);
+  g_assert_cmpint (reported ("a", first), ==, VMS * 10);
+  relay_close_connections (store_relays[cut_off], FALSE);
+  relay_hold (store_relays[cut_off], FALSE, FALSE);
+  wait_for_current ();
+  check_windows (first, current_window () - 4);
+  check_reports ();
+}
+
 /* Adds two client accounts to the routes.  */
 static void
 write_accounts (void)
@@ -349,15 +394,24 @@
   program_directory_init (argv[0]);
   site = site_create (program_directory (), VMS, UPSTREAMS);
   start_control ();
+  for (unsigned i = 0; i < VMS; i++)
+    {
+      store_relays[i] = relay_create (site->store_address);
+      site->vm_store_addresses[i] = relay_address (store_relays[i]);
+    }
   write_accounts ();
   site_start (site);
   g_test_add_func ("/usage-reports/counts", test_counts);
+  g_test_add_func ("/usage-reports/failures", test_failures);
   g_test_add_func ("/usage-reports/busy-platform", test_busy_platform);
   g_test_add_func ("/usage-reports/killed-holder", test_killed_holder);
   g_test_add_func ("/usage-reports/stopped-holder", test_stopped_holder);
+  g_test_add_func ("/usage-reports/cut-off-holder", test_cut_off_holder);
   g_test_add_func ("/usage-reports/restored-store", test_restored_store);
   int result = g_test_run ();
   site_destroy (site);
+  for (unsigned i = 0; i < VMS; i++)
+    relay_destroy (store_relays[i]);
   proc_destroy (control);
   g_free (control_address);
   return result;
--- a/tests/unit/test_duties.c
+++ b/tests/unit/test_duties.c
@@ -90,7 +90,9 @@
   int64_t frozen_until_ms;
   bool leader;
   bool observes;
-  int64_t era; /* as last seen */
+  bool second;  /* it takes itself for the one that ranks second */
+  bool cut_off; /* the store does not get its requests */
+  int64_t era;  /* as last seen */
   uint64_t restores;
   uint64_t noted_restores;
   uint64_t held_restores; /* when the lease was acquired */
@@ -179,7 +181,9 @@
   op->known_era = s->vms[vm].era;
   op->handle_ms = s->now + 5 + below (s, fault == 0 ? 2000 : 60);
   op->response_ms = op->handle_ms + 5 + below (s, fault == 2 ? 1400 : 60);
-  if (fault == 1)
+  if (s->vms[vm].cut_off)
+    op->handle_ms = INT64_MAX;
+  if (fault == 1 || s->vms[vm].cut_off)
     op->response_ms = INT64_MAX;
   g_ptr_array_add (s->ops, op);
   return op;
@@ -470,13 +474,21 @@
     }
 }
 
+static bool
+is_candidate (const struct sim *s, const struct vm *v)
+{
+  return v->leader
+         || (v->second && order_lease_may_replace (v->lease, s->now));
+}
+
 static enum order_lease_action
 next_action (struct sim *s, struct vm *v)
 {
+  bool candidate = is_candidate (s, v);
   bool orders
-      = v->leader && v->begun && usage_reports_is_due (v->reports, s->now);
+      = candidate && v->begun && usage_reports_is_due (v->reports, s->now);
   enum order_lease_action action
-      = order_lease_next (v->lease, v->leader, orders, s->now);
+      = order_lease_next (v->lease, candidate, orders, s->now);
   if (action == ORDER_LEASE_NOTHING && v->observes)
     action = order_lease_observe (v->lease, s->now);
   return action;
@@ -488,7 +500,7 @@
   struct vm *v = &s->vms[i];
   if (!runs (s, v))
     return;
-  if (v->leader && v->held && !v->begun && !v->loading)
+  if (is_candidate (s, v) && v->held && !v->begun && !v->loading)
     {
       v->loading = true;
       start_op (s, i, OP_READ_RECORD);
@@ -522,6 +534,7 @@
                     .started_ms = s->now,
                     .leader = v->leader,
                     .observes = v->observes,
+                    .second = v->second,
                     .era = s->era };
   g_snprintf (v->name, sizeof v->name, "vm%u", i);
   v->lease = order_lease_create (v->name, LEASE_MS, TAKEOVER_MS);
@@ -590,6 +603,8 @@
     v->leader = !v->leader;
   if (below (s, 300) == 0)
     v->observes = !v->observes;
+  if (below (s, 300) == 0)
+    v->second = !v->second;
   if (below (s, 400) == 0)
     v->frozen_until_ms = s->now + 100 + below (s, 9000);
   if (below (s, 500) == 0)
@@ -718,6 +733,33 @@
     }
 }
 
+/* The first VM is cut off from the store but alive, as the others see it: the
+   second one takes over, and keeps the lease when the first is back.  Guards
+   against a fleet without reports because of one VM.  */
+static void
+test_first_cut_off (void)
+{
+  int64_t latest = 0;
+  for (guint32 seed = 1; seed <= 250; seed++)
+    {
+      struct sim *s = sim_create (seed, false);
+      uint64_t first = (uint64_t)s->now / WINDOW_MS;
+      s->vms[0].leader = s->vms[0].observes = true;
+      s->vms[1].second = s->vms[1].observes = true;
+      run_until (s, s->now + 30000 + seed * 20);
+      s->vms[0].cut_off = true;
+      run_until (s, s->now + 30000);
+      s->vms[0].cut_off = false;
+      run_until (s, s->now + 30000);
+      check_all_reported (s, first);
+      g_assert_cmpint (s->latest_report_ms, <=, LATE_MS);
+      g_assert_cmpuint (s->holder_changes, ==, 1);
+      latest = MAX (latest, s->latest_report_ms);
+      sim_destroy (s);
+    }
+  g_test_message ("latest report %d ms after its window's end", (int)latest);
+}
+
 /* A holder that stops releases the lease; its successor acts within twice the
    lease time.  */
 static void
@@ -757,6 +799,7 @@
   g_test_add_func ("/duties/restores", test_restores);
   g_test_add_func ("/duties/killed-holder", test_killed_holder);
   g_test_add_func ("/duties/two-candidates", test_two_candidates);
+  g_test_add_func ("/duties/first-cut-off", test_first_cut_off);
   g_test_add_func ("/duties/release", test_release);
   return g_test_run ();
 }
