--- a/src/daemon/lease_link.c
+++ b/src/daemon/lease_link.c
@@ -142,16 +142,18 @@
          && order_lease_may_replace (l->lease, now_ms);
 }
 
-/* Returns what to do now.  */
+/* Returns what to do now.  The user may yield the lease in has_orders.  */
 static enum order_lease_action
 next_action (struct lease_link *l, int64_t now_ms)
 {
-  if (l->release)
-    return order_lease_release (l->lease, now_ms);
+  if (!l->leaving && !order_lease_is_held (l->lease))
+    l->release = false;
   unsigned place = own_place (l);
   bool candidate = should_be_holder (l, place, now_ms);
   bool orders = candidate && order_lease_is_held (l->lease)
                 && l->parts.ops->has_orders (l->parts.arg);
+  if (l->release)
+    return order_lease_release (l->lease, now_ms);
   enum order_lease_action action
       = order_lease_next (l->lease, candidate, orders, now_ms);
   if (action == ORDER_LEASE_NOTHING && !l->leaving
