--- a/src/decide/prefix_index.c
+++ b/src/decide/prefix_index.c
@@ -111,6 +111,12 @@
   return tokens;
 }
 
+uint64_t
+prefix_index_tokens (const struct prefix_index *p)
+{
+  return p->tokens;
+}
+
 void
 prefix_index_clear (struct prefix_index *p)
 {
--- a/src/decide/prefix_index.h
+++ b/src/decide/prefix_index.h
@@ -64,6 +64,9 @@
 uint64_t prefix_index_match (const struct prefix_index *p,
                              const struct prompt *prompt);
 
+/** Returns the number of tokens that are likely cached.  */
+uint64_t prefix_index_tokens (const struct prefix_index *p);
+
 /** Removes all parts.  */
 void prefix_index_clear (struct prefix_index *p);
 
