Tests of uploads from callers that stay within no limit, red

Cause: callers that stay within no limit have ended a process by its memory. The sum of the request bodies that a VM reads is not bounded, and callers that never complete a head hold all connections until their time-out.

--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -104,7 +104,7 @@
       "m", "healthPath", "/health", "maxConns",
       (int)s->max_connections / ENGINE_CONNECTIONS_DIVISOR, "engine", engine,
       "limits", "maxHeaderBytes", 8192, "maxBodyBytes", (int)s->max_body_bytes,
-      "headerTimeoutMs", 1000, "idleTimeoutMs", 4000);
+      "headerTimeoutMs", (int)s->header_timeout_ms, "idleTimeoutMs", 4000);
   char *text = json_dumps (root, 0);
   json_decref (root);
   site_put (s, "op/config", text);
@@ -275,6 +275,8 @@
   s->retry_slack = 1000;
   s->max_connections = 8000;
   s->max_body_bytes = 100000;
+  s->header_timeout_ms = 1000;
+  s->vm_connections = 4000;
   s->store = start_fake (s, "fake_store", "store", NULL, &s->store_address);
   for (unsigned i = 0; i < upstreams; i++)
     add_upstream (s, i);
@@ -363,6 +365,8 @@
     }
   g_autofree char *peer = g_strdup_printf ("%u", s->peer_ports[i]);
   g_autofree char *metrics = g_strdup_printf ("%u", s->metrics_ports[i]);
+  g_autofree char *connections = g_strdup_printf ("%u", s->vm_connections);
+  g_autofree char *memory = g_strdup_printf ("%u", s->memory_mb);
   g_autofree char *retry_slack = g_strdup_printf ("%u", s->retry_slack);
   char *argv[] = { path,
                    "--vm",
@@ -398,7 +402,9 @@
                    "--retry-slack",
                    retry_slack,
                    "--max-connections",
-                   "4000",
+                   connections,
+                   "--memory-mb",
+                   memory,
                    "--log-level",
                    s->quiet ? (char *)"warn" : (char *)"info",
                    NULL };
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -57,9 +57,12 @@
                            KV_FETCH_TOKENS tokens; 0: a few ms */
   unsigned timeout_ms;  /**< time-out of the routes except /stream/, /live/ */
   unsigned retry_slack; /**< retries per window that need no requests */
-  unsigned max_body_bytes;  /**< longest body of a request */
-  unsigned max_connections; /**< to an instance of the service; a tenth of it
-                               to an engine */
+  unsigned max_body_bytes;    /**< longest body of a request */
+  unsigned header_timeout_ms; /**< in which a request must arrive */
+  unsigned memory_mb;         /**< setting memory-mb of the VMs */
+  unsigned vm_connections;    /**< setting max-connections of the VMs */
+  unsigned max_connections;   /**< to an instance of the service; a tenth of it
+                                 to an engine */
   const char *crash_part; /**< instances end when they run a request with this
                              prompt part; NULL for none */
   unsigned slots;         /**< request slots in the entries of instances */
