--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -61,6 +61,12 @@
   X (caller_idle_closed_total, "Idle connections of callers closed")          \
   X (caller_connections_refused_total,                                        \
      "Connections of callers closed at the connection limit")                 \
+  X (caller_connections_replaced_total,                                       \
+     "Connections that did nothing, closed at the limit for new ones")        \
+  X (bodies_paused_total, "Request bodies that waited for memory")            \
+  X (bodies_refused_total, "Requests refused for lack of memory")             \
+  X (bodies_stalled_total,                                                    \
+     "Request bodies refused as they made no progress while others waited")   \
   X (silent_upstreams_total, "Attempts whose upstream was silent")            \
   X (silences_woke_total, "Silent upstreams that went on")                    \
   X (silences_died_total, "Silent upstreams whose connection ended")          \
@@ -101,6 +107,8 @@
   X (behind, "1 where this VM knows that its file may be old")                \
   X (routed_open, "Routed requests under way")                                \
   X (responses_waiting_bytes, "Response bytes that wait for slow callers")    \
+  X (bodies_reserved_bytes, "Memory reserved for request bodies")             \
+  X (bodies_waiting, "Request bodies that wait for memory")                   \
   X (permits_open, "Permits that this VM gave, not ended")                    \
   X (limits_in_force, "Upstreams that limit the requests a second")           \
   X (limit_waiting, "Requests that wait for a token of a limit")              \
--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -103,7 +103,9 @@
   exchange_leave_queue (e);
   exchange_prefill_release (e);
   if (e->started)
-    memory_budget_leave (e->proxy->memory, e->waiting);
+    memory_budget_leave (e->proxy->parts.memory, e->waiting);
+  else
+    memory_budget_change (e->proxy->parts.memory, e->waiting, 0);
   if (e->service)
     exchange_return_unused (e);
   if (e->timer)
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -49,7 +49,9 @@
   GHashTable *open;             /* set of struct exchange in progress */
   struct token_queue *waiting;  /* requests that wait for a token */
   struct response_times *times; /* longest responses of each route */
-  struct memory_budget *memory; /* of response bytes that wait for callers */
+  size_t most_used;             /* of the memory budget, since it was last
+                                   returned to the system */
+  int64_t trimmed_ms;           /* when that was */
   struct event *timer;          /* checks for unresponsive upstreams */
   int64_t usage_logged_ms;      /* when the retry budgets were last logged */
   int64_t shutdown_from_ms;     /* FROM_MS of proxy_set_shutdown, or 0 */
@@ -144,8 +146,8 @@
   bool started;            /* the response head was sent to the caller */
   bool started_events;     /* and announces an event stream */
   unsigned started_status; /* its status */
-  size_t waiting;          /* response bytes that wait for the caller, as the
-                              memory budget knows them */
+  size_t waiting;          /* response bytes that are held or wait for the
+                              caller, as the memory budget knows them */
   char *last_event_id;     /* of the last event sent to the caller, or NULL */
   int64_t first_ms;        /* first byte of a trusted success; 0: none */
 };
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -9,8 +9,8 @@
 #include <math.h>
 
 /* Responses other than event streams are buffered up to this size before any
-   of it is sent to the caller, so that a truncated one can be replaced by a
-   retry.  */
+   of it is sent to the caller, as long as the memory budget allows it, so that
+   a truncated one can be replaced by a retry.  */
 #define BUFFERED_MAX_BYTES (128U * 1024)
 /* An upstream may send no more than this of a body that is not forwarded while
    it arrives: an error response or a remote prefill.  */
@@ -22,10 +22,10 @@
 static void
 set_waiting (struct exchange *e, size_t waiting)
 {
-  memory_budget_change (e->proxy->memory, e->waiting, waiting);
+  memory_budget_change (e->proxy->parts.memory, e->waiting, waiting);
   e->waiting = waiting;
   metrics_set (METRIC_responses_waiting_bytes,
-               (int64_t)memory_budget_waiting (e->proxy->memory));
+               (int64_t)memory_budget_waiting (e->proxy->parts.memory));
 }
 
 /* Stops reading the response of A until the caller has taken what waits for
@@ -42,7 +42,7 @@
   log_event (LOG_DEBUG, "response_paused", "request", e->facts.id, "upstream",
              a->upstream_id, "waiting_bytes", log_num ((long long)e->waiting),
              "share_bytes",
-             log_num ((long long)memory_budget_share (e->proxy->memory)),
+             log_num ((long long)memory_budget_share (e->proxy->parts.memory)),
              NULL);
 }
 
@@ -71,7 +71,7 @@
   if (e->started)
     return;
   e->started = true;
-  memory_budget_enter (e->proxy->memory);
+  memory_budget_enter (e->proxy->parts.memory);
   inbound_request_on_drained (e->caller, on_caller_drained, e);
   e->started_events = a->is_events;
   e->started_status = a->answer->status;
@@ -158,6 +158,20 @@
   evbuffer_free (copy);
 }
 
+/* Whether the response of A is held until it is complete.  Without memory it
+   is forwarded earlier.  */
+static bool
+must_hold (struct attempt *a)
+{
+  struct exchange *e = a->exchange;
+  size_t held = evbuffer_get_length (a->held);
+  if (e->started || held > BUFFERED_MAX_BYTES)
+    return false;
+  set_waiting (e, held);
+  return held <= MEMORY_SHARE_MIN_BYTES
+         || !memory_budget_is_used_up (e->proxy->parts.memory);
+}
+
 /* Forwards or buffers DATA of a response that is not an event stream.  */
 static void
 forward_body (struct attempt *a, struct evbuffer *data)
@@ -165,8 +179,7 @@
   if (a->ends_with_event)
     parse_events (a, data);
   evbuffer_add_buffer (a->held, data);
-  if (!a->exchange->started
-      && evbuffer_get_length (a->held) <= BUFFERED_MAX_BYTES)
+  if (must_hold (a))
     return;
   start_response (a);
   inbound_request_stream_send (a->exchange->caller, a->held);
@@ -199,7 +212,7 @@
   if (!e->started)
     return;
   set_waiting (e, inbound_request_stream_backlog (e->caller));
-  if (memory_budget_is_exceeded (e->proxy->memory, e->waiting))
+  if (memory_budget_is_exceeded (e->proxy->parts.memory, e->waiting))
     pause_upstream (a);
 }
 
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -55,6 +55,7 @@
 
   struct http_client *http;
   struct kv *kv;
+  struct memory_budget *memory; /* of bodies and responses of callers */
   struct pool *pool;
   struct upstreams *upstreams;
   struct retry_buckets *retries;
@@ -111,7 +112,9 @@
           = l->body_bytes ? l->body_bytes : g->settings->max_body_bytes,
           .read_ms = l->read_ms ? l->read_ms : DEFAULT_READ_MS,
           .idle_ms = l->idle_ms ? l->idle_ms : DEFAULT_IDLE_MS,
-          .connections = (unsigned)g->settings->max_connections };
+          .connections = (unsigned)g->settings->max_connections,
+          .stall_ms = (unsigned)g->settings->upload_stall_ms,
+          .memory = g->memory };
   http_listener_set_limits (g->callers, &limits);
 }
 
@@ -418,7 +421,9 @@
           .body_bytes = s->max_body_bytes,
           .read_ms = DEFAULT_READ_MS,
           .idle_ms = DEFAULT_IDLE_MS,
-          .connections = (unsigned)s->max_connections };
+          .connections = (unsigned)s->max_connections,
+          .stall_ms = (unsigned)s->upload_stall_ms,
+          .memory = g->memory };
   struct http_listener_limits control_limits
       = { .head_bytes = CONTROL_HEAD_BYTES,
           .body_bytes = CONTROL_BODY_BYTES,
@@ -493,6 +498,7 @@
   g->regions = parse_domains (s->domains);
   g->http = http_client_create (g->base);
   g->kv = g->platform->open_kv (g->base, g->http, s->kv);
+  g->memory = memory_budget_create (memory_budget_total_of (s->memory_mb));
   g->pool = pool_create (g->base);
   g->upstreams = upstreams_create (&place);
   g->retries = retry_buckets_create (&bounds, clock_ms ());
@@ -518,6 +524,7 @@
       = { .base = g->base,
           .requests = g->platform->requests,
           .pool = g->pool,
+          .memory = g->memory,
           .upstreams = g->upstreams,
           .statements = vm_registry_statements (g->vm_registry),
           .retries = g->retries,
@@ -607,6 +614,7 @@
   http_listener_destroy (g->ready);
   http_listener_destroy (g->entry);
   http_listener_destroy (g->metrics);
+  memory_budget_destroy (g->memory);
   pool_destroy (g->pool);
   kv_destroy (g->kv);
   http_client_destroy (g->http);
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -6,14 +6,18 @@
 #include "daemon/exchange.h"
 #include "decide/load_shed.h"
 
+#include <malloc.h>
+
 #define DEFAULT_TIMEOUT_MS 30000
 /* Retry-After sent to callers while no route table is loaded.  */
 #define NO_ROUTES_RETRY_MS 500
 /* How often requests in progress are checked for an unresponsive upstream.  */
 #define UNRESPONSIVE_CHECK_MS 100
 #define USAGE_LOG_INTERVAL_MS 1000
-/* Response bytes that wait for slow callers, over all of them.  */
-#define RESPONSE_MEMORY_BYTES ((size_t)32 * 1024 * 1024)
+/* How often unused memory may be returned to the system, and least memory for
+   which it is.  */
+#define TRIM_INTERVAL_MS 1000
+#define TRIM_MIN_BYTES ((size_t)4 * 1024 * 1024)
 /* During a stop, a response may take longer than the longest recent one by
    that time divided by this.  */
 #define LONGER_RESPONSE_PART 10
@@ -261,6 +265,22 @@
   exchange_check_silence (e, *(const int64_t *)now);
 }
 
+/* Returns memory to the system after bodies and responses have freed much of
+   it: the allocator alone keeps most of it.  */
+static void
+return_memory (struct proxy *p, int64_t now)
+{
+  size_t used = memory_budget_bodies (p->parts.memory)
+                + memory_budget_waiting (p->parts.memory);
+  p->most_used = MAX (p->most_used, used);
+  if (p->most_used - used < TRIM_MIN_BYTES
+      || now - p->trimmed_ms < TRIM_INTERVAL_MS)
+    return;
+  p->trimmed_ms = now;
+  p->most_used = used;
+  malloc_trim (0);
+}
+
 static void
 on_unresponsive_check (evutil_socket_t fd, short what, void *arg)
 {
@@ -271,6 +291,7 @@
   for_each_open (p, check_silence, &now);
   exchange_tokens_arrived (p);
   log_usage_each_second (p, now);
+  return_memory (p, now);
 }
 
 /* Creation, shutdown and settings of a proxy.  */
@@ -284,7 +305,6 @@
   p->open = g_hash_table_new (NULL, NULL);
   p->waiting = token_queue_create ();
   p->times = response_times_create ();
-  p->memory = memory_budget_create (RESPONSE_MEMORY_BYTES);
   p->timer = event_new (parts->base, -1, EV_PERSIST, on_unresponsive_check, p);
   event_add (p->timer, &tick);
   return p;
@@ -307,7 +327,6 @@
   g_hash_table_destroy (p->open);
   token_queue_destroy (p->waiting);
   response_times_destroy (p->times);
-  memory_budget_destroy (p->memory);
   route_table_unref (p->table);
   g_free (p);
 }
--- a/src/daemon/proxy_parts.h
+++ b/src/daemon/proxy_parts.h
@@ -7,6 +7,7 @@
 #include "daemon/quarantine_link.h"
 #include "decide/retry_bucket.h"
 #include "daemon/upstream_statements.h"
+#include "decide/memory_budget.h"
 #include "decide/prefill_split.h"
 #include "decide/upstreams.h"
 #include "links/platform.h"
@@ -23,6 +24,7 @@
       (links/default_request_ops).  */
   const struct request_ops *requests;
   struct pool *pool;
+  struct memory_budget *memory; /**< of bodies and responses of callers */
   struct upstreams *upstreams;
   struct upstream_statements *statements;
   struct retry_buckets *retries;
--- a/src/daemon/route_server.c
+++ b/src/daemon/route_server.c
@@ -26,6 +26,7 @@
 {
   const struct context *ctx;
   const struct conf *conf;
+  struct memory_budget *memory; /* of bodies and responses of callers */
   struct pool *pool;
   struct upstreams *upstreams;
   struct upstream_statements *statements;
@@ -107,6 +108,7 @@
       = { .ratio = s->retry_ratio,
           .window_ms = (unsigned)s->retry_window_s * MS_PER_S,
           .slack = (unsigned)s->retry_slack };
+  r->memory = memory_budget_create (memory_budget_total_of (s->memory_mb));
   r->pool = pool_create (r->ctx->base);
   r->upstreams = upstreams_create (&place);
   r->retries = retry_buckets_create (&bounds, clock_ms ());
@@ -115,6 +117,7 @@
   struct proxy_parts parts = { .base = r->ctx->base,
                                .requests = &default_request_ops,
                                .pool = r->pool,
+                               .memory = r->memory,
                                .upstreams = r->upstreams,
                                .statements = r->statements,
                                .retries = r->retries,
@@ -136,12 +139,14 @@
           .body_bytes = s->max_body_bytes,
           .read_ms = REQUEST_READ_MS,
           .idle_ms = CALLER_IDLE_MS,
-          .connections = (unsigned)s->max_connections };
+          .connections = (unsigned)s->max_connections,
+          .stall_ms = (unsigned)s->upload_stall_ms };
   struct route_server *r = g_new0 (struct route_server, 1);
   r->ctx = ctx;
   r->conf = conf;
   r->start_ms = clock_ms ();
   create_components (r);
+  limits.memory = r->memory;
   r->listener
       = http_listener_create (ctx->base, s->front_address, &limits,
                               &proxy_listener_callbacks, r->proxy, error);
@@ -159,6 +164,7 @@
   event_free (r->timer);
   proxy_destroy (r->proxy);
   http_listener_destroy (r->listener);
+  memory_budget_destroy (r->memory);
   pool_destroy (r->pool);
   upstream_statements_destroy (r->statements);
   retry_buckets_destroy (r->retries);
--- a/src/decide/memory_budget.c
+++ b/src/decide/memory_budget.c
@@ -2,11 +2,50 @@
 
 #include <glib.h>
 
+/* Part of the total for responses, and parts of the rest for small bodies and
+   for what waiting bodies have already read.  */
+#define RESPONSES_FRACTION 0.4
+#define SMALL_BODIES_FRACTION 0.125
+#define WAITING_BODIES_FRACTION 0.125
+#define BYTES_PER_MB ((size_t)1024 * 1024)
+/* Part of a machine's memory; the rest is for the program, its connections and
+   what the allocator cannot reuse.  */
+#define MACHINE_FRACTION 0.5
+#define DEFAULT_MACHINE_MB 160
+
+/* Where the memory of a body is counted.  */
+enum body_pool
+{
+  POOL_SMALL,
+  POOL_WAITING,
+  POOL_LARGE,
+  POOL_COUNT
+};
+
 struct memory_budget
 {
   size_t total;
-  size_t responses; /* in progress */
-  size_t waiting;   /* bytes, of all responses */
+  size_t limits[POOL_COUNT];
+  size_t used[POOL_COUNT];
+  size_t largest;        /* size of the largest body, set apart for FIRST */
+  size_t first_used;     /* of LARGEST */
+  size_t responses;      /* in progress */
+  size_t response_bytes; /* that wait, of all responses */
+  size_t response_limit;
+  struct memory_body *first; /* may use LARGEST; or NULL */
+  GSequence *queue;          /* of struct memory_body that wait */
+};
+
+struct memory_body
+{
+  struct memory_budget *budget;
+  void *owner;
+  int64_t deadline_ms;
+  enum body_pool pool;
+  size_t reserved;      /* in POOL */
+  size_t apart;         /* of the memory set apart; only of FIRST */
+  size_t wanted;        /* size asked for while it waits */
+  GSequenceIter *place; /* in the queue; NULL if it does not wait */
 };
 
 struct memory_budget *
@@ -14,15 +53,34 @@
 {
   struct memory_budget *b = g_new0 (struct memory_budget, 1);
   b->total = total;
+  b->response_limit = (size_t)((double)total * RESPONSES_FRACTION);
+  size_t bodies = total - b->response_limit;
+  b->limits[POOL_SMALL] = (size_t)((double)bodies * SMALL_BODIES_FRACTION);
+  b->limits[POOL_WAITING] = (size_t)((double)bodies * WAITING_BODIES_FRACTION);
+  b->limits[POOL_LARGE]
+      = bodies - b->limits[POOL_SMALL] - b->limits[POOL_WAITING];
+  b->queue = g_sequence_new (NULL);
   return b;
 }
 
 void
 memory_budget_destroy (struct memory_budget *b)
 {
+  if (b == NULL)
+    return;
+  g_sequence_free (b->queue);
   g_free (b);
 }
 
+size_t
+memory_budget_total_of (uint64_t memory_mb)
+{
+  uint64_t mb = memory_mb > 0 ? memory_mb : DEFAULT_MACHINE_MB;
+  return (size_t)((double)(mb * BYTES_PER_MB) * MACHINE_FRACTION);
+}
+
+/* Responses.  */
+
 void
 memory_budget_enter (struct memory_budget *b)
 {
@@ -40,27 +98,245 @@
 void
 memory_budget_change (struct memory_budget *b, size_t from, size_t to)
 {
-  g_assert (b->waiting >= from);
-  b->waiting += to - from;
+  g_assert (b->response_bytes >= from);
+  b->response_bytes += to - from;
 }
 
 size_t
 memory_budget_waiting (const struct memory_budget *b)
 {
-  return b->waiting;
+  return b->response_bytes;
 }
 
 size_t
 memory_budget_share (const struct memory_budget *b)
 {
-  size_t share = b->total / MAX (b->responses, 1);
+  size_t share = b->response_limit / MAX (b->responses, 1);
   return CLAMP (share, MEMORY_SHARE_MIN_BYTES, MEMORY_SHARE_MAX_BYTES);
 }
 
+bool
+memory_budget_is_used_up (const struct memory_budget *b)
+{
+  return b->response_bytes > b->response_limit;
+}
+
 bool
 memory_budget_is_exceeded (const struct memory_budget *b, size_t waiting)
 {
-  bool used_up = b->waiting > b->total;
   return waiting > memory_budget_share (b)
-         || (used_up && waiting > MEMORY_SHARE_MIN_BYTES);
+         || (memory_budget_is_used_up (b) && waiting > MEMORY_SHARE_MIN_BYTES);
+}
+
+/* Request bodies.  */
+
+void
+memory_budget_set_largest (struct memory_budget *b, size_t bytes)
+{
+  b->largest = bytes;
+}
+
+struct memory_body *
+memory_body_create (struct memory_budget *b, int64_t deadline_ms, void *owner)
+{
+  struct memory_body *m = g_new0 (struct memory_body, 1);
+  m->budget = b;
+  m->deadline_ms = deadline_ms;
+  m->owner = owner;
+  return m;
+}
+
+/* Counts SIZE bytes of M in POOL, instead of what it has in its pool.  */
+static void
+move_to (struct memory_body *m, enum body_pool pool, size_t size)
+{
+  m->budget->used[m->pool] -= m->reserved;
+  m->budget->used[pool] += size;
+  m->pool = pool;
+  m->reserved = size;
+}
+
+/* Whether POOL has room for SIZE bytes of M instead of what M has.  */
+static bool
+has_room (const struct memory_body *m, enum body_pool pool, size_t size)
+{
+  const struct memory_budget *b = m->budget;
+  size_t used = b->used[pool] - (m->pool == pool ? m->reserved : 0);
+  return used + size <= b->limits[pool];
+}
+
+/* Whether large bodies may have SIZE bytes of M instead of what M has: beside
+   what is set apart, and beside responses that exceed their part.  */
+static bool
+has_large_room (const struct memory_body *m, size_t size)
+{
+  const struct memory_budget *b = m->budget;
+  size_t beyond = b->response_bytes > b->response_limit
+                      ? b->response_bytes - b->response_limit
+                      : 0;
+  size_t taken = b->largest + beyond;
+  return taken < b->limits[POOL_LARGE]
+         && has_room (m, POOL_LARGE, size + taken);
+}
+
+static void
+end_first (struct memory_body *m)
+{
+  struct memory_budget *b = m->budget;
+  if (b->first != m)
+    return;
+  b->first_used -= m->apart;
+  m->apart = 0;
+  b->first = NULL;
+}
+
+/* Reserves SIZE bytes for M, which is larger than a small body, if it is its
+   turn.  */
+static bool
+grant_large (struct memory_body *m, size_t size)
+{
+  struct memory_budget *b = m->budget;
+  size_t rest = size - m->apart;
+  if (has_large_room (m, rest))
+    {
+      move_to (m, POOL_LARGE, rest);
+      return true;
+    }
+  bool may_be_first = b->first == m || b->first == NULL;
+  if (!may_be_first || size > b->largest)
+    return false;
+  /* What it had so far moves to the memory set apart, so that its whole size
+     fits there.  */
+  b->first = m;
+  b->first_used += size - m->apart;
+  m->apart = size;
+  move_to (m, POOL_LARGE, 0);
+  return true;
+}
+
+static int
+compare_deadlines (const void *a, const void *b, void *arg)
+{
+  const struct memory_body *m = a;
+  const struct memory_body *n = b;
+  (void)arg;
+  return (m->deadline_ms > n->deadline_ms) - (m->deadline_ms < n->deadline_ms);
+}
+
+/* Whether no other body is to get memory before M.  */
+static bool
+is_next (const struct memory_body *m)
+{
+  GSequenceIter *front = g_sequence_get_begin_iter (m->budget->queue);
+  if (m == m->budget->first || g_sequence_iter_is_end (front))
+    return true;
+  return compare_deadlines (m, g_sequence_get (front), NULL) < 0;
+}
+
+/* M waits for SIZE bytes.  A body that has large memory keeps it; the READ
+   bytes of another one count as those of a waiting body.  */
+static enum memory_grant
+wait_for (struct memory_body *m, size_t size, size_t read)
+{
+  struct memory_budget *b = m->budget;
+  if (m->pool != POOL_LARGE)
+    {
+      if (!has_room (m, POOL_WAITING, read))
+        return MEMORY_REFUSED;
+      move_to (m, POOL_WAITING, read);
+    }
+  m->wanted = size;
+  m->place = g_sequence_insert_sorted (b->queue, m, compare_deadlines, NULL);
+  return MEMORY_WAITS;
+}
+
+enum memory_grant
+memory_body_grow (struct memory_body *m, size_t size, size_t read)
+{
+  g_assert (m->place == NULL);
+  if (size <= memory_body_reserved (m))
+    return MEMORY_GRANTED;
+  bool small = m->pool == POOL_SMALL && size <= MEMORY_SMALL_BODY_BYTES;
+  if (small && has_room (m, POOL_SMALL, size))
+    {
+      move_to (m, POOL_SMALL, size);
+      return MEMORY_GRANTED;
+    }
+  if (small)
+    {
+      if (!has_large_room (m, size))
+        return MEMORY_REFUSED;
+      move_to (m, POOL_LARGE, size);
+      return MEMORY_GRANTED;
+    }
+  if (is_next (m) && grant_large (m, size))
+    return MEMORY_GRANTED;
+  return wait_for (m, size, read);
+}
+
+void
+memory_body_settle (struct memory_body *m, size_t size)
+{
+  g_assert (m->place == NULL);
+  if (size >= memory_body_reserved (m))
+    return;
+  if (m->apart > size)
+    {
+      m->budget->first_used -= m->apart - size;
+      m->apart = size;
+    }
+  move_to (m, m->pool, size - m->apart);
+  if (m->apart == 0)
+    end_first (m);
+}
+
+void
+memory_body_release (struct memory_body *m)
+{
+  if (m == NULL)
+    return;
+  if (m->place)
+    g_sequence_remove (m->place);
+  end_first (m);
+  move_to (m, m->pool, 0);
+  g_free (m);
+}
+
+size_t
+memory_body_reserved (const struct memory_body *m)
+{
+  return m->reserved + m->apart;
+}
+
+bool
+memory_body_is_large (const struct memory_body *m)
+{
+  return m->pool == POOL_LARGE && m->place == NULL;
+}
+
+void *
+memory_budget_next (struct memory_budget *b)
+{
+  GSequenceIter *front = g_sequence_get_begin_iter (b->queue);
+  if (g_sequence_iter_is_end (front))
+    return NULL;
+  struct memory_body *m = g_sequence_get (front);
+  if (!grant_large (m, m->wanted))
+    return NULL;
+  g_sequence_remove (m->place);
+  m->place = NULL;
+  return m->owner;
+}
+
+size_t
+memory_budget_bodies (const struct memory_budget *b)
+{
+  return b->used[POOL_SMALL] + b->used[POOL_WAITING] + b->used[POOL_LARGE]
+         + b->first_used;
+}
+
+unsigned
+memory_budget_bodies_waiting (const struct memory_budget *b)
+{
+  return (unsigned)g_sequence_get_length (b->queue);
 }
--- a/src/links/http_codec.c
+++ b/src/links/http_codec.c
@@ -24,6 +24,8 @@
   enum http_framing framing;
   uint64_t length;
   uint64_t body_parsed;  /* bytes of the body parsed so far */
+  size_t framing_bytes;  /* of chunk lines and trailers since the last byte of
+                            the body */
   struct evbuffer *body; /* BODY of http_codec_feed */
   unsigned error_status; /* status code of the error response */
   const char *reason;    /* error message */
@@ -323,8 +325,12 @@
       n = MIN (n, FEED_BYTES);
       const void *data = evbuffer_pullup (in, (ev_ssize_t)n);
       size_t used = 0;
+      uint64_t before = c->body_parsed;
       run_parser (c, data, n, &used);
       evbuffer_drain (in, MIN (used, n));
+      c->framing_bytes = c->body_parsed > before ? 0 : c->framing_bytes + used;
+      if (c->progress == HTTP_IN_BODY && c->framing_bytes > head_limit (c))
+        refuse (c, 400, "a chunk line or the trailer exceeds the size limit");
     }
 }
 
@@ -397,6 +403,7 @@
   c->framing = HTTP_FRAMING_NONE;
   c->length = 0;
   c->body_parsed = 0;
+  c->framing_bytes = 0;
   http_parser_init (&c->parser, c->side == HTTP_SIDE_REQUESTS ? HTTP_REQUEST
                                                               : HTTP_RESPONSE);
   c->parser.data = c;
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -1,4 +1,4 @@
-#include "links/http_listener.h"
+#include "links/http_listener_conn.h"
 
 #include "base/clock.h"
 #include "base/error.h"
@@ -7,8 +7,6 @@
 #include "base/metrics.h"
 
 #include <errno.h>
-#include <event2/bufferevent.h>
-#include <event2/listener.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <string.h>
@@ -16,9 +14,11 @@
 #include <unistd.h>
 
 #define LISTEN_BACKLOG 1024
+/* Most bytes that wait in a read buffer: more than the largest head.  */
+#define INPUT_MAX_BYTES (96U * 1024)
 /* Bytes of pipelined requests that are buffered while a response is
-   incomplete.  */
-#define READ_AHEAD_BYTES (256U * 1024)
+   incomplete, beside one read.  */
+#define READ_AHEAD_BYTES (4U * 1024)
 /* Time between shutdown of the sending side and close, during which input is
    discarded.  An immediate close would send a reset to a caller that is still
    sending, and the caller could lose the response.  */
@@ -35,66 +35,17 @@
 #define INPUT_CHECK_BYTES 4096
 /* Buffers of the kernel for one connection.  Without a bound they would grow
    to several MB for a caller that sends or reads slowly.  */
-#define SOCKET_BUFFER_BYTES (128 * 1024)
+#define SEND_BUFFER_BYTES (128 * 1024)
+/* Until there is memory for a large body.  */
+#define RECEIVE_BUFFER_BYTES (32 * 1024)
+/* How often bodies that wait for memory, and a listener without descriptors,
+   are checked.  */
+#define RECHECK_MS 250
 /* TCP_USER_TIMEOUT: the kernel drops a connection on which sent bytes stay
    unacknowledged, or the caller's receive window stays closed, for this
    long.  */
 #define USER_TIMEOUT_MS 10000U
 
-enum conn_state
-{
-  CONN_IDLE,       /* no byte of the next request has arrived */
-  CONN_READING,    /* a request is incomplete */
-  CONN_RESPONDING, /* the request is complete, its response is not */
-  CONN_FLUSHING,   /* the last response of the connection is being written */
-  CONN_LINGERING   /* the sending side is shut down, close follows */
-};
-
-struct http_listener
-{
-  struct event_base *base;
-  struct evconnlistener *listener;
-  struct http_listener_limits limits;
-  const struct http_listener_callbacks *callbacks;
-  void *arg;
-  GHashTable *conns; /* set of struct http_listener_conn */
-  unsigned open_requests;
-  bool draining;
-};
-
-struct http_listener_conn;
-
-struct inbound_request
-{
-  struct http_listener_conn *conn;
-  void (*on_close) (void *);
-  void *on_close_arg;
-  void (*on_drained) (void *);
-  void *on_drained_arg;
-  enum http_framing framing;
-};
-
-struct http_listener_conn
-{
-  struct http_listener *listener;
-  struct bufferevent *bev;
-  struct event *timer;
-  struct http_codec *codec;
-  struct evbuffer *body; /* of the current request */
-  enum conn_state state;
-  struct inbound_request request;
-  int64_t request_start_ms;  /* first byte of the current request */
-  size_t unwritten;          /* bytes of responses not written, when checked */
-  int64_t progress_ms;       /* when UNWRITTEN last changed */
-  bool close_after_response; /* close after the current response */
-  bool head_written;         /* of the current response */
-  bool late_input;   /* the read time-out was put off for unread input */
-  size_t late_bytes; /* bytes of the request when it was */
-  bool in_conn_read; /* keeps conn_next_request from calling conn_read again */
-};
-
-static void conn_read (struct http_listener_conn *c);
-
 /* States of a connection.  */
 
 static void
@@ -104,12 +55,13 @@
   evtimer_add (c->timer, &tv);
 }
 
-static void
-conn_free (struct http_listener_conn *c)
+void
+http_conn_free (struct http_listener_conn *c)
 {
   g_hash_table_remove (c->listener->conns, c);
   if (c->state == CONN_RESPONDING)
     c->listener->open_requests--;
+  http_body_end (c);
   event_free (c->timer);
   bufferevent_free (c->bev);
   http_codec_destroy (c->codec);
@@ -119,14 +71,14 @@
 
 /* Frees the connection, because the caller closed it or a time-out expired,
    and notifies the handler of a request without a complete response.  */
-static void
-conn_lost (struct http_listener_conn *c)
+void
+http_conn_lost (struct http_listener_conn *c)
 {
   void (*on_close) (void *) = NULL;
   void *arg = c->request.on_close_arg;
   if (c->state == CONN_RESPONDING)
     on_close = c->request.on_close;
-  conn_free (c);
+  http_conn_free (c);
   if (on_close)
     on_close (arg);
 }
@@ -155,6 +107,15 @@
   return unwritten > 0 && now - c->progress_ms < RESPONSE_STALL_MS;
 }
 
+/* Reads pipelined input again.  */
+static void
+read_ahead (struct http_listener_conn *c)
+{
+  if (c->ahead_paused)
+    bufferevent_enable (c->bev, EV_READ);
+  c->ahead_paused = false;
+}
+
 /* Prepares the connection for its next request and parses input that has
    already arrived.  */
 static void
@@ -164,18 +125,20 @@
   evtimer_del (c->timer);
   c->state = CONN_IDLE;
   c->request.on_close = NULL;
-  evbuffer_drain (c->body, evbuffer_get_length (c->body));
+  c->since_ms = clock_ms ();
+  http_body_end (c);
+  read_ahead (c);
   http_codec_next (c->codec, false);
   if (more && !c->in_conn_read)
-    conn_read (c);
+    http_conn_read (c);
   else if (!more)
     set_timer (c, c->listener->limits.idle_ms);
 }
 
 /* Called when the response has been passed completely to the output
    buffer.  */
-static void
-conn_end_response (struct http_listener_conn *c)
+void
+http_conn_end_response (struct http_listener_conn *c)
 {
   c->listener->open_requests--;
   c->unwritten = 0;
@@ -185,6 +148,8 @@
       return;
     }
   c->state = CONN_FLUSHING;
+  read_ahead (c);
+  http_body_end (c);
   if (evbuffer_get_length (bufferevent_get_output (c->bev)) == 0)
     conn_linger (c);
   else
@@ -193,20 +158,24 @@
 
 /* Sends an error response for a request that is malformed, too large or too
    late, and closes the connection after it.  */
-static void
-conn_refuse (struct http_listener_conn *c, unsigned status, const char *reason)
+void
+http_conn_refuse (struct http_listener_conn *c, unsigned status,
+                  const char *reason)
 {
   struct http_listener *f = c->listener;
   g_autofree char *body = NULL;
   if (f->callbacks->on_refused)
     body = f->callbacks->on_refused (f->arg, status, reason);
   evbuffer_add_printf (bufferevent_get_output (c->bev),
-                       "HTTP/1.1 %u %s\r\n%sContent-Length: %zu\r\n"
+                       "HTTP/1.1 %u %s\r\n%s%sContent-Length: %zu\r\n"
                        "Connection: close\r\n\r\n%s",
                        status, http_reason (status),
+                       status == 503 ? "Retry-After: 1\r\n" : "",
                        body ? "Content-Type: application/json\r\n" : "",
                        body ? strlen (body) : 0, body ? body : "");
   c->state = CONN_FLUSHING;
+  http_body_end (c);
+  bufferevent_enable (c->bev, EV_READ);
   set_timer (c, f->limits.read_ms);
 }
 
@@ -216,8 +185,11 @@
 conn_handle_request (struct http_listener_conn *c)
 {
   struct http_listener *f = c->listener;
+  if (!http_body_complete (c))
+    return;
   evtimer_del (c->timer);
   c->state = CONN_RESPONDING;
+  c->requests++;
   c->close_after_response = !http_codec_keep_alive (c->codec) || f->draining;
   c->head_written = false;
   c->request = (struct inbound_request){ .conn = c };
@@ -226,8 +198,8 @@
 }
 
 /* Sends 100 Continue if the caller waits for it before it sends the body.  */
-static void
-send_continue (struct http_listener_conn *c)
+void
+http_conn_send_continue (struct http_listener_conn *c)
 {
   const struct http_head *h = http_codec_head (c->codec);
   if (h && http_head_has_token (h, "Expect", "100-continue")
@@ -255,27 +227,28 @@
       conn_handle_request (c);
       break;
     case HTTP_REJECTED:
-      conn_refuse (c, http_codec_error_status (c->codec),
-                   http_codec_error_message (c->codec));
+      http_conn_refuse (c, http_codec_error_status (c->codec),
+                        http_codec_error_message (c->codec));
       break;
     case HTTP_IN_BODY:
-      if (!had_head)
-        send_continue (c);
+      if (http_body_claim (c) && !had_head && !c->waits_for_memory)
+        http_conn_send_continue (c);
       break;
     default:
+      (void)http_body_claim (c);
       break;
     }
 }
 
 /* Parses the input until a request waits for its response, a request is
    incomplete, or the connection is closed.  */
-static void
-conn_read (struct http_listener_conn *c)
+void
+http_conn_read (struct http_listener_conn *c)
 {
   struct http_listener *f = c->listener;
   struct evbuffer *in = bufferevent_get_input (c->bev);
   c->in_conn_read = true;
-  while (evbuffer_get_length (in) > 0
+  while (evbuffer_get_length (in) > 0 && !c->waits_for_memory
          && (c->state == CONN_IDLE || c->state == CONN_READING))
     {
       size_t before = evbuffer_get_length (in);
@@ -301,7 +274,15 @@
       evbuffer_drain (in, evbuffer_get_length (in));
       return;
     }
-  conn_read (c);
+  bool responding = c->state == CONN_RESPONDING;
+  if (responding
+      && evbuffer_get_length (bufferevent_get_input (bev)) > READ_AHEAD_BYTES)
+    {
+      c->ahead_paused = true;
+      bufferevent_disable (bev, EV_READ);
+    }
+  if (!responding)
+    http_conn_read (c);
 }
 
 static void
@@ -323,7 +304,7 @@
   (void)bev;
   struct http_listener_conn *c = arg;
   if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
-    conn_lost (c);
+    http_conn_lost (c);
 }
 
 /* Whether the read time-out of C may be put off for input that is unread:
@@ -380,17 +361,19 @@
   (void)fd;
   (void)what;
   struct http_listener_conn *c = arg;
-  if (has_unread_input (c))
+  if (c->waits_for_memory)
+    http_conn_refuse (c, 503, "no memory for the request body in time");
+  else if (has_unread_input (c))
     set_timer (c, INPUT_CHECK_MS);
   else if (c->state == CONN_READING)
-    conn_refuse (
+    http_conn_refuse (
         c, 408, "the request did not arrive completely within the time limit");
   else if (c->state != CONN_LINGERING && response_in_progress (c))
     set_timer (c, STALL_CHECK_MS);
   else
     {
       record_close (c);
-      conn_lost (c);
+      http_conn_lost (c);
     }
 }
 
@@ -398,10 +381,11 @@
 set_options (evutil_socket_t fd)
 {
   int one = 1;
-  int buffer = SOCKET_BUFFER_BYTES;
+  int receive = RECEIVE_BUFFER_BYTES;
+  int send = SEND_BUFFER_BYTES;
   unsigned timeout = USER_TIMEOUT_MS;
-  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
-  (void)setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &buffer, sizeof buffer);
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
+  (void)setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send, sizeof send);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
                     sizeof timeout);
@@ -415,7 +399,7 @@
   (void)sa;
   (void)len;
   struct http_listener *f = arg;
-  if (g_hash_table_size (f->conns) >= f->limits.connections)
+  if (!http_bound_make_room (f))
     {
       metrics_add (METRIC_caller_connections_refused_total, 1);
       close (fd);
@@ -426,17 +410,54 @@
       = { f->limits.head_bytes, f->limits.body_bytes };
   struct http_listener_conn *c = g_new0 (struct http_listener_conn, 1);
   c->listener = f;
+  c->since_ms = clock_ms ();
   c->bev = bufferevent_socket_new (f->base, fd, BEV_OPT_CLOSE_ON_FREE);
   c->codec = http_codec_create (HTTP_SIDE_REQUESTS, &size_limits);
   c->body = evbuffer_new ();
   c->timer = evtimer_new (f->base, on_timer, c);
   g_hash_table_add (f->conns, c);
   bufferevent_setcb (c->bev, on_readable, on_written, on_event, c);
-  bufferevent_setwatermark (c->bev, EV_READ, 0, READ_AHEAD_BYTES);
+  bufferevent_setwatermark (c->bev, EV_READ, 0, INPUT_MAX_BYTES);
+  bufferevent_set_max_single_read (c->bev, HTTP_READ_BYTES);
   bufferevent_enable (c->bev, EV_READ | EV_WRITE);
   set_timer (c, f->limits.idle_ms);
 }
 
+void
+http_listener_recheck_later (struct http_listener *f)
+{
+  static const struct timeval later = { 0, RECHECK_MS * 1000 };
+  if (!evtimer_pending (f->recheck, NULL))
+    evtimer_add (f->recheck, &later);
+}
+
+/* No descriptor is left: closes a connection that does nothing, or stops
+   accepting until the next check.  */
+static void
+on_accept_error (struct evconnlistener *l, void *arg)
+{
+  struct http_listener *f = arg;
+  log_event (LOG_WARN, "accept_failed", "why", g_strerror (errno),
+             "connections", log_num (g_hash_table_size (f->conns)), NULL);
+  if (http_bound_close_one (f))
+    return;
+  evconnlistener_disable (l);
+  http_listener_recheck_later (f);
+}
+
+static void
+on_recheck (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct http_listener *f = arg;
+  f->recheck_scheduled = false;
+  if (f->listener)
+    evconnlistener_enable (f->listener);
+  if (http_body_recheck (f))
+    http_listener_recheck_later (f);
+}
+
 /* Creation, limits, draining and release of the listener.  */
 
 struct http_listener *
@@ -462,7 +483,12 @@
       base, on_accept, f, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof sa);
   if (f->listener)
-    return f;
+    {
+      f->descriptors = http_bound_descriptors ();
+      evconnlistener_set_error_cb (f->listener, on_accept_error);
+      f->recheck = evtimer_new (base, on_recheck, f);
+      return f;
+    }
   g_set_error (error, BUCKTHORN_ERROR, RESULT_USAGE, "cannot listen on %s: %s",
                address, g_strerror (errno));
   g_hash_table_destroy (f->conns);
@@ -478,8 +504,9 @@
   http_listener_stop_accepting (f);
   g_autoptr (GList) conns = g_hash_table_get_keys (f->conns);
   for (GList *l = conns; l; l = l->next)
-    conn_free (l->data);
+    http_conn_free (l->data);
   g_hash_table_destroy (f->conns);
+  event_free (f->recheck);
   g_free (f);
 }
 
@@ -488,6 +515,8 @@
                           const struct http_listener_limits *limits)
 {
   f->limits = *limits;
+  if (limits->memory)
+    memory_budget_set_largest (limits->memory, limits->body_bytes);
   struct http_size_limits size_limits
       = { limits->head_bytes, limits->body_bytes };
   GHashTableIter it;
@@ -537,146 +566,3 @@
 {
   return g_hash_table_size (f->conns);
 }
-
-/* Reading of a request and sending of its response.  */
-
-struct http_head *
-inbound_request_head (struct inbound_request *r)
-{
-  return http_codec_head (r->conn->codec);
-}
-
-struct evbuffer *
-inbound_request_body (struct inbound_request *r)
-{
-  return r->conn->body;
-}
-
-int64_t
-inbound_request_start_ms (const struct inbound_request *r)
-{
-  return r->conn->request_start_ms;
-}
-
-void
-inbound_request_on_close (struct inbound_request *r, void (*on_close) (void *),
-                          void *arg)
-{
-  r->on_close = on_close;
-  r->on_close_arg = arg;
-}
-
-void
-inbound_request_on_drained (struct inbound_request *r,
-                            void (*on_drained) (void *), void *arg)
-{
-  r->on_drained = on_drained;
-  r->on_drained_arg = arg;
-}
-
-static struct evbuffer *
-get_output (const struct inbound_request *r)
-{
-  return bufferevent_get_output (r->conn->bev);
-}
-
-/* Writes HEAD with the line FRAMING added to its fields.  */
-static void
-write_head (struct inbound_request *r, const struct http_head *head,
-            const char *framing)
-{
-  g_autoptr (GString) text = g_string_new (NULL);
-  http_head_write (head, text);
-  g_string_truncate (text, text->len - 2); /* remove the empty line */
-  g_string_append (text, framing);
-  if (r->conn->close_after_response)
-    g_string_append (text, "Connection: close\r\n");
-  g_string_append (text, "\r\n");
-  evbuffer_add (get_output (r), text->str, text->len);
-  r->conn->head_written = true;
-}
-
-void
-inbound_request_reply (struct inbound_request *r, const struct http_head *head,
-                       const void *body, size_t size)
-{
-  g_autofree char *framing = g_strdup_printf ("Content-Length: %zu\r\n", size);
-  const struct http_head *req = inbound_request_head (r);
-  bool bodiless = req && strcmp (req->method, "HEAD") == 0;
-  write_head (r, head, framing);
-  if (size > 0 && !bodiless)
-    evbuffer_add (get_output (r), body, size);
-  conn_end_response (r->conn);
-}
-
-/* While RESET is set, closing the connection resets it, also at the end of the
-   process.  Where a close ends the body, only a reset shows the caller that
-   the body is incomplete.  */
-static void
-set_reset_on_close (const struct http_listener_conn *c, bool reset)
-{
-  struct linger linger = { reset, 0 };
-  (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_LINGER, &linger,
-                    sizeof linger);
-}
-
-void
-inbound_request_stream_start (struct inbound_request *r,
-                              const struct http_head *head,
-                              enum http_framing framing, uint64_t length)
-{
-  g_autofree char *text = NULL;
-  bool http10 = inbound_request_head (r)->minor == 0;
-  if (framing == HTTP_FRAMING_CHUNKED || framing == HTTP_FRAMING_CLOSE)
-    framing = http10 ? HTTP_FRAMING_CLOSE : HTTP_FRAMING_CHUNKED;
-  r->framing = framing;
-  if (framing == HTTP_FRAMING_SIZED)
-    text = g_strdup_printf ("Content-Length: %" G_GUINT64_FORMAT "\r\n",
-                            (guint64)length);
-  if (framing == HTTP_FRAMING_CLOSE)
-    {
-      r->conn->close_after_response = true;
-      set_reset_on_close (r->conn, true);
-    }
-  write_head (r, head,
-              framing == HTTP_FRAMING_CHUNKED
-                  ? "Transfer-Encoding: chunked\r\n"
-                  : (text ? text : ""));
-}
-
-void
-inbound_request_stream_send (struct inbound_request *r, struct evbuffer *data)
-{
-  size_t n = evbuffer_get_length (data);
-  if (n == 0)
-    return;
-  if (r->framing == HTTP_FRAMING_CHUNKED)
-    evbuffer_add_printf (get_output (r), "%zx\r\n", n);
-  evbuffer_add_buffer (get_output (r), data);
-  if (r->framing == HTTP_FRAMING_CHUNKED)
-    evbuffer_add (get_output (r), "\r\n", 2);
-}
-
-size_t
-inbound_request_stream_backlog (const struct inbound_request *r)
-{
-  return evbuffer_get_length (get_output (r));
-}
-
-void
-inbound_request_stream_end (struct inbound_request *r)
-{
-  if (r->framing == HTTP_FRAMING_CHUNKED)
-    evbuffer_add (get_output (r), "0\r\n\r\n", 5);
-  if (r->framing == HTTP_FRAMING_CLOSE)
-    set_reset_on_close (r->conn, false);
-  conn_end_response (r->conn);
-}
-
-void
-inbound_request_abort (struct inbound_request *r)
-{
-  struct http_listener_conn *c = r->conn;
-  r->on_close = NULL;
-  conn_free (c);
-}
--- a/src/links/http_listener.h
+++ b/src/links/http_listener.h
@@ -6,6 +6,7 @@
 #define LINKS_HTTP_LISTENER_H
 
 #include "base/http_head.h"
+#include "decide/memory_budget.h"
 #include "links/http_codec.h"
 
 #include <event2/buffer.h>
@@ -28,7 +29,11 @@
   uint64_t body_bytes; /**< of a request body; 0 for no limit */
   unsigned read_ms;    /**< from the first byte of a request to its last */
   unsigned idle_ms; /**< without a request before the connection is closed */
-  unsigned connections; /**< open at a time; others are closed on accept */
+  unsigned connections; /**< open at a time; at this number, one that does
+                           nothing is closed for a new one */
+  unsigned stall_ms;    /**< without progress of a body while others wait for
+                           memory, before it is refused; 0: no bound */
+  struct memory_budget *memory; /**< of request bodies; NULL for no bound */
 };
 
 /** Callbacks of the listener.  */
@@ -37,8 +42,8 @@
   /** A request has arrived completely.  The callback may respond before it
       returns or later.  */
   void (*on_request) (void *arg, struct inbound_request *r);
-  /** The listener rejects a request with STATUS (400, 408, 413 or 431) for
-      REASON, a message in English.  Returns the JSON body of the error
+  /** The listener rejects a request with STATUS (400, 408, 413, 431 or 503)
+     for REASON, a message in English.  Returns the JSON body of the error
       response, which the listener frees, or NULL for none.  May be NULL.  */
   char *(*on_refused) (void *arg, unsigned status, const char *reason);
 };
--- /dev/null
+++ b/src/links/http_listener_body.c
@@ -0,0 +1,242 @@
+/** @file
+    Memory of request bodies: a body is read as the budget
+    (decide/memory_budget.h) grants bytes; what is not granted waits in the
+    socket, whose buffer is bounded.  */
+#include "links/http_listener_conn.h"
+
+#include "base/clock.h"
+#include "base/log.h"
+#include "base/metrics.h"
+
+#include <sys/socket.h>
+
+/* An incomplete head up to this size counts as part of the connection.  */
+#define HEAD_FREE_BYTES ((size_t)1024)
+/* Least memory of a body without a length.  */
+#define SMALL_STEP_BYTES ((size_t)1024)
+/* A larger one reserves this many times what it has.  */
+#define GROWTH_FACTOR 4
+/* Least bytes of a body that count as progress.  */
+#define PROGRESS_BYTES 4096
+/* Receive buffer of the kernel for a large body that is read.  */
+#define LARGE_RECEIVE_BUFFER_BYTES (128 * 1024)
+
+static void
+record_memory (const struct memory_budget *b)
+{
+  metrics_set (METRIC_bodies_reserved_bytes,
+               (int64_t)memory_budget_bodies (b));
+  metrics_set (METRIC_bodies_waiting, memory_budget_bodies_waiting (b));
+}
+
+/* Runs http_body_recheck from the event loop.  */
+static void
+schedule_recheck (struct http_listener *f)
+{
+  if (f->recheck_scheduled
+      || memory_budget_bodies_waiting (f->limits.memory) == 0)
+    return;
+  f->recheck_scheduled = true;
+  event_active (f->recheck, EV_TIMEOUT, 0);
+}
+
+void
+http_body_end (struct http_listener_conn *c)
+{
+  evbuffer_drain (c->body, evbuffer_get_length (c->body));
+  c->waits_for_memory = false;
+  if (c->memory == NULL)
+    return;
+  memory_body_release (c->memory);
+  c->memory = NULL;
+  record_memory (c->listener->limits.memory);
+  schedule_recheck (c->listener);
+}
+
+/* Bytes of the current request that are read.  */
+static size_t
+read_bytes (const struct http_listener_conn *c)
+{
+  return evbuffer_get_length (c->body)
+         + evbuffer_get_length (bufferevent_get_input (c->bev));
+}
+
+/* Bytes to reserve for the current request before its next read; 0 if it needs
+   no more than it has.  */
+static size_t
+bytes_to_reserve (const struct http_listener_conn *c)
+{
+  size_t read = read_bytes (c);
+  size_t reserved = c->memory ? memory_body_reserved (c->memory) : 0;
+  uint64_t length = 0;
+  if (http_codec_head (c->codec) == NULL)
+    return read <= HEAD_FREE_BYTES || read <= reserved ? 0 : read;
+  if (http_codec_framing (c->codec, &length) == HTTP_FRAMING_SIZED)
+    return length <= reserved ? 0 : (size_t)length;
+  if (read <= MEMORY_SMALL_BODY_BYTES)
+    return read <= reserved ? 0 : MAX (read, SMALL_STEP_BYTES);
+  if (read + HTTP_READ_BYTES <= reserved)
+    return 0;
+  size_t grown = MAX (reserved * GROWTH_FACTOR, read + HTTP_READ_BYTES);
+  uint64_t limit = c->listener->limits.body_bytes;
+  if (limit > 0)
+    grown = MIN (grown, MAX ((size_t)limit, read));
+  return grown <= reserved ? 0 : grown;
+}
+
+static void
+refuse_for_memory (struct http_listener_conn *c, size_t size)
+{
+  metrics_add (METRIC_bodies_refused_total, 1);
+  log_event (
+      LOG_WARN, "body_refused", "bytes", log_num ((long long)size),
+      "reserved_bytes",
+      log_num ((long long)memory_budget_bodies (c->listener->limits.memory)),
+      "waiting",
+      log_num (memory_budget_bodies_waiting (c->listener->limits.memory)),
+      NULL);
+  http_conn_refuse (c, 503, "no memory for the request body");
+}
+
+static void
+start_waiting (struct http_listener_conn *c)
+{
+  c->waits_for_memory = true;
+  bufferevent_disable (c->bev, EV_READ);
+  metrics_add (METRIC_bodies_paused_total, 1);
+  http_listener_recheck_later (c->listener);
+}
+
+/* Reads a large body with a larger buffer of the kernel.  */
+static void
+start_large (const struct http_listener_conn *c)
+{
+  int size = LARGE_RECEIVE_BUFFER_BYTES;
+  if (memory_body_is_large (c->memory))
+    (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_RCVBUF, &size,
+                      sizeof size);
+}
+
+/* Reserves SIZE bytes for the request of C.  Returns false if it was
+   refused.  */
+static bool
+reserve (struct http_listener_conn *c, size_t size)
+{
+  struct http_listener *f = c->listener;
+  size_t read = MIN (read_bytes (c), size);
+  if (c->memory == NULL)
+    c->memory = memory_body_create (
+        f->limits.memory, c->request_start_ms + f->limits.read_ms, c);
+  bool was_large = memory_body_is_large (c->memory);
+  enum memory_grant grant = memory_body_grow (c->memory, size, read);
+  record_memory (f->limits.memory);
+  if (grant == MEMORY_REFUSED)
+    {
+      refuse_for_memory (c, size);
+      return false;
+    }
+  if (grant == MEMORY_WAITS)
+    start_waiting (c);
+  else if (!was_large)
+    start_large (c);
+  return true;
+}
+
+bool
+http_body_claim (struct http_listener_conn *c)
+{
+  if (c->listener->limits.memory == NULL || c->waits_for_memory)
+    return true;
+  size_t size = bytes_to_reserve (c);
+  return size == 0 || reserve (c, size);
+}
+
+bool
+http_body_complete (struct http_listener_conn *c)
+{
+  size_t size = evbuffer_get_length (c->body);
+  if (c->listener->limits.memory == NULL || (size == 0 && c->memory == NULL))
+    return true;
+  bool first = c->memory == NULL && size <= MEMORY_SMALL_BODY_BYTES;
+  if (first && !reserve (c, size))
+    return false;
+  if (c->memory == NULL)
+    return true;
+  memory_body_settle (c->memory, size);
+  record_memory (c->listener->limits.memory);
+  schedule_recheck (c->listener);
+  return true;
+}
+
+/* Whether the body of C has large memory and makes no progress at NOW_MS.  */
+static bool
+is_stalled (struct http_listener_conn *c, int64_t now_ms)
+{
+  size_t bytes = evbuffer_get_length (c->body);
+  if (c->state != CONN_READING || c->memory == NULL
+      || !memory_body_is_large (c->memory))
+    {
+      c->stall_ms = 0;
+      return false;
+    }
+  if (c->stall_ms == 0 || bytes >= c->stall_bytes + PROGRESS_BYTES
+      || bytes < c->stall_bytes)
+    {
+      c->stall_ms = now_ms;
+      c->stall_bytes = bytes;
+    }
+  return now_ms - c->stall_ms >= c->listener->limits.stall_ms;
+}
+
+/* While bodies wait for memory, refuses those that have it and make no
+   progress.  */
+static void
+refuse_stalled (struct http_listener *f)
+{
+  int64_t now_ms = clock_ms ();
+  g_autoptr (GList) conns = g_hash_table_get_keys (f->conns);
+  for (GList *l = conns; l; l = l->next)
+    {
+      struct http_listener_conn *c = l->data;
+      if (!is_stalled (c, now_ms))
+        continue;
+      metrics_add (METRIC_bodies_stalled_total, 1);
+      log_event (LOG_WARN, "body_stalled", "bytes",
+                 log_num ((long long)c->stall_bytes), "reserved_bytes",
+                 log_num ((long long)memory_body_reserved (c->memory)), NULL);
+      http_conn_refuse (c, 408,
+                        "the request body made no progress while others wait");
+    }
+}
+
+/* Reads C again, whose body got memory.  */
+static void
+resume (struct http_listener_conn *c)
+{
+  c->waits_for_memory = false;
+  c->stall_ms = 0;
+  start_large (c);
+  bufferevent_enable (c->bev, EV_READ);
+  if (evbuffer_get_length (c->body) == 0)
+    http_conn_send_continue (c);
+  http_conn_read (c);
+}
+
+bool
+http_body_recheck (struct http_listener *f)
+{
+  struct memory_budget *b = f->limits.memory;
+  if (b == NULL || memory_budget_bodies_waiting (b) == 0)
+    return false;
+  if (f->limits.stall_ms > 0)
+    refuse_stalled (f);
+  for (;;)
+    {
+      struct http_listener_conn *c = memory_budget_next (b);
+      if (c == NULL)
+        break;
+      resume (c);
+    }
+  record_memory (b);
+  return memory_budget_bodies_waiting (b) > 0;
+}
--- /dev/null
+++ b/src/links/http_listener_conn.h
@@ -0,0 +1,117 @@
+/** @file
+    Listener and connections of callers.  Private to the source files of the
+    listener.  */
+#ifndef LINKS_HTTP_LISTENER_CONN_H
+#define LINKS_HTTP_LISTENER_CONN_H
+
+#include "links/http_listener.h"
+
+#include <event2/bufferevent.h>
+#include <event2/listener.h>
+
+enum conn_state
+{
+  CONN_IDLE,       /* no byte of the next request has arrived */
+  CONN_READING,    /* a request is incomplete */
+  CONN_RESPONDING, /* the request is complete, its response is not */
+  CONN_FLUSHING,   /* the last response of the connection is being written */
+  CONN_LINGERING   /* the sending side is shut down, close follows */
+};
+
+struct http_listener
+{
+  struct event_base *base;
+  struct evconnlistener *listener;
+  struct http_listener_limits limits;
+  const struct http_listener_callbacks *callbacks;
+  void *arg;
+  GHashTable *conns;      /* set of struct http_listener_conn */
+  unsigned descriptors;   /* that callers' connections may use */
+  struct event *recheck;  /* accepts again, and lets bodies go on */
+  bool recheck_scheduled; /* lets bodies go on as soon as possible */
+  unsigned open_requests;
+  bool draining;
+};
+
+struct http_listener_conn;
+
+struct inbound_request
+{
+  struct http_listener_conn *conn;
+  void (*on_close) (void *);
+  void *on_close_arg;
+  void (*on_drained) (void *);
+  void *on_drained_arg;
+  enum http_framing framing;
+};
+
+struct http_listener_conn
+{
+  struct http_listener *listener;
+  struct bufferevent *bev;
+  struct event *timer;
+  struct http_codec *codec;
+  struct evbuffer *body; /* of the current request */
+  enum conn_state state;
+  struct inbound_request request;
+  int64_t request_start_ms;  /* first byte of the current request */
+  size_t unwritten;          /* bytes of responses not written, when checked */
+  int64_t progress_ms;       /* when UNWRITTEN last changed */
+  bool close_after_response; /* close after the current response */
+  bool head_written;         /* of the current response */
+  bool late_input;   /* the read time-out was put off for unread input */
+  size_t late_bytes; /* bytes of the request when it was */
+  bool in_conn_read; /* keeps conn_next_request from calling conn_read again */
+  unsigned requests; /* complete ones so far */
+  int64_t since_ms;  /* idle, or accepted, since then */
+  struct memory_body *memory; /* of the current request; NULL for none yet */
+  bool waits_for_memory;      /* its body is not read */
+  bool ahead_paused;          /* pipelined input is not read */
+  size_t stall_bytes;         /* of the body, at STALL_MS */
+  int64_t stall_ms;           /* when it last made progress; 0: not seen */
+};
+
+/** The response of C has been passed completely to the output buffer.  */
+void http_conn_end_response (struct http_listener_conn *c);
+/** Sends the error response STATUS and closes the connection after it.  */
+void http_conn_refuse (struct http_listener_conn *c, unsigned status,
+                       const char *reason);
+/** Frees C.  */
+void http_conn_free (struct http_listener_conn *c);
+/** Frees C, and notifies the handler of a request without a complete
+    response.  */
+void http_conn_lost (struct http_listener_conn *c);
+/** Parses the input of C up to a request that waits for its response.  May
+    free C.  */
+void http_conn_read (struct http_listener_conn *c);
+/** Checks the bodies that wait for memory after a short time.  */
+void http_listener_recheck_later (struct http_listener *f);
+/** Sends 100 Continue if the caller waits for it before it sends the body.  */
+void http_conn_send_continue (struct http_listener_conn *c);
+
+/* Memory of request bodies (http_listener_body.c).  */
+
+/** Reserves memory for the part of a request that is read and the next part.
+    Returns false if C was refused.  Stops reading while C waits.  */
+bool http_body_claim (struct http_listener_conn *c);
+/** The request of C is complete.  Returns false if there is no memory for
+    it and C was refused.  */
+bool http_body_complete (struct http_listener_conn *c);
+/** The request of C has ended, or is refused: drops its body.  */
+void http_body_end (struct http_listener_conn *c);
+/** Lets bodies go on for which there is memory now, and refuses those that
+   make no progress while others wait.  Returns whether any waits still.  */
+bool http_body_recheck (struct http_listener *f);
+
+/* Bound of the connections (http_listener_bound.c).  */
+
+/** Returns how many descriptors callers' connections may use.  */
+unsigned http_bound_descriptors (void);
+/** Makes room for one more connection of F by closing one that does nothing,
+    if the bound is reached.  Returns false if there is none.  */
+bool http_bound_make_room (struct http_listener *f);
+/** Closes a connection of F that does nothing.  Returns false if there is
+    none.  */
+bool http_bound_close_one (struct http_listener *f);
+
+#endif
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -464,6 +464,7 @@
   evbuffer_add_cb (bufferevent_get_output (c->bev), on_output_drained, c);
   bufferevent_setcb (c->bev, on_readable, NULL, on_event, c);
   bufferevent_setwatermark (c->bev, EV_READ, 0, READ_AHEAD_BYTES);
+  bufferevent_set_max_single_read (c->bev, HTTP_READ_BYTES);
   h->pool->counts.opened++;
   if (!conn_connect (c))
     {
