--- a/src/base/settings.c
+++ b/src/base/settings.c
@@ -126,6 +126,10 @@
              GHashTable *file_values, struct settings *s)
 {
   const char *text = flag;
+  /* An empty number counts as not given: a template for the command line
+     leaves it empty where it has no value.  */
+  if (text && text[0] == '\0' && def->kind != SETTING_STR)
+    text = NULL;
   if (text == NULL)
     text = g_getenv (def->env);
   if (text == NULL)
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -103,18 +103,26 @@
 
 /* Updates of routes and upstreams.  */
 
+/* Limits of the listener for callers, with those that L states.  */
+static struct http_listener_limits
+listener_limits (const struct gateway *g, const struct caller_limits *l)
+{
+  const struct settings *s = g->settings;
+  return (struct http_listener_limits){
+    .head_bytes = l->head_bytes ? l->head_bytes : DEFAULT_HEAD_BYTES,
+    .body_bytes = l->body_bytes ? l->body_bytes : s->max_body_bytes,
+    .read_ms = l->read_ms ? l->read_ms : DEFAULT_READ_MS,
+    .idle_ms = l->idle_ms ? l->idle_ms : DEFAULT_IDLE_MS,
+    .connections = (unsigned)s->max_connections,
+    .stall_ms = (unsigned)s->upload_stall_ms,
+    .memory = g->memory
+  };
+}
+
 static void
 set_caller_limits (struct gateway *g, const struct caller_limits *l)
 {
-  struct http_listener_limits limits
-      = { .head_bytes = l->head_bytes ? l->head_bytes : DEFAULT_HEAD_BYTES,
-          .body_bytes
-          = l->body_bytes ? l->body_bytes : g->settings->max_body_bytes,
-          .read_ms = l->read_ms ? l->read_ms : DEFAULT_READ_MS,
-          .idle_ms = l->idle_ms ? l->idle_ms : DEFAULT_IDLE_MS,
-          .connections = (unsigned)g->settings->max_connections,
-          .stall_ms = (unsigned)g->settings->upload_stall_ms,
-          .memory = g->memory };
+  struct http_listener_limits limits = listener_limits (g, l);
   http_listener_set_limits (g->callers, &limits);
 }
 
@@ -416,14 +424,8 @@
 open_listeners (struct gateway *g, GError **error)
 {
   const struct settings *s = g->settings;
-  struct http_listener_limits callers
-      = { .head_bytes = DEFAULT_HEAD_BYTES,
-          .body_bytes = s->max_body_bytes,
-          .read_ms = DEFAULT_READ_MS,
-          .idle_ms = DEFAULT_IDLE_MS,
-          .connections = (unsigned)s->max_connections,
-          .stall_ms = (unsigned)s->upload_stall_ms,
-          .memory = g->memory };
+  static const struct caller_limits none;
+  struct http_listener_limits callers = listener_limits (g, &none);
   struct http_listener_limits control_limits
       = { .head_bytes = CONTROL_HEAD_BYTES,
           .body_bytes = CONTROL_BODY_BYTES,
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -479,6 +479,8 @@
   f->callbacks = callbacks;
   f->arg = arg;
   f->conns = g_hash_table_new (NULL, NULL);
+  if (limits->memory)
+    memory_budget_set_largest (limits->memory, limits->body_bytes);
   f->listener = evconnlistener_new_bind (
       base, on_accept, f, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof sa);
--- a/tests/unit/test_listener.c
+++ b/tests/unit/test_listener.c
@@ -447,6 +447,160 @@
   world_destroy (w);
 }
 
+/* Memory of request bodies, and the limit of connections.  */
+
+#define LARGE_BODY_BYTES 60000
+/* Room for one large body.  */
+#define BUDGET_BYTES 100000
+#define STALL_MS 300
+#define LONG_READ_MS 5000
+#define FEW_CONNECTIONS 8
+#define RESPONSE_READS_MAX 100
+#define LARGE_HEAD                                                            \
+  "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 60000\r\n\r\n"
+
+static struct memory_budget *
+limit_memory (struct world *w)
+{
+  struct memory_budget *b = memory_budget_create (BUDGET_BYTES);
+  struct http_listener_limits limits = default_limits ();
+  limits.body_bytes = LARGE_BODY_BYTES;
+  limits.read_ms = LONG_READ_MS;
+  limits.idle_ms = LONG_READ_MS;
+  limits.stall_ms = STALL_MS;
+  limits.memory = b;
+  http_listener_set_limits (w->listener, &limits);
+  return b;
+}
+
+static void
+check_response (struct world *w, int fd, const char *start)
+{
+  GString *response = caller_read (w, fd, 50);
+  for (unsigned i = 0; response->len == 0 && i < RESPONSE_READS_MAX; i++)
+    {
+      g_string_free (response, TRUE);
+      response = caller_read (w, fd, 50);
+    }
+  g_assert_true (g_str_has_prefix (response->str, start));
+  g_string_free (response, TRUE);
+}
+
+/* A large body waits in the socket while another one has the memory, and is
+   read once that is answered.  A small one does not wait.  */
+static void
+test_body_waits_for_memory (void)
+{
+  struct world *w = world_create ();
+  struct memory_budget *b = limit_memory (w);
+  g_autofree char *body = g_strnfill (LARGE_BODY_BYTES, 'x');
+  int first = caller_connect (w), second = caller_connect (w),
+      small = caller_connect (w);
+  caller_send (first, LARGE_HEAD);
+  run (w, 20);
+  caller_send (second, LARGE_HEAD);
+  caller_send (second, body);
+  run (w, 50);
+  g_assert_cmpuint (memory_budget_bodies_waiting (b), ==, 1);
+  g_assert_cmpuint (memory_budget_bodies (b), <, BUDGET_BYTES);
+  caller_send (small, "POST /a HTTP/1.1\r\nHost: h\r\n"
+                      "Content-Length: 3\r\n\r\nabc");
+  check_response (w, small, "HTTP/1.1 200");
+  g_assert_cmpuint (w->requests, ==, 1);
+  caller_send (first, body);
+  check_response (w, first, "HTTP/1.1 200");
+  check_response (w, second, "HTTP/1.1 200");
+  g_assert_cmpuint (w->requests, ==, 3);
+  close (first);
+  close (second);
+  close (small);
+  run (w, 20);
+  g_assert_cmpuint (memory_budget_bodies (b), ==, 0);
+  world_destroy (w);
+  memory_budget_destroy (b);
+}
+
+/* A body that stops loses its memory to one that waits; alone it keeps it.  */
+static void
+test_stalled_body_is_refused (void)
+{
+  struct world *w = world_create ();
+  struct memory_budget *b = limit_memory (w);
+  g_autofree char *body = g_strnfill (LARGE_BODY_BYTES, 'x');
+  int first = caller_connect (w), second = caller_connect (w);
+  caller_send (first, LARGE_HEAD);
+  run (w, 3 * STALL_MS);
+  g_assert_cmpuint (memory_budget_bodies (b), ==, LARGE_BODY_BYTES);
+  caller_send (second, LARGE_HEAD);
+  caller_send (second, body);
+  run (w, 4 * STALL_MS);
+  check_response (w, first, "HTTP/1.1 408");
+  check_response (w, second, "HTTP/1.1 200");
+  g_assert_cmpuint (w->requests, ==, 1);
+  close (first);
+  close (second);
+  world_destroy (w);
+  memory_budget_destroy (b);
+}
+
+/* Callers that are silent, or amid their first head, give way to new ones at
+   the limit of connections.  */
+static void
+test_silent_callers_give_way (void)
+{
+  struct world *w = world_create ();
+  struct http_listener_limits limits = default_limits ();
+  int silent[FEW_CONNECTIONS];
+  limits.read_ms = LONG_READ_MS;
+  limits.idle_ms = LONG_READ_MS;
+  limits.connections = FEW_CONNECTIONS;
+  http_listener_set_limits (w->listener, &limits);
+  for (unsigned i = 0; i < FEW_CONNECTIONS; i++)
+    {
+      silent[i] = caller_connect (w);
+      if (i % 2 == 0)
+        caller_send (silent[i], "GET /a HTTP");
+    }
+  run (w, 300);
+  g_assert_cmpuint (http_listener_connections (w->listener), ==,
+                    FEW_CONNECTIONS);
+  int fd = caller_connect (w);
+  caller_send (fd, REQUEST);
+  check_response (w, fd, "HTTP/1.1 200");
+  g_assert_cmpuint (http_listener_connections (w->listener), <=,
+                    FEW_CONNECTIONS);
+  for (unsigned i = 0; i < FEW_CONNECTIONS; i++)
+    close (silent[i]);
+  close (fd);
+  world_destroy (w);
+}
+
+/* A chunk line or a trailer without end is refused, whatever a body may
+   have.  */
+static void
+test_endless_framing_is_refused (void)
+{
+  static const char *const starts[] = { "5;a=", "0\r\nA: " };
+  for (size_t i = 0; i < G_N_ELEMENTS (starts); i++)
+    {
+      struct world *w = world_create ();
+      g_autofree char *part = g_strnfill (3000, 'x');
+      int fd = caller_connect (w);
+      caller_send (fd, "POST /a HTTP/1.1\r\nHost: h\r\n"
+                       "Transfer-Encoding: chunked\r\n\r\n");
+      caller_send (fd, starts[i]);
+      for (unsigned k = 0; k < 3; k++)
+        {
+          caller_send (fd, part);
+          run (w, 10);
+        }
+      check_response (w, fd, "HTTP/1.1 400");
+      g_assert_cmpuint (w->requests, ==, 0);
+      close (fd);
+      world_destroy (w);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -473,5 +627,13 @@
   g_test_add_func ("/listener/pipelined-request-in-drain",
                    test_pipelined_request_in_drain);
   g_test_add_func ("/listener/limits-change", test_limits_change);
+  g_test_add_func ("/listener/body-waits-for-memory",
+                   test_body_waits_for_memory);
+  g_test_add_func ("/listener/stalled-body-is-refused",
+                   test_stalled_body_is_refused);
+  g_test_add_func ("/listener/silent-callers-give-way",
+                   test_silent_callers_give_way);
+  g_test_add_func ("/listener/endless-framing-is-refused",
+                   test_endless_framing_is_refused);
   return g_test_run ();
 }
