--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -212,7 +212,8 @@
 on_bad_request (void *arg, unsigned status, const char *reason)
 {
   (void)arg;
-  metrics_add (METRIC_bad_requests_total, 1);
+  metrics_add (
+      status == 503 ? METRIC_not_run_total : METRIC_bad_requests_total, 1);
   log_event (LOG_WARN, "request_refused", "status", log_num (status), "reason",
              reason, NULL);
   return NULL;
--- a/src/decide/memory_budget.c
+++ b/src/decide/memory_budget.c
@@ -2,15 +2,21 @@
 
 #include <glib.h>
 
+#define BYTES_PER_MB ((size_t)1024 * 1024)
 /* Part of the total for responses, and parts of the rest for small bodies and
-   for what waiting bodies have already read.  */
+   for what waiting bodies have already read, each up to a bound: more of these
+   gain nothing by it.  */
 #define RESPONSES_FRACTION 0.4
+#define RESPONSES_MAX_BYTES (32 * BYTES_PER_MB)
 #define SMALL_BODIES_FRACTION 0.125
 #define WAITING_BODIES_FRACTION 0.125
-#define BYTES_PER_MB ((size_t)1024 * 1024)
-/* Part of a machine's memory; the rest is for the program, its connections and
-   what the allocator cannot reuse.  */
+#define BODY_PART_MAX_BYTES (4 * BYTES_PER_MB)
+/* Total of a machine: half of its memory, or 3/4 of what is beyond 48 MB if
+   that is more.  The rest is for the program, its connections and what the
+   allocator cannot reuse, up to half as much as the total.  */
 #define MACHINE_FRACTION 0.5
+#define PROGRAM_MB 48.0
+#define LARGE_MACHINE_FRACTION 0.75
 #define DEFAULT_MACHINE_MB 160
 
 /* Where the memory of a body is counted.  */
@@ -24,7 +30,6 @@
 
 struct memory_budget
 {
-  size_t total;
   size_t limits[POOL_COUNT];
   size_t used[POOL_COUNT];
   size_t largest;        /* size of the largest body, set apart for FIRST */
@@ -48,15 +53,22 @@
   GSequenceIter *place; /* in the queue; NULL if it does not wait */
 };
 
+static size_t
+part_of (size_t bytes, double fraction, size_t most)
+{
+  return MIN ((size_t)((double)bytes * fraction), most);
+}
+
 struct memory_budget *
 memory_budget_create (size_t total)
 {
   struct memory_budget *b = g_new0 (struct memory_budget, 1);
-  b->total = total;
-  b->response_limit = (size_t)((double)total * RESPONSES_FRACTION);
+  b->response_limit = part_of (total, RESPONSES_FRACTION, RESPONSES_MAX_BYTES);
   size_t bodies = total - b->response_limit;
-  b->limits[POOL_SMALL] = (size_t)((double)bodies * SMALL_BODIES_FRACTION);
-  b->limits[POOL_WAITING] = (size_t)((double)bodies * WAITING_BODIES_FRACTION);
+  b->limits[POOL_SMALL]
+      = part_of (bodies, SMALL_BODIES_FRACTION, BODY_PART_MAX_BYTES);
+  b->limits[POOL_WAITING]
+      = part_of (bodies, WAITING_BODIES_FRACTION, BODY_PART_MAX_BYTES);
   b->limits[POOL_LARGE]
       = bodies - b->limits[POOL_SMALL] - b->limits[POOL_WAITING];
   b->queue = g_sequence_new (NULL);
@@ -75,8 +87,10 @@
 size_t
 memory_budget_total_of (uint64_t memory_mb)
 {
-  uint64_t mb = memory_mb > 0 ? memory_mb : DEFAULT_MACHINE_MB;
-  return (size_t)((double)(mb * BYTES_PER_MB) * MACHINE_FRACTION);
+  double mb = memory_mb > 0 ? (double)memory_mb : DEFAULT_MACHINE_MB;
+  double half = mb * MACHINE_FRACTION;
+  double large = (mb - PROGRAM_MB) * LARGE_MACHINE_FRACTION;
+  return (size_t)(MAX (half, large) * (double)BYTES_PER_MB);
 }
 
 /* Responses.  */
--- a/src/decide/memory_budget.h
+++ b/src/decide/memory_budget.h
@@ -4,9 +4,9 @@
     whatever callers and upstreams do.  No I/O, no clock.
 
     Responses: every response in progress may use an equal share of 2/5 of the
-    total.
+    total, at most of 32 MB.
 
-    Bodies take the other 3/5.  A body reserves memory before it is read
+    Bodies take the rest.  A body reserves memory before it is read
     (memory_body_grow), all of it at once if its length is known.  Bodies of at
     most MEMORY_SMALL_BODY_BYTES have a part of their own, so that they do not
     wait for larger ones.  Larger ones wait for memory in the order of their
