Merge memory for uploads; answers cost only short prompts

Cause: since the answer of a long prompt was costed, too, with up to 1 s at engines that are not reserved, so that long prompts avoided them.

--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -59,6 +59,7 @@
 
   struct http_client *http;
   struct kv *kv;
+  struct memory_budget *memory; /* of bodies and responses of callers */
   struct pool *pool;
   struct upstreams *upstreams;
   struct retry_buckets *retries;
@@ -107,16 +108,26 @@
 
 /* Updates of routes and upstreams.  */
 
+/* Limits of the listener for callers, with those that L states.  */
+static struct http_listener_limits
+listener_limits (const struct gateway *g, const struct caller_limits *l)
+{
+  const struct settings *s = g->settings;
+  return (struct http_listener_limits){
+    .head_bytes = l->head_bytes ? l->head_bytes : DEFAULT_HEAD_BYTES,
+    .body_bytes = l->body_bytes ? l->body_bytes : s->max_body_bytes,
+    .read_ms = l->read_ms ? l->read_ms : DEFAULT_READ_MS,
+    .idle_ms = l->idle_ms ? l->idle_ms : DEFAULT_IDLE_MS,
+    .connections = (unsigned)s->max_connections,
+    .stall_ms = (unsigned)s->upload_stall_ms,
+    .memory = g->memory
+  };
+}
+
 static void
 set_caller_limits (struct gateway *g, const struct caller_limits *l)
 {
-  struct http_listener_limits limits
-      = { .head_bytes = l->head_bytes ? l->head_bytes : DEFAULT_HEAD_BYTES,
-          .body_bytes
-          = l->body_bytes ? l->body_bytes : g->settings->max_body_bytes,
-          .read_ms = l->read_ms ? l->read_ms : DEFAULT_READ_MS,
-          .idle_ms = l->idle_ms ? l->idle_ms : DEFAULT_IDLE_MS,
-          .connections = (unsigned)g->settings->max_connections };
+  struct http_listener_limits limits = listener_limits (g, l);
   http_listener_set_limits (g->callers, &limits);
 }
 
@@ -400,12 +411,8 @@
 open_listeners (struct gateway *g, GError **error)
 {
   const struct settings *s = g->settings;
-  struct http_listener_limits callers
-      = { .head_bytes = DEFAULT_HEAD_BYTES,
-          .body_bytes = s->max_body_bytes,
-          .read_ms = DEFAULT_READ_MS,
-          .idle_ms = DEFAULT_IDLE_MS,
-          .connections = (unsigned)s->max_connections };
+  static const struct caller_limits none;
+  struct http_listener_limits callers = listener_limits (g, &none);
   struct http_listener_limits control_limits
       = { .head_bytes = CONTROL_HEAD_BYTES,
           .body_bytes = CONTROL_BODY_BYTES,
@@ -493,6 +500,7 @@
   g->regions = domains_parse (s->domains);
   g->http = http_client_create (g->base);
   g->kv = g->platform->open_kv (g->base, g->http, s->kv);
+  g->memory = memory_budget_create (memory_budget_total_of (s->memory_mb));
   g->pool = pool_create (g->base);
   g->upstreams = upstreams_create (&place);
   g->retries = retry_buckets_create (&bounds, clock_ms ());
@@ -519,6 +527,7 @@
       = { .base = g->base,
           .requests = g->platform->requests,
           .pool = g->pool,
+          .memory = g->memory,
           .upstreams = g->upstreams,
           .statements = vm_registry_statements (g->vm_registry),
           .retries = g->retries,
@@ -611,6 +620,7 @@
   http_listener_destroy (g->ready);
   http_listener_destroy (g->entry);
   http_listener_destroy (g->metrics);
+  memory_budget_destroy (g->memory);
   pool_destroy (g->pool);
   kv_destroy (g->kv);
   http_client_destroy (g->http);
--- a/src/daemon/prefill_split_link.c
+++ b/src/daemon/prefill_split_link.c
@@ -144,15 +144,14 @@
 log_order (const struct prefill_split_link *l, const struct order *o)
 {
   const struct prefill_split_inputs *in = &l->inputs;
-  log_event (LOG_INFO, "order", "engine", o->engine, "role", role_name (o->to),
-             "fencing", log_num ((long long)lease_link_fence (l->lease)),
-             "engines", log_num (in->engines), "readers",
-             log_num (in->prefill_engines), "wanted",
-             log_num (in->wanted_prefill_engines), "reading_pct",
-             log_num ((long long)(in->prefill_demand * 100)), "uncached_pct",
-             log_num ((long long)(in->uncached_demand * 100)),
-             "generating_pct", log_num ((long long)(in->decode_demand * 100)),
-             NULL);
+  log_event (
+      LOG_INFO, "order", "engine", o->engine, "role", role_name (o->to),
+      "fencing", log_num ((long long)lease_link_fence (l->lease)), "engines",
+      log_num (in->engines), "readers", log_num (in->prefill_engines),
+      "wanted", log_num (in->wanted_prefill_engines), "reading_pct",
+      log_num ((long long)(in->prefill_demand * 100)), "uncached_pct",
+      log_num ((long long)(in->uncached_demand * 100)), "generating_pct",
+      log_num ((long long)(in->decode_demand * 100)), NULL);
 }
 
 /* Sends the order O to the engine INFO on a new connection.  Returns NULL if
--- a/src/daemon/proxy_parts.h
+++ b/src/daemon/proxy_parts.h
@@ -8,6 +8,7 @@
 #include "decide/retry_bucket.h"
 #include "daemon/upstream_statements.h"
 #include "daemon/usage_link.h"
+#include "decide/memory_budget.h"
 #include "decide/prefill_split.h"
 #include "decide/upstreams.h"
 #include "links/platform.h"
@@ -24,6 +25,7 @@
       (links/default_request_ops).  */
   const struct request_ops *requests;
   struct pool *pool;
+  struct memory_budget *memory; /**< of bodies and responses of callers */
   struct upstreams *upstreams;
   struct upstream_statements *statements;
   struct retry_buckets *retries;
--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -189,14 +189,16 @@
 };
 
 /* Returns the cost of the answer at X after its first event, which is expected
-   after FIRST_MS, if the request is placed by its answer.  */
+   after FIRST_MS, if the request is placed by its answer.  A long prompt is
+   not: its prefill is most of its work, and costs that keep it off the engines
+   that are not reserved would leave it the reserved engines' links only.  */
 static double
 stream_cost (const struct search *s, const struct upstream *x,
              const struct upstream_load *load, double first_ms,
              struct upstream_choice *out)
 {
   const struct prompt *p = s->request->prompt;
-  if (s->request->stream == NULL)
+  if (s->request->stream == NULL || placement_is_long_prompt (p))
     return 0;
   uint64_t part = p && p->n_parts > 0 ? p->parts[p->n_parts - 1].id : 0;
   return placement_estimate_stream (s->u, x, s->request->stream, load,
