Duties: a lost lease or a call that could not start; usage: a receiver's place that ends; a stall ends with its request

Cause, found by a review of the code: a holder without a connection kept the time since it reached nobody over the loss of its lease, and then yielded at once; a call that could not be started counted as one that had reached the platform; a place of this VM itself kept the receiver of before, which then got only 3 s of counts; a stall was measured over two requests of a connection.

--- a/src/daemon/duty_calls.c
+++ b/src/daemon/duty_calls.c
@@ -103,7 +103,8 @@
   (void)fd;
   (void)what;
   c->status = DUTY_NOT_SENT;
-  c->unreached = c->call && !pool_call_bytes_sent (c->call);
+  /* A call that could not be started has reached nobody either.  */
+  c->unreached = c->call == NULL || !pool_call_bytes_sent (c->call);
   call_end (c);
 }
 
--- a/src/daemon/duty_link.c
+++ b/src/daemon/duty_link.c
@@ -205,6 +205,7 @@
     l->was_begun = l->begun;
   end_duties (l);
   l->held = held;
+  duty_calls_forget_unreached (l->calls);
   metrics_set (METRIC_duty_holder, held);
   l->restores = l->parts.kv->restores;
   l->tenure++;
--- a/src/daemon/usage_link.c
+++ b/src/daemon/usage_link.c
@@ -141,7 +141,11 @@
       const struct member *m
           = rank_order_at (l->parts.peers.members, self->info.region, place);
       if (m == NULL || m == self)
-        continue;
+        {
+          /* Whoever comes to this place later has not got the counts.  */
+          g_clear_pointer (&l->receivers[place].vm, g_free);
+          continue;
+        }
       bool is_new = now - note_receiver (l, place, m, now) < NEW_RECEIVER_MS;
       send_windows (l, m, time - (is_new ? late_ms (l) : REPEAT_MS), time);
     }
--- a/src/links/http_listener_body.c
+++ b/src/links/http_listener_body.c
@@ -45,6 +45,7 @@
 {
   evbuffer_drain (c->body, evbuffer_get_length (c->body));
   c->waits_for_memory = false;
+  c->stall_ms = 0;
   if (c->memory == NULL)
     return;
   memory_body_release (c->memory);
