Comments: indentation, and plainer wording for newcomers

Cause: continuation lines of many block comments had lost one column, and some comments used idioms ("to be had", "what became of") or left out what they spoke of. Ruled out: changes to code or identifiers; with comments and white space removed, each source file is the same as before. Result: make builds; check-names, check-includes and check-circles print nothing.

--- a/src/daemon/domains.h
+++ b/src/daemon/domains.h
@@ -6,7 +6,7 @@
 #include <glib.h>
 
 /** Parses DOMAIN=REGION,... and skips entries without '='.  Returns the
-   regions by domain, to be released with g_hash_table_destroy.  */
+    regions by domain, to be released with g_hash_table_destroy.  */
 GHashTable *domains_parse (const char *text);
 
 #endif
--- a/src/daemon/duty_calls.c
+++ b/src/daemon/duty_calls.c
@@ -7,8 +7,8 @@
 
 /* Pause after the platform refused a call as it is busy or over its rate.  */
 #define BUSY_PAUSE_MS 500
-/* The rate limit counts the calls of this time: a second, and what two calls
-   may differ in the time that they take to arrive.  */
+/* Span over which calls are counted for the rate limit: one second, and the
+   most by which the transit times of two calls may differ.  */
 #define RATE_SPAN_MS 1100
 
 /* An attempt to connect that fails after this time or later got no answer.  */
@@ -33,7 +33,7 @@
   struct pool_call *call; /* NULL if the call was not started */
   struct event *timer;
   unsigned status;
-  int64_t started_ms; /* 0: it was not */
+  int64_t started_ms; /* 0 if the call was not started */
   bool unreached;     /* no connection was established */
   void (*cb) (void *arg, unsigned status);
   void *arg;
@@ -90,7 +90,7 @@
   c->call = NULL;
   if (end != POOL_COMPLETE)
     c->status = DUTY_NOT_SENT;
-  /* A refused connection ends at once.  */
+  /* A refused connection ends earlier, and counts as reached.  */
   c->unreached = end == POOL_NOT_SENT
                  && clock_boot_ms () - c->started_ms >= UNREACHED_MIN_MS;
   call_end (c);
--- a/src/daemon/duty_calls.h
+++ b/src/daemon/duty_calls.h
@@ -1,7 +1,7 @@
 /** @file
     HTTP calls to the platform's control address: their rate, their time-out
-   and the pause while the platform is busy.  daemon/duty_link decides when a
-   call may be made.  */
+    and the pause while the platform is busy.  daemon/duty_link decides when a
+    call may be made.  */
 #ifndef DAEMON_DUTY_CALLS_H
 #define DAEMON_DUTY_CALLS_H
 
@@ -50,12 +50,12 @@
 bool duty_calls_must_wait (const struct duty_calls *l, int64_t now_ms);
 
 /** How long the platform has not been reached at NOW_MS: since the start of
-   the first call after the last one that got a connection; 0 if there is none.
-   A platform that is slow, or refuses connections, counts as reached: other
-   VMs would do no better.  */
+    the first call after the last one that got a connection; 0 if there is
+    none.  A platform that is slow, or refuses connections, counts as reached:
+    other VMs would do no better.  */
 int64_t duty_calls_unreached_ms (const struct duty_calls *l, int64_t now_ms);
 
-/** Counts that time anew, from the next call on.  */
+/** Restarts the time of duty_calls_unreached_ms with the next call.  */
 void duty_calls_forget_unreached (struct duty_calls *l);
 
 #endif
--- a/src/daemon/duty_link.h
+++ b/src/daemon/duty_link.h
@@ -4,8 +4,8 @@
     holds the lease of all duties (daemon/lease_link, decide/order_lease) under
     a key of its own.
 
-    The platform does not check the fencing token, so that what is safe rests
-   on the lease alone.  What may go wrong, and why the calls are safe:
+    The platform does not check the fencing token, so that safety depends on
+    the lease alone.  Possible faults, and why the calls are safe:
 
     - Another VM became the holder.  Each batch of calls follows a conditional
       write of the lease's key that began less than ORDER_LEASE_SEND_WITHIN_MS
@@ -13,25 +13,26 @@
       transaction writes the duties' records, so that records of a VM that lost
       the lease are not written either.
     - A response to the renewal comes late, or the process was paused, also
-   with its machine: the time of the renewal is that of its start, by a clock
-   that runs on meanwhile (clock_boot_ms).  The duties are asked again.
+      with its machine: the time of the renewal is that of its start, by a
+      clock that runs on meanwhile (clock_boot_ms).  The duties are asked
+      again.
     - A call is late.  It ends, with its connection, DUTY_TIMEOUT_MS after it
-   was started, and bytes that the platform does not acknowledge are given up
-      POOL_UNACKED_MS later.  A new holder starts calls no earlier than the
+      was started, and bytes that the platform does not acknowledge are given
+      up POOL_UNACKED_MS later.  A new holder starts calls no earlier than the
       lease time, at least DUTY_LEASE_MIN_MS, after its predecessor may have
       started the last one.
     - The first VM is cut off from the store or the platform, and the others
-   are not.  The VM that ranks second acquires the lease if nobody renews it
-   for some time longer, and keeps it until it no longer ranks second.  A
-   holder whose calls get no connection releases the lease and lets another one
-   try.
+      are not.  The VM that ranks second acquires the lease if nobody renews it
+      for some time longer, and keeps it until it no longer ranks second.  A
+      holder whose calls get no connection releases the lease and lets another
+      one try.
     - The store does not respond: the holder sends nothing.  If it is unknown
       whether a renewal was applied, the holder reads the key: if it still
-   names the holder, no other VM has acquired it.
+      names the holder, no other VM has acquired it.
     - The store was restored from a copy: revisions after it are higher than
-   all before, so that the fencing token rises.  The holder loses the lease,
-   and whoever acquires it waits as above.  Records may be of an older state;
-      each duty has to allow for that (see kv.era).
+      all before, so that the fencing token rises.  The holder loses the lease,
+      and whoever acquires it waits as above.  Records may be of an older
+      state; each duty has to allow for that (see kv.era).
     - A successor reads the records after it has acquired the lease, when no
       other VM can write them, and calls begin after it has read all.  */
 #ifndef DAEMON_DUTY_LINK_H
@@ -109,8 +110,8 @@
 void duty_link_set_lease (struct duty_link *l, int64_t lease_ms);
 
 /** Whether this VM, the holder, already was when the store was last restored,
-   so that no other VM can have sent what the store has lost.  A VM that became
-   the holder since then has written its record in the new era.  */
+    so that no other VM can have sent what the store has lost.  A VM that
+    became the holder since then has written its record in the new era.  */
 bool duty_link_is_resumed (const struct duty_link *l);
 
 /** Whether the platform's address is set.  */
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -51,12 +51,12 @@
   struct token_queue *waiting;  /* requests that wait for a token */
   struct response_times *times; /* longest responses of each route */
   struct work_estimates *work;  /* events of the answers of each route */
-  size_t most_used;             /* of the memory budget, since it was last
-                                   returned to the system */
-  int64_t trimmed_ms;           /* when that was */
-  struct event *timer;          /* checks for unresponsive upstreams */
-  int64_t usage_logged_ms;      /* when the retry budgets were last logged */
-  int64_t shutdown_from_ms;     /* FROM_MS of proxy_set_shutdown, or 0 */
+  size_t most_used;   /* highest use of the memory budget since memory was last
+                         returned to the system */
+  int64_t trimmed_ms; /* when that was */
+  struct event *timer;      /* checks for unresponsive upstreams */
+  int64_t usage_logged_ms;  /* when the retry budgets were last logged */
+  int64_t shutdown_from_ms; /* FROM_MS of proxy_set_shutdown, or 0 */
   int64_t end_ms; /* END_MS of proxy_set_shutdown; 0: VM not stopping */
 };
 
@@ -234,7 +234,7 @@
 /* Limits of requests a second.  */
 
 /** Takes a token for H, if H is limited, in place of the one HELD; HELD is
-   then 0 or H.  Returns false if there is none.  */
+    then 0 or H.  Returns false if there is none.  */
 bool exchange_hold_token (struct exchange *e, upstream_handle *held,
                           upstream_handle h, int64_t now);
 /** Gives back the token HELD, if it is not 0, and sets HELD to 0.  */
@@ -287,7 +287,8 @@
 void exchange_record_events (struct attempt *a, unsigned count);
 /** Records the events of E's response.  If it IS_COMPLETE they are all;
     otherwise it was cut off at its deadline and counts with the events that
-    were still expected, as large answers would be left out otherwise.  */
+    were still expected, as the estimates would otherwise leave out large
+    answers.  */
 void exchange_record_work (struct exchange *e, bool is_complete);
 
 /* A second attempt beside one whose upstream is silent.  */
--- a/src/daemon/exchange_budget.c
+++ b/src/daemon/exchange_budget.c
@@ -1,6 +1,6 @@
 /** @file
     Retry budget of a request: the one place where calls to upstreams beyond
-   the first are paid for, and given back if they reached none.  */
+    the first are paid for, and given back if they reached none.  */
 #include "base/clock.h"
 #include "base/log.h"
 #include "base/metrics.h"
--- a/src/daemon/fleet_duties.h
+++ b/src/daemon/fleet_duties.h
@@ -1,6 +1,6 @@
 /** @file
     Creates the duties of the fleet, the calls to the platform that one VM
-   makes for all, as far as the settings ask for them.  */
+    makes for all, as far as the settings ask for them.  */
 #ifndef DAEMON_FLEET_DUTIES_H
 #define DAEMON_FLEET_DUTIES_H
 
@@ -32,7 +32,7 @@
 /** Applies the settings that have changed.  */
 void fleet_duties_set (struct fleet_duties *d, const struct settings *s);
 
-/** The configuration ROUTES is in force.  */
+/** Applies the configuration ROUTES, which is in force now.  */
 void fleet_duties_set_routes (struct fleet_duties *d,
                               const struct route_table *routes);
 
@@ -40,7 +40,8 @@
     reports.  */
 struct usage_link *fleet_duties_usage (const struct fleet_duties *d);
 
-/** Sends the other VMs what this one has not told them yet, as it stops.  */
+/** Sends this VM's usage counts to the other VMs; called when the daemon
+    stops.  */
 void fleet_duties_stop (struct fleet_duties *d);
 
 /** Ends the candidacy of this VM as holder, because it leaves the fleet.  */
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -108,7 +108,7 @@
 
 /* Updates of routes and upstreams.  */
 
-/* Limits of the listener for callers, with those that L states.  */
+/* Limits of the listener for callers; defaults for those that L leaves 0.  */
 static struct http_listener_limits
 listener_limits (const struct gateway *g, const struct caller_limits *l)
 {
--- a/src/daemon/lease_link.c
+++ b/src/daemon/lease_link.c
@@ -4,9 +4,9 @@
 #include "decide/order_lease.h"
 #include "decide/rank.h"
 
-/* A VM that has come to the second place, as the one that held the lease is
-   gone, must leave it to the new first one.  It waits for so many settle
-   times.  */
+/* Settle times for which a VM must rank second before it acquires the lease in
+   place of the first: if it came to that place because the holder is gone, the
+   VM that now ranks first acquires the lease earlier.  */
 #define SECOND_SETTLE_TIMES 3
 
 struct lease_link
--- a/src/daemon/lease_link.h
+++ b/src/daemon/lease_link.h
@@ -20,8 +20,8 @@
       and should hold it.  */
   bool (*has_orders) (void *arg);
   /** Appends the records that the next renewal writes to PUTS, whose values
-     the link releases.  Called before a renewal that may permit sending.  May
-     be NULL.  */
+      the link releases.  Called before a renewal that may permit sending.  May
+      be NULL.  */
   void (*add_records) (void *arg, GArray *puts, int64_t now_ms);
   /** The lease was renewed: send now, with the token FENCE.  */
   void (*send) (void *arg, uint64_t fence, int64_t now_ms);
@@ -70,7 +70,7 @@
 void lease_link_leave (struct lease_link *l, bool release);
 
 /** Releases the lease if this VM holds it, and ends its candidacy for FOR_MS,
-   so that another VM acquires the lease.  */
+    so that another VM acquires the lease.  */
 void lease_link_yield (struct lease_link *l, int64_t for_ms);
 
 /** Fencing token of this VM, 0 if it never held the lease.  */
--- a/src/daemon/staffing_link.c
+++ b/src/daemon/staffing_link.c
@@ -198,8 +198,8 @@
              NULL);
 }
 
-/* Decides too: the duties are asked several times a second, and only at the VM
-   that holds the lease and still ranks first.  */
+/* Also makes the decisions: the duties are asked several times a second, and
+   only at the VM that holds the lease and still ranks first.  */
 static bool
 duty_is_due (void *arg, int64_t now_ms)
 {
--- a/src/daemon/staffing_link.h
+++ b/src/daemon/staffing_link.h
@@ -1,7 +1,8 @@
 /** @file
     Duty that sizes the services with scaling parameters: orders at the
-   platform for the number of instances in each failure domain, which
-   decide/staffing decides from the instances and loads that this VM knows.  */
+    platform for the number of instances in each failure domain, which
+    decide/staffing decides from the instances and loads that this VM
+    knows.  */
 #ifndef DAEMON_STAFFING_LINK_H
 #define DAEMON_STAFFING_LINK_H
 
--- a/src/daemon/usage_link.c
+++ b/src/daemon/usage_link.c
@@ -53,8 +53,8 @@
   struct receiver receivers[RECEIVERS];
   int64_t started_ms;        /* of clock_boot_ms */
   int64_t receiving_from_ms; /* since when this VM is a receiver; 0: is not */
-  int64_t resent_ms; /* the others then sent it again the windows that had
-                        ended less than this time before */
+  int64_t resent_ms; /* at RECEIVING_FROM_MS the others sent it again the
+                        windows that had ended less than this time earlier */
   int64_t tick_ms;   /* when the timer last ran */
   guint next_asked;  /* index of the next member asked for its clock */
   GHashTable *sent;  /* set of struct sent_report in flight */
--- a/src/decide/fleet_clock.h
+++ b/src/decide/fleet_clock.h
@@ -1,11 +1,11 @@
 /** @file
     Time on which the VMs of a fleet agree although some of their wall clocks
-    jump: the median of the VMs' clocks.  Less than half of them may be wrong
-   at a time.
+    jump: the median of the VMs' clocks.  It is right while fewer than half of
+    them are wrong.
 
     Each VM asks others for their wall clocks.  An answer gives that clock's
     offset from this VM's steady clock, which does not jump, as of the middle
-   of the round trip.  A jump of this VM's own wall clock changes one value in
+    of the round trip.  A jump of this VM's own wall clock changes one value in
     the median.
 
     No I/O.  */
@@ -14,8 +14,8 @@
 
 #include <stdint.h>
 
-/** Answers that took longer are not used: how the time divides between the two
-    directions is unknown.  */
+/** Answers with a longer round trip are not used: how its time divides between
+    the two directions is unknown.  */
 #define FLEET_CLOCK_ROUND_TRIP_MAX_MS 400
 /** A clock that was not heard of for this long is no longer used.  */
 #define FLEET_CLOCK_KEEP_MS 60000
--- a/src/decide/load_shed.h
+++ b/src/decide/load_shed.h
@@ -36,19 +36,19 @@
     longer than LIMIT_MS for earlier requests, or when its first byte is
     expected too late for the caller.  Its own size is no reason: a long prompt
     at an idle engine is served, late if need be.  If the instance has free
-   slots, the request is refused only when that is after REMAINING_MS, because
-   a late response from a service that is only slow is better than none.  An
-   idle instance always gets the request, so that its latency is measured.  A
+    slots, the request is refused only when that is after REMAINING_MS, because
+    a late response from a service that is only slow is better than none.  An
+    idle instance always gets the request, so that its latency is measured.  A
     stream is also refused if its last event is more likely than not expected
     after REMAINING_MS.  */
 bool load_shed_must_refuse (const struct upstream_choice *choice,
                             double limit_ms, double remaining_ms);
 
 /** Whether the decode stage may bind for a request that is to decode as
-   DECODE, at an engine with SLOTS slots, after the remote prefill PREFILL: the
-   slots are taken, or a link has more KV caches to transfer than it does
-   during the prefill.  The load is one of long prompts with engines that
-   prefill faster than others can fetch or decode.  */
+    DECODE, at an engine with SLOTS slots, after the remote prefill PREFILL:
+    the slots are taken, or a link has more KV caches to transfer than it does
+    during the prefill.  The load is one of long prompts with engines that
+    prefill faster than others can fetch or decode.  */
 bool load_shed_decode_may_bind (const struct upstream_choice *decode,
                                 unsigned slots,
                                 const struct upstream_choice *prefill);
--- a/src/decide/memory_budget.c
+++ b/src/decide/memory_budget.c
@@ -4,8 +4,8 @@
 
 #define BYTES_PER_MB ((size_t)1024 * 1024)
 /* Part of the total for responses, and parts of the rest for small bodies and
-   for what waiting bodies have already read, each up to a bound: more of these
-   gain nothing by it.  */
+   for what waiting bodies have already read, each up to a bound, above which
+   more memory is of no use to them.  */
 #define RESPONSES_FRACTION 0.4
 #define RESPONSES_MAX_BYTES (32 * BYTES_PER_MB)
 #define SMALL_BODIES_FRACTION 0.125
@@ -37,7 +37,7 @@
   size_t responses;      /* in progress */
   size_t response_bytes; /* that wait, of all responses */
   size_t response_limit;
-  struct memory_body *first; /* may use LARGEST; or NULL */
+  struct memory_body *first; /* the body that may use LARGEST, or NULL */
   GSequence *queue;          /* of struct memory_body that wait */
 };
 
@@ -47,9 +47,9 @@
   void *owner;
   int64_t deadline_ms;
   enum body_pool pool;
-  size_t reserved;      /* in POOL */
-  size_t apart;         /* of the memory set apart; only of FIRST */
-  size_t wanted;        /* size asked for while it waits */
+  size_t reserved; /* in POOL */
+  size_t apart;    /* bytes of LARGEST that it uses; 0 unless it is FIRST */
+  size_t wanted;   /* size asked for while it waits */
   GSequenceIter *place; /* in the queue; NULL if it does not wait */
 };
 
@@ -247,8 +247,8 @@
   return compare_deadlines (m, g_sequence_get (front), NULL) < 0;
 }
 
-/* M waits for SIZE bytes.  A body that has large memory keeps it; the READ
-   bytes of another one count as those of a waiting body.  */
+/* Queues M until SIZE bytes are granted.  A body that has large memory keeps
+   it; the READ bytes of another one count as those of a waiting body.  */
 static enum memory_grant
 wait_for (struct memory_body *m, size_t size, size_t read)
 {
--- a/src/decide/memory_budget.h
+++ b/src/decide/memory_budget.h
@@ -78,7 +78,8 @@
 
 /* Request bodies.  */
 
-/** The largest body has BYTES.  Applies to bodies that grow from now on.  */
+/** Sets the size of the largest body to BYTES.  Applies to bodies that grow
+    from now on.  */
 void memory_budget_set_largest (struct memory_budget *b, size_t bytes);
 
 /** Adds a body without memory.  It must have arrived at DEADLINE_MS; OWNER is
--- a/src/decide/order_lease.h
+++ b/src/decide/order_lease.h
@@ -27,8 +27,8 @@
     it is when it acquires it.  The previous holder's last renewal was started
     before that read, as each write of the key requires the revision that was
     read, and its last orders were sent at most ORDER_LEASE_SEND_WITHIN_MS
-   after that start.  The lease time must then exceed the time for which an
-   order may be in flight.
+    after that start.  The lease time must then exceed the time for which an
+    order may be in flight.
 
     If such a holder's renewal fails, or its outcome is unknown, it reads the
     key.  If that renewal or the one before was the last write of the key, it
@@ -115,13 +115,13 @@
                                              int64_t now_ms);
 
 /** Returns ORDER_LEASE_WRITE if this VM holds the lease and can release it
-   now: the value then names no holder, so that another VM can acquire the key
-   at once.  */
+    now: the value then names no holder, so that another VM can acquire the key
+    at once.  */
 enum order_lease_action order_lease_release (struct order_lease *l,
                                              int64_t now_ms);
 
 /** Whether the VM that should hold the lease if the first one does not is to
-   do so: it already does, or nobody has renewed the lease for
+    do so: it already does, or nobody has renewed the lease for
     ORDER_LEASE_REPLACE_MS more than the takeover time, or acquired it for that
     time if the key names no holder.  */
 bool order_lease_may_replace (const struct order_lease *l, int64_t now_ms);
@@ -133,7 +133,7 @@
 /** Whether this VM holds the lease and already held it when the key-value
     service was last restored: less than the takeover time after the start of
     its last renewal, so that no other VM can have acquired the lease before
-   the restore.  Another may have held it since.  */
+    the restore.  Another may have held it since.  */
 bool order_lease_is_resumed (const struct order_lease *l);
 
 /** Reports the end of the read of ORDER_LEASE_READ.  OK: the read succeeded,
--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -7,9 +7,9 @@
 
 /* Placing a prompt on the second of the engines that it prefers costs the time
    of prefilling its shared parts there, SPILL_COST times over, and on later
-   ones three and seven times as much: they would be cached once more, and
-   delay others.  The factor rises from IDLE to BUSY with the queues of all
-   engines.  */
+   ones three and seven times as much: the parts would be cached once more, and
+   their prefill would delay other requests.  The factor rises from IDLE to
+   BUSY with the queues of all engines.  */
 #define SPILL_COST_IDLE 1.0
 #define SPILL_COST_BUSY 8.0
 /* Up to this pressure (see find_pressure) no prompt waits longer than its
@@ -190,8 +190,9 @@
 
 /* Returns the cost of the answer at X after its first event, which is expected
    after FIRST_MS, if the request is placed by its answer.  A long prompt is
-   not: its prefill is most of its work, and costs that keep it off the engines
-   that are not reserved would leave it the reserved engines' links only.  */
+   not: its prefill is most of its work, and a cost that keeps it off the
+   engines that are not reserved would leave it only the links of the reserved
+   ones.  */
 static double
 stream_cost (const struct search *s, const struct upstream *x,
              const struct upstream_load *load, double first_ms,
--- a/src/decide/placement_reserve.c
+++ b/src/decide/placement_reserve.c
@@ -15,10 +15,10 @@
    that run: VMs know each other's streams late.  */
 #define STREAM_FILL_PERCENT 50
 #define STREAM_HEADROOM 1.25
-/* Fewer are reserved for streams as the long prompts at the others wait
-   longer, no more than without a target for gaps from LONG_QUEUE_MAX_MS on.
-   The moving average of that wait covers several bursts: each change moves
-   streams.  */
+/* The longer the long prompts wait at the other engines, the fewer are
+   reserved for streams; from LONG_QUEUE_MAX_MS on, no more than without a
+   target for gaps.  The moving average of that wait covers several bursts:
+   each change moves streams.  */
 #define LONG_QUEUE_MAX_MS 25.0
 #define LONG_QUEUE_AVERAGE_MS 4000.0
 /* Engines whose paces differ by less than this factor count as equally fast,
@@ -223,7 +223,8 @@
       c->x->reserved = true;
       missing -= step_model_batch_max (curve, c->pace, gap_ms, fill);
     }
-  /* Midway to half of the engines: streams end within seconds.  */
+  /* The bound is midway between MOST and half of the engines: engines above
+     MOST are kept only for seconds, until their streams end.  */
   keep_used (candidates, i, MAX (most, (most + d->engines / 2) / 2));
 }
 
--- a/src/decide/placement_transfer.c
+++ b/src/decide/placement_transfer.c
@@ -81,7 +81,8 @@
 /* Sets BEST[D], for the index D of each failure domain, to the decode with the
    lowest cost after a prefill in D, at any decode engine that may get REQUEST.
    LOCAL is the time in ms of a transfer within a failure domain.  Returns
-   whether there is none for want of a token.  */
+   whether no engine may get REQUEST because the eligible ones have no
+   token.  */
 bool
 placement_find_best_decode (const struct upstreams *u,
                             const struct placement_request *request,
--- a/src/decide/prefill_split.c
+++ b/src/decide/prefill_split.c
@@ -384,10 +384,10 @@
          && change_price_ms (x, sel->change_ms, now_ms) <= sel->gain_ms;
 }
 
-/* By which of two engines in failure domains with equally many is changed: the
-   lower value.  Engines with a high reserve_rank are kept free of long
-   prompts, for requests that are nearly all decode, and do not become
-   prefill-only.  Of those that change back, the cheapest.  */
+/* Sort key for engines in failure domains that have equally many: the engine
+   with the lower value is changed.  Engines with a high reserve_rank are kept
+   free of long prompts, for requests that are nearly all decode, and do not
+   become prefill-only.  Of those that change back, the cheapest.  */
 static double
 change_order (const struct upstream *x, const struct selection *sel,
               int64_t now_ms)
--- a/src/decide/prefill_split.h
+++ b/src/decide/prefill_split.h
@@ -9,8 +9,8 @@
     prefill gets many prefill-only engines.  Their number is limited by the
     requests that generate: these fill no more than a part of the slots of the
     decode engines, of which each failure domain keeps one.  Engines change
-   back when generating requests need them, or when the prefill-only engines
-   are nearly idle.
+    back when generating requests need them, or when the prefill-only engines
+    are nearly idle.
 
     A change has a price, in time of an engine: the engine takes no requests
     while it changes, its running requests run again elsewhere, and its cached
--- a/src/decide/staffing.c
+++ b/src/decide/staffing.c
@@ -11,7 +11,7 @@
 #define STEP_MIN_PERCENT 25
 /* Spot instances are ordered down this long after a number was last raised,
    and only if at least this share and this many are too many.  A plan that
-   covers no more replaces the present numbers only if it is cheaper by the
+   covers no more replaces the present numbers only if it is cheaper by that
    share.  */
 #define LOWER_AFTER_MS 20000
 #define EXCESS_MIN_PERCENT 15
--- a/src/decide/staffing.h
+++ b/src/decide/staffing.h
@@ -4,16 +4,17 @@
 
     The need follows from the demand (decide/staffing_demand), the numbers from
     the need (decide/staffing_plan).  Numbers are raised at once.  Regular
-    instances are ordered down only once so many spot instances are ready that
-    the loss of one failure domain's is covered; spot instances only after
-    their number was higher than planned for some time.
+    instances are ordered down only once enough spot instances are ready to
+    cover the loss of all those of one failure domain; spot instances only
+    after their number was higher than planned for some time.
 
-    A failure domain that has none of a kind to give, whose spot instances were
-    reclaimed, or whose instances do not come, is not ordered more of that kind
-    for some seconds; others replace it.
+    A failure domain that has none of a kind available, whose spot instances
+    were reclaimed, or whose instances do not become ready in time, is not
+    ordered more of that kind for some seconds; others replace it.
 
     An order is due until it was accepted.  The record holds the orders, so
-   that the next holder goes on from them.  Does no I/O and reads no clock.  */
+    that the next holder goes on from them.  Does no I/O and reads no
+    clock.  */
 #ifndef DECIDE_STAFFING_H
 #define DECIDE_STAFFING_H
 
@@ -65,8 +66,8 @@
 enum staffing_reason
 {
   STAFFING_NO_CHANGE,
-  STAFFING_NEED,     /**< more instances are needed, or cheaper ones */
-  STAFFING_LOST,     /**< a failure domain has none to give or lost its own */
+  STAFFING_NEED, /**< more instances are needed, or cheaper ones */
+  STAFFING_LOST, /**< a failure domain has none available or lost its own */
   STAFFING_REPLACED, /**< spot instances are ready and replace regular ones */
   STAFFING_LESS      /**< fewer instances are needed */
 };
@@ -78,7 +79,7 @@
   bool has_traffic;
   double busy;     /**< instances that the demand keeps busy, smoothed */
   unsigned needed; /**< instances that must remain after a reclaim */
-  unsigned failure_domains; /**< with spot instances to be had */
+  unsigned failure_domains; /**< with spot instances available */
   struct staffing_counts ready;
   struct staffing_counts wanted;
 };
@@ -103,12 +104,12 @@
   unsigned desired;
 };
 
-/** What became of an order.  */
+/** Outcome of an order.  */
 enum staffing_outcome
 {
   STAFFING_ACCEPTED,
-  STAFFING_UNAVAILABLE, /**< none are to be had there at the moment */
-  STAFFING_REFUSED,     /**< the platform takes the order for invalid */
+  STAFFING_UNAVAILABLE, /**< none are available there at the moment */
+  STAFFING_REFUSED,     /**< the platform rejects the order as invalid */
   STAFFING_UNKNOWN      /**< it is to be sent again */
 };
 
@@ -120,7 +121,7 @@
     and in the latest record.  Each must be followed by
     staffing_record_outcome.  */
 void staffing_take_orders (struct staffing *s, int64_t now_ms, GArray *out);
-/** Records what became of ORDER, which staffing_take_orders returned.  */
+/** Records the outcome of ORDER, which staffing_take_orders returned.  */
 void staffing_record_outcome (struct staffing *s,
                               const struct staffing_order *order,
                               enum staffing_outcome outcome, int64_t now_ms);
--- a/src/decide/staffing_orders.c
+++ b/src/decide/staffing_orders.c
@@ -3,7 +3,7 @@
 #include "decide/staffing_state.h"
 
 /* Instances that were ordered and are not ready after this many boot times and
-   this time in addition count as not to be had.  */
+   this time in addition count as unavailable.  */
 #define BOOT_TIMES 2
 #define BOOT_MARGIN_MS 2000
 /* Pause after an order without a usable response.  */
@@ -24,7 +24,8 @@
   p->changed_ms = now_ms;
 }
 
-/* No more instances than are ready are to be had in P for some time.  */
+/* Treats P for some time as if no more instances were available than are
+   ready.  */
 static void
 mark_unavailable (struct staffing_service *v, struct staffing_pool *p,
                   int64_t now_ms)
--- a/src/decide/staffing_plan.h
+++ b/src/decide/staffing_plan.h
@@ -47,7 +47,7 @@
 };
 
 /** Plans the instances of N failure domains into OUT.  A plan covers as much
-   as the bounds allow, if they do not allow more.  */
+    as the bounds allow, if they do not allow more.  */
 void staffing_plan (const struct staffing_bounds *bounds,
                     const struct staffing_site *sites, unsigned n,
                     struct staffing_counts *out);
--- a/src/decide/staffing_state.h
+++ b/src/decide/staffing_state.h
@@ -10,7 +10,7 @@
 #define STAFFING_NO_ORDER (-1)
 
 /** Instances of one kind in one failure domain.  While none were ordered,
-   those that are there are wanted.  */
+    those that are there are wanted.  */
 struct staffing_pool
 {
   /* As last seen.  */
@@ -54,9 +54,9 @@
   int64_t raised_ms;    /**< when a number was last raised */
   unsigned min_regular; /**< MIN, if the platform applies it to the regular
                              instances alone */
-  bool lost; /**< since the latest decision, instances were lost or not
-                  to be had */
-  bool kept; /**< in the latest configuration */
+  bool lost;            /**< since the latest decision, instances were lost or
+                             unavailable */
+  bool kept;            /**< in the latest configuration */
 };
 
 struct staffing
@@ -77,7 +77,8 @@
   return &g_array_index (v->domains, struct staffing_domain, i);
 }
 
-/** Counts the N INSTANCES of V and notes what came, went and did not come.  */
+/** Counts the N INSTANCES of V and records which were added, were lost or are
+    overdue.  */
 void staffing_observe (struct staffing_service *v,
                        const struct staffing_instance *instances, unsigned n,
                        int64_t now_ms);
--- a/src/decide/step_model.h
+++ b/src/decide/step_model.h
@@ -60,7 +60,7 @@
 double step_model_pace (const struct step_pace *p, int64_t now_ms);
 
 /** Returns the expected time between events at an engine of mean pace that
-   runs BATCH requests; 0 if nothing is known.  */
+    runs BATCH requests; 0 if nothing is known.  */
 double step_model_gap_ms (const struct step_curve *c, unsigned batch);
 
 /** Returns the time by which one more request in the batch delays each event
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -180,8 +180,9 @@
                               unknown */
   double done_ms;        /**< stream: expected time to its last event; 0 if
                               unknown */
-  double median_done_ms; /**< the same for a request of median size, if recent
-                              streams of the service tell it; otherwise 0 */
+  double median_done_ms; /**< the same for a request of median size, if known
+                              from recent streams of the service; otherwise
+                              0 */
   unsigned candidates;   /**< eligible upstreams that were compared */
 };
 
@@ -248,8 +249,8 @@
     (ENGINE_STALL_MS or SERVICE_STALL_MS) and has waited for several times its
     expected time; and no VM has got a byte from its upstream for the stall
     time, or WORK itself has got none for much longer, while other requests
-    there go on.  An upstream that was removed counts as silent.  It is no
-   proof that the upstream has failed.  */
+    there go on.  An upstream that was removed counts as silent.  A stall is no
+    proof that the upstream has failed.  */
 bool upstreams_has_stalled (const struct upstreams *u,
                             const struct upstream_work *work, int64_t now_ms);
 /** Records that the request ended with OUTCOME.  */
@@ -330,12 +331,12 @@
                                void (*visit) (void *arg, const char *id,
                                               upstream_handle h),
                                void *arg);
-/** Returns the load of this VM on H; its quiet_ms is 0, and what it tells of
-    streams is left out.  */
+/** Returns the load of this VM on H; its quiet_ms is 0, and its fields about
+    streams are left out.  */
 struct upstream_load upstreams_own_load (const struct upstreams *u,
                                          upstream_handle h);
-/** Adds what this VM's streams tell of H to LOAD: events_left, gap_us and
-    gap_events.  */
+/** Adds what is known from this VM's streams at H to LOAD: events_left, gap_us
+    and gap_events.  */
 void upstreams_add_stream_load (const struct upstreams *u, upstream_handle h,
                                 int64_t now_ms, struct upstream_load *load);
 /** Returns the milliseconds since H last sent a byte to this VM or, by their
--- a/src/decide/upstreams_streams.c
+++ b/src/decide/upstreams_streams.c
@@ -1,5 +1,5 @@
 /** @file
-    What the events of streams tell about the engines that send them.  */
+    Measurement of engines by the events of the streams that they send.  */
 #include "decide/upstreams_table.h"
 
 #include <math.h>
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -162,7 +162,7 @@
 void upstreams_learn_reported_gap (struct upstreams *u, struct upstream *x,
                                    const struct upstream_load *load,
                                    int64_t now_ms);
-/** WORK at X has ended: its events_left count no longer.  */
+/** Removes the events_left of WORK, which has ended, from those of X.  */
 void upstreams_end_stream (struct upstreams *u, struct upstream *x,
                            struct upstream_work *work);
 /** Returns whether the home VM of X has just reported its load.  */
--- a/src/decide/usage.c
+++ b/src/decide/usage.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 /* Windows whose counts are merged, from the first that is kept on: messages of
-   a VM with a wrong clock must not add others.  */
+   a VM with a wrong clock must not add windows without bound.  */
 #define WINDOWS_MAX 64
 /* Bytes of an element of usage_counts beside the name: headers and count.  */
 #define COUNT_BYTES 12
--- a/src/decide/usage.h
+++ b/src/decide/usage.h
@@ -1,13 +1,13 @@
 /** @file
     Usage of client accounts: how many requests of each account began to run in
-    each window of time, at this VM and, as far as they were told, at the
-    others.  Window K begins K window lengths after the Unix epoch, in the time
-    of decide/fleet_clock.
+    each window of time, at this VM and, as far as they have reported it, at
+    the others.  Window K begins K window lengths after the Unix epoch, in the
+    time of decide/fleet_clock.
 
     Each VM sends its counts, which are cumulative within a window, to the VMs
     that may report them.  A receiver keeps the highest count of each account
     for each start of each VM, so that messages may be lost, repeated, split
-   and reordered.  No I/O.  */
+    and reordered.  No I/O.  */
 #ifndef DECIDE_USAGE_H
 #define DECIDE_USAGE_H
 
--- a/src/decide/usage_reports.c
+++ b/src/decide/usage_reports.c
@@ -49,7 +49,7 @@
   return (int64_t)(window + 1) * r->window_ms;
 }
 
-/* Takes PAGE, of which nothing is left.  */
+/* Replaces the page of R by PAGE and takes ownership of its contents.  */
 static void
 take_page (struct usage_reports *r, struct usage_page *page)
 {
--- a/src/decide/usage_reports.h
+++ b/src/decide/usage_reports.h
@@ -5,11 +5,11 @@
     The record is written in the transaction that renews the lease
     (daemon/duty_link.h), so that only a holder can add a report, and a
     successor, which reads the record after it has acquired the lease, knows
-   all reports that may have been sent.  A report that the record does not have
-   was not sent, except if the key-value service was restored from a copy in
-    between.  The record therefore states the era of the service in which it
-   was written (kv.era).  In another era, the windows that have ended get no
-   new report: the earlier holder may have reported them.
+    all reports that may have been sent.  A report that the record does not
+    have was not sent, except if the key-value service was restored from a copy
+    in between.  The record therefore states the era of the service in which it
+    was written (kv.era).  In another era, the windows that have ended get no
+    new report: the earlier holder may have reported them.
 
     A report of a window states all counts that this VM has when it is written;
     later ones are not reported.  No I/O; times are those of the fleet.  */
@@ -66,7 +66,7 @@
                               int64_t now_ms, usage_write_report *write,
                               void *arg);
 
-/** The record to write to the key-value service, NULL if it has all.  */
+/** The record to write to the key-value service, NULL if it is up to date.  */
 GBytes *usage_reports_record (const struct usage_reports *r);
 
 /** The record was written, so that all reports may be sent.  */
--- a/src/decide/work_estimate.c
+++ b/src/decide/work_estimate.c
@@ -16,8 +16,8 @@
 /* Each request divides the weight of all earlier ones by 1 / FORGETTING: the
    estimate rests on the latest few hundred requests.  */
 #define FORGETTING 0.998
-/* What a class or route has learned counts as much as what is known of the
-   requests above it once it has this many requests.  */
+/* Greatest weight, in requests, of the estimate of a route (or service) in
+   that of a class (or route).  */
 #define PRIOR_SAMPLES 8.0
 #define QUANTILE_LOW 0.1
 #define QUANTILE_MEDIAN 0.5
--- a/src/decide/work_estimate.h
+++ b/src/decide/work_estimate.h
@@ -5,10 +5,10 @@
     Each route has a histogram for each measure, with buckets of a quarter of a
     power of two, in which old requests lose weight with each new one.
     Requests that state an expected length, or else a maximum of output tokens,
-    are also counted by the size of that number: it refines the estimate as far
-    as it tells anything, and is not trusted itself.  What is not known of a
-    class is taken from its route, and of a route from its service.  No I/O, no
-   clock.  */
+    are also counted by the size of that number: it selects similar requests,
+    and is not itself taken as the length.  What is not known of a class is
+    taken from its route, and of a route from its service.  No I/O, no
+    clock.  */
 #ifndef DECIDE_WORK_ESTIMATE_H
 #define DECIDE_WORK_ESTIMATE_H
 
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -36,7 +36,7 @@
 /* Buffers of the kernel for one connection.  Without a bound they would grow
    to several MB for a caller that sends or reads slowly.  */
 #define SEND_BUFFER_BYTES (128 * 1024)
-/* Until there is memory for a large body.  */
+/* Receive buffer of the kernel until there is memory for a large body.  */
 #define RECEIVE_BUFFER_BYTES (32 * 1024)
 /* How often bodies that wait for memory, and a listener without descriptors,
    are checked.  */
--- a/src/links/http_listener.h
+++ b/src/links/http_listener.h
@@ -43,7 +43,7 @@
       returns or later.  */
   void (*on_request) (void *arg, struct inbound_request *r);
   /** The listener rejects a request with STATUS (400, 408, 413, 431 or 503)
-     for REASON, a message in English.  Returns the JSON body of the error
+      for REASON, a message in English.  Returns the JSON body of the error
       response, which the listener frees, or NULL for none.  May be NULL.  */
   char *(*on_refused) (void *arg, unsigned status, const char *reason);
 };
--- a/src/links/http_listener_body.c
+++ b/src/links/http_listener_body.c
@@ -14,7 +14,8 @@
 #define HEAD_FREE_BYTES ((size_t)1024)
 /* Least memory of a body without a length.  */
 #define SMALL_STEP_BYTES ((size_t)1024)
-/* A larger one reserves this many times what it has.  */
+/* A body without a length that exceeds MEMORY_SMALL_BODY_BYTES grows its
+   memory by this factor.  */
 #define GROWTH_FACTOR 4
 /* Least bytes of a body that count as progress.  */
 #define PROGRESS_BYTES 4096
@@ -209,7 +210,7 @@
     }
 }
 
-/* Reads C again, whose body got memory.  */
+/* Resumes reading C, whose body was granted memory.  */
 static void
 resume (struct http_listener_conn *c)
 {
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -100,7 +100,7 @@
 /** The request of C has ended, or is refused: drops its body.  */
 void http_body_end (struct http_listener_conn *c);
 /** Lets bodies go on for which there is memory now, and refuses those that
-   make no progress while others wait.  Returns whether any waits still.  */
+    make no progress while others wait.  Returns whether any waits still.  */
 bool http_body_recheck (struct http_listener *f);
 
 /* Bound of the connections (http_listener_bound.c).  */
