Comments: names of functions and constants that no longer exist

Cause: after files were split, four comments named what had been renamed (find_best_decode, conn_read, USAGE_SEND_MS, SPILL_COST). Change: those comments. Result: make builds.

--- a/src/daemon/usage_link.h
+++ b/src/daemon/usage_link.h
@@ -5,9 +5,9 @@
     (daemon/duty_link.h, decide/usage.h, decide/usage_reports.h).
 
     Counts go to the VMs at the first two places of the ranking of holders,
-    every USAGE_SEND_MS until some time after the end of their window.  A VM
-    that has just come to such a place is also sent the counts of the windows
-    that may not have been reported yet.  */
+    twice a second until some time after the end of their window.  A VM that
+    has just come to such a place is also sent the counts of the windows that
+    may not have been reported yet.  */
 #ifndef DAEMON_USAGE_LINK_H
 #define DAEMON_USAGE_LINK_H
 
--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -6,10 +6,10 @@
 #include <string.h>
 
 /* Placing a prompt on the second of the engines that it prefers costs the time
-   of prefilling its shared parts there, SPILL_COST times over, and on later
-   ones three and seven times as much: the parts would be cached once more, and
-   their prefill would delay other requests.  The factor rises from IDLE to
-   BUSY with the queues of all engines.  */
+   of prefilling its shared parts there times a factor, and on later ones three
+   and seven times as much: the parts would be cached once more, and their
+   prefill would delay other requests.  The factor rises from IDLE to BUSY with
+   the queues of all engines.  */
 #define SPILL_COST_IDLE 1.0
 #define SPILL_COST_BUSY 8.0
 /* Up to this pressure (see find_pressure) no prompt waits longer than its
@@ -139,7 +139,8 @@
 {
   const struct upstreams *u;
   const struct placement_request *request;
-  struct decode_option *decode; /* by failure domain; see find_best_decode */
+  struct decode_option *decode; /* by failure domain; see
+                                   placement_find_best_decode */
   double local_transfer_ms;     /* see local_transfer_ms; for prompts */
   uint64_t kv_tokens;           /* capacity of an engine's KV cache */
   double pressure;              /* see find_pressure; for long prompts */
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -61,7 +61,8 @@
   bool head_written;         /* of the current response */
   bool late_input;   /* the read time-out was put off for unread input */
   size_t late_bytes; /* bytes of the request when it was */
-  bool in_conn_read; /* keeps conn_next_request from calling conn_read again */
+  bool in_conn_read; /* keeps conn_next_request from calling http_conn_read
+                        again */
   unsigned requests; /* complete ones so far */
   int64_t since_ms;  /* idle, or accepted, since then */
   struct memory_body *memory; /* of the current request; NULL for none yet */
