--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -6,10 +6,10 @@
 #include <string.h>
 
 /* Placing a prompt on the second of the engines that it prefers costs the time
-   of prefilling its shared parts there, SPILL_COST times over, and on later
-   ones three and seven times as much: they would be cached once more, and
-   delay others.  The factor rises from IDLE to BUSY with the queues of all
-   engines.  */
+   of prefilling its shared parts there times a factor, and on later ones three
+   and seven times as much: the parts would be cached once more, and their
+   prefill would delay other requests.  The factor rises from IDLE to BUSY with
+   the queues of all engines.  */
 #define SPILL_COST_IDLE 1.0
 #define SPILL_COST_BUSY 8.0
 /* Up to this pressure (see find_pressure) no prompt waits longer than its
@@ -139,7 +139,8 @@
 {
   const struct upstreams *u;
   const struct placement_request *request;
-  struct decode_option *decode; /* by failure domain; see find_best_decode */
+  struct decode_option *decode; /* by failure domain; see
+                                   placement_find_best_decode */
   double local_transfer_ms;     /* see local_transfer_ms; for prompts */
   uint64_t kv_tokens;           /* capacity of an engine's KV cache */
   double pressure;              /* see find_pressure; for long prompts */
@@ -190,8 +191,9 @@
 
 /* Returns the cost of the answer at X after its first event, which is expected
    after FIRST_MS, if the request is placed by its answer.  A long prompt is
-   not: its prefill is most of its work, and costs that keep it off the engines
-   that are not reserved would leave it the reserved engines' links only.  */
+   not: its prefill is most of its work, and a cost that keeps it off the
+   engines that are not reserved would leave it only the links of the reserved
+   ones.  */
 static double
 stream_cost (const struct search *s, const struct upstream *x,
              const struct upstream_load *load, double first_ms,
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -61,7 +61,8 @@
   bool head_written;         /* of the current response */
   bool late_input;   /* the read time-out was put off for unread input */
   size_t late_bytes; /* bytes of the request when it was */
-  bool in_conn_read; /* keeps conn_next_request from calling conn_read again */
+  bool in_conn_read; /* keeps conn_next_request from calling http_conn_read
+                        again */
   unsigned requests; /* complete ones so far */
   int64_t since_ms;  /* idle, or accepted, since then */
   struct memory_body *memory; /* of the current request; NULL for none yet */
@@ -100,7 +101,7 @@
 /** The request of C has ended, or is refused: drops its body.  */
 void http_body_end (struct http_listener_conn *c);
 /** Lets bodies go on for which there is memory now, and refuses those that
-   make no progress while others wait.  Returns whether any waits still.  */
+    make no progress while others wait.  Returns whether any waits still.  */
 bool http_body_recheck (struct http_listener *f);
 
 /* Bound of the connections (http_listener_bound.c).  */
