--- a/src/daemon/prefill_split_link.c
+++ b/src/daemon/prefill_split_link.c
@@ -14,6 +14,11 @@
 /* A VM must rank first for this long before it tries to become the order
    holder, so that the VMs' views of the membership agree by then.  */
 #define HOLDER_SETTLE_MS 3000
+/* Time for which an engine that changes its role accepts no requests, if the
+   configuration does not state it, and the time that its running requests may
+   take before.  */
+#define DEFAULT_ROLE_CHANGE_MS 3000
+#define RUNNING_REQUESTS_MS 1000
 /* An order without a response after this time is cancelled.  */
 #define ORDER_TIMEOUT_MS 1000
 
@@ -93,7 +98,12 @@
 {
   const struct upstream_info *info
       = upstreams_info (u, upstreams_find (u, engine));
-  return prefill_split_change_ms (u, info ? info->service : NULL);
+  struct engine_limits limits = { 0 };
+  if (info)
+    limits = upstreams_engine_limits (u, info->service);
+  return RUNNING_REQUESTS_MS
+         + (limits.role_change_ms > 0 ? limits.role_change_ms
+                                      : DEFAULT_ROLE_CHANGE_MS);
 }
 
 static void
@@ -144,14 +154,13 @@
 log_order (const struct prefill_split_link *l, const struct order *o)
 {
   const struct prefill_split_inputs *in = &l->inputs;
-  log_event (
-      LOG_INFO, "order", "engine", o->engine, "role", role_name (o->to),
-      "fencing", log_num ((long long)lease_link_fence (l->lease)), "engines",
-      log_num (in->engines), "readers", log_num (in->prefill_engines),
-      "wanted", log_num (in->wanted_prefill_engines), "reading_pct",
-      log_num ((long long)(in->prefill_demand * 100)), "uncached_pct",
-      log_num ((long long)(in->uncached_demand * 100)), "generating_pct",
-      log_num ((long long)(in->decode_demand * 100)), NULL);
+  log_event (LOG_INFO, "order", "engine", o->engine, "role", role_name (o->to),
+             "fencing", log_num ((long long)lease_link_fence (l->lease)),
+             "engines", log_num (in->engines), "readers",
+             log_num (in->prefill_engines), "wanted",
+             log_num (in->wanted_prefill_engines), "reading_pct",
+             log_num ((long long)(in->prefill_demand * 100)), "generating_pct",
+             log_num ((long long)(in->decode_demand * 100)), NULL);
 }
 
 /* Sends the order O to the engine INFO on a new connection.  Returns NULL if
@@ -191,8 +200,7 @@
   log_order (l, o);
   metrics_add (METRIC_role_changes_total, 1);
   metrics_add (METRIC_orders_sent_total, 1);
-  prefill_split_record_order (l->parts.prefill_split, info->id, c->to,
-                              clock_ms ());
+  prefill_split_record_order (l->parts.prefill_split, info->id, clock_ms ());
   o->call = write_role_order (l, o, info);
   if (o->call == NULL)
     order_end (o, "not_sent");
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -181,8 +181,8 @@
       exchange_record_request (e);
       if (e->facts.has_prompt)
         prefill_split_record_request (e->proxy->parts.prefill_split,
-                                      e->proxy->parts.upstreams, e->service,
-                                      &e->facts.prompt, e->since_ms);
+                                      e->service, &e->facts.prompt,
+                                      e->since_ms);
       exchange_start_attempt (e);
     }
 }
--- a/tests/unit/test_stages.c
+++ b/tests/unit/test_stages.c
@@ -330,13 +330,13 @@
 /* Records 20 requests per second with a prompt of TOKENS each at this VM, for
    SECONDS from FROM_MS.  Returns the end of that time.  */
 static int64_t
-record_requests (struct prefill_split *s, struct upstreams *u, uint64_t tokens,
-                 unsigned seconds, int64_t from_ms)
+record_requests (struct prefill_split *s, uint64_t tokens, unsigned seconds,
+                 int64_t from_ms)
 {
   struct prompt p = { .tokens = tokens, .out_tokens = 10 };
   int64_t end = from_ms + (int64_t)seconds * SECOND_MS;
   for (int64_t now = from_ms; now < end; now += 50)
-    prefill_split_record_request (s, u, "m", &p, now);
+    prefill_split_record_request (s, "m", &p, now);
   return end;
 }
 
@@ -362,7 +362,7 @@
   struct prefill_split *s = prefill_split_create ();
   g_autoptr (GArray) out
       = g_array_new (FALSE, FALSE, sizeof (struct prefill_split_change));
-  int64_t now = record_requests (s, u, 9000, 3, 0);
+  int64_t now = record_requests (s, 9000, 3, 0);
   unsigned domains = 0;
   g_assert_cmpuint (decide (s, u, now, out), >, 0);
   g_assert_cmpuint (out->len, <=, ENGINES / 4);
@@ -373,7 +373,7 @@
       const struct upstream_info *info = upstreams_info (u, c.upstream);
       g_assert_cmpint (c.to, ==, UPSTREAM_PREFILL);
       domains |= 1U << (info->failure_domain[1] - '0');
-      prefill_split_record_order (s, info->id, c.to, now);
+      prefill_split_record_order (s, info->id, now);
     }
   g_assert_cmpuint (domains, !=, 0);
   /* The engines ordered above are still changing.  */
@@ -391,17 +391,17 @@
       = g_array_new (FALSE, FALSE, sizeof (struct prefill_split_change));
   struct upstreams *u = create_engines (2);
   struct prefill_split *s = prefill_split_create ();
-  int64_t now = record_requests (s, u, 100, 3, 0);
+  int64_t now = record_requests (s, 100, 3, 0);
   g_assert_cmpuint (decide (s, u, now, out), ==, 0);
   struct prompt p = { .tokens = 500000 };
   for (unsigned i = 0; i < 3; i++)
-    prefill_split_record_request (s, u, "m", &p, now + 4000 + i);
+    prefill_split_record_request (s, "m", &p, now + 4000 + i);
   g_assert_cmpuint (decide (s, u, now + 7000, out), ==, 0);
   prefill_split_destroy (s);
   upstreams_destroy (u);
   u = create_engines (ENGINES * 55 / 100);
   s = prefill_split_create ();
-  now = record_requests (s, u, 9000, 3, 0);
+  now = record_requests (s, 9000, 3, 0);
   g_assert_cmpuint (decide (s, u, now, out), ==, 0);
   prefill_split_destroy (s);
   upstreams_destroy (u);
@@ -416,7 +416,7 @@
       = g_array_new (FALSE, FALSE, sizeof (struct prefill_split_change));
   struct upstreams *u = create_engines (2);
   struct prefill_split *s = prefill_split_create ();
-  int64_t now = record_requests (s, u, 9000, 3, 0);
+  int64_t now = record_requests (s, 9000, 3, 0);
   g_assert_cmpuint (decide (s, u, now, out), >, 0);
   upstream_handle first
       = g_array_index (out, struct prefill_split_change, 0).upstream;
@@ -443,7 +443,7 @@
   int64_t now = 0;
   for (unsigned phase = 0; phase < 20; phase++)
     {
-      int64_t end = record_requests (s, u, phase % 2 ? 9000 : 200, 3, now);
+      int64_t end = record_requests (s, phase % 2 ? 9000 : 200, 3, now);
       for (; now < end; now += 250)
         {
           changes += decide (s, u, now, out);
@@ -462,7 +462,7 @@
               changed.address = (char *)"10.0.0.1:80";
               changed.software_version = (char *)"v1";
               changed.role = c.to;
-              prefill_split_record_order (s, id, c.to, now);
+              prefill_split_record_order (s, id, now);
               upstreams_put (u, &changed);
             }
         }
