--- a/src/decide/memory_budget.c
+++ b/src/decide/memory_budget.c
@@ -17,7 +17,7 @@
 #define MACHINE_FRACTION 0.5
 #define PROGRAM_MB 48.0
 #define LARGE_MACHINE_FRACTION 0.75
-#define DEFAULT_MACHINE_MB 160
+#define DEFAULT_MACHINE_MB 260.0
 
 /* Where the memory of a body is counted.  */
 enum body_pool
--- a/src/decide/memory_budget.h
+++ b/src/decide/memory_budget.h
@@ -46,7 +46,7 @@
 /** Destroys B, which may be NULL.  All bodies must have been released.  */
 void memory_budget_destroy (struct memory_budget *b);
 
-/** Returns the total of a machine with MEMORY_MB; 0: a machine of 160 MB.  */
+/** Returns the total of a machine with MEMORY_MB; 0: a machine of 260 MB.  */
 size_t memory_budget_total_of (uint64_t memory_mb);
 
 /* Responses.  */
