Logs and metrics: how long the loop was held, by what, and how long requests waited unread

Nothing told a loop that is busy from a slow link or a process without processor time. request_end gets unread_ms; loop_turn_long, loop_held and process_paused are new lines, loop_turn_seconds, loop_work_seconds and unread_seconds new histograms. No decision uses the times yet.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -144,7 +144,10 @@
   X (kv_seconds, "Time of an operation of the key-value service")             \
   X (first_byte_seconds, "Time to the first byte of a routed answer")         \
   X (estimate_error_seconds, "Error of the expected time at an engine")       \
-  X (request_seconds, "Time to the end of a routed answer")
+  X (request_seconds, "Time to the end of a routed answer")                   \
+  X (unread_seconds, "Time that a request may have waited to be read")        \
+  X (loop_turn_seconds, "Time of a turn of the event loop")                   \
+  X (loop_work_seconds, "Time of one piece of long work in the event loop")
 
 #define METRICS_ENUM(name, help) METRIC_##name,
 enum metrics_counter
--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -37,6 +37,7 @@
 
 struct discovery
 {
+  struct loop_clock *clock;
   const struct kv *kv;
   const struct platform_ops *platform;
   struct upstreams *upstreams;
@@ -67,6 +68,8 @@
   g_autoptr (GError) error = NULL;
   gsize size = 0;
   const void *data = g_bytes_get_data (value, &size);
+  LOOP_WORK_AUTO struct loop_work work
+      = loop_work_begin (d->clock, "routes", size);
   struct route_table *t = d->platform->decode_routes (data, size, &error);
   if (t == NULL)
     {
@@ -279,14 +282,15 @@
 /* Creation, configuration, queries and destruction.  */
 
 struct discovery *
-discovery_create (struct event_base *base, struct kv *kv,
-                  const struct platform_ops *platform,
+discovery_create (struct event_base *base, struct loop_clock *clock,
+                  struct kv *kv, const struct platform_ops *platform,
                   struct upstreams *upstreams,
                   const struct discovery_times *times,
                   const struct discovery_callbacks *callbacks, void *arg)
 {
   static const struct timeval tick = { 0, TICK_MS * 1000 };
   struct discovery *d = g_new0 (struct discovery, 1);
+  d->clock = clock;
   d->kv = kv;
   d->platform = platform;
   d->departures = departures_create ();
--- a/src/daemon/discovery.h
+++ b/src/daemon/discovery.h
@@ -11,6 +11,7 @@
 
 #include "decide/upstreams.h"
 #include "links/kv.h"
+#include "links/loop_clock.h"
 #include "links/platform.h"
 
 #include <event2/event.h>
@@ -43,8 +44,8 @@
 /** Starts to watch the key-value service and keeps the table UPSTREAMS up to
     date.  */
 struct discovery *
-discovery_create (struct event_base *base, struct kv *kv,
-                  const struct platform_ops *platform,
+discovery_create (struct event_base *base, struct loop_clock *clock,
+                  struct kv *kv, const struct platform_ops *platform,
                   struct upstreams *upstreams,
                   const struct discovery_times *times,
                   const struct discovery_callbacks *callbacks, void *arg);
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -103,6 +103,7 @@
   const char *service; /* chosen among the route's targets */
   int64_t since_ms;    /* when the request's first byte arrived */
   int64_t until_ms;    /* deadline of the request */
+  int64_t unread_ms;   /* time that it may have waited to be read */
   struct event *timer; /* expires at until_ms */
 
   struct attempts attempts; /* decides whether a retry is allowed */
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -19,7 +19,6 @@
 #include <signal.h>
 #include <string.h>
 
-#define TICK_MS 50
 #define SECOND_MS 1000
 /* Limits of the caller listener until the first routes set others.  */
 #define DEFAULT_HEAD_BYTES (16U * 1024)
@@ -52,6 +51,7 @@
 struct gateway
 {
   struct event_base *base;
+  struct loop_clock *clock;
   struct settings *settings;
   const struct platform_ops *platform;
   gateway_reload *reload;
@@ -120,7 +120,8 @@
     .idle_ms = l->idle_ms ? l->idle_ms : DEFAULT_IDLE_MS,
     .connections = (unsigned)s->max_connections,
     .stall_ms = (unsigned)s->upload_stall_ms,
-    .memory = g->memory
+    .memory = g->memory,
+    .clock = g->clock
   };
 }
 
@@ -357,6 +358,7 @@
   (void)what;
   struct gateway *g = arg;
   int64_t now = clock_ms ();
+  loop_clock_tick (g->clock);
   upstreams_tick (g->upstreams, now);
   update_readiness (g);
   if (g->leaving_ms != 0 && shutdown_step (g, now))
@@ -554,17 +556,19 @@
           .vm = s->vm };
   g->prefill_split_link = prefill_split_link_create (&orders);
   struct discovery_times times = discovery_times (s);
-  g->discovery = discovery_create (g->base, g->kv, g->platform, g->upstreams,
-                                   &times, &discovery_callbacks, g);
+  g->discovery
+      = discovery_create (g->base, g->clock, g->kv, g->platform, g->upstreams,
+                          &times, &discovery_callbacks, g);
 }
 
 struct gateway *
 gateway_create (struct settings *settings, const struct platform_ops *platform,
                 gateway_reload *reload, void *arg, GError **error)
 {
-  static const struct timeval tick = { 0, TICK_MS * 1000 };
+  static const struct timeval tick = { 0, LOOP_TICK_MS * 1000 };
   struct gateway *g = g_new0 (struct gateway, 1);
   g->base = event_base_new ();
+  g->clock = loop_clock_create (g->base);
   g->settings = settings;
   g->platform = platform;
   g->reload = reload;
@@ -593,7 +597,7 @@
   log_event (LOG_INFO, "started", "front", g->settings->front_address,
              "region", g->settings->region, "failure_domain",
              g->settings->failure_domain, "kv", g->settings->kv, NULL);
-  event_base_dispatch (g->base);
+  loop_clock_run (g->clock);
   fleet_duties_stop (g->duties);
   vm_registry_announce_left (g->vm_registry);
   log_event (LOG_INFO, "stopped", "cut",
@@ -628,6 +632,7 @@
   retry_buckets_destroy (g->retries);
   g_clear_pointer (&g->regions, g_hash_table_destroy);
   settings_destroy (g->settings);
+  loop_clock_destroy (g->clock);
   event_base_free (g->base);
   g_free (g);
 }
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -21,6 +21,7 @@
 /* During a stop, a response may take longer than the longest recent one by
    that time divided by this.  */
 #define LONGER_RESPONSE_PART 10
+#define US_PER_MS 1000
 /* Retry-After sent while this VM stops: another VM may take the request at
    once.  */
 #define STOPPING_RETRY_MS 1
@@ -197,6 +198,8 @@
   e->caller = r;
   e->no_retry = "";
   e->since_ms = inbound_request_start_ms (r);
+  e->unread_ms = e->since_ms - inbound_request_since_ms (r);
+  metrics_observe (METRIC_unread_seconds, e->unread_ms * US_PER_MS);
   e->current = attempt_create (e);
   e->table = p->table ? route_table_ref (p->table) : NULL;
   p->parts.requests->read_request (head, &e->facts);
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -181,6 +181,19 @@
 
 /* Reading of requests, and events of connections.  */
 
+/* Notes since when the input may have waited that was just read.  */
+static void
+note_input (struct http_listener_conn *c)
+{
+  struct loop_clock *clock = c->listener->limits.clock;
+  const struct loop_mark *accepted = c->was_read ? NULL : &c->accepted;
+  c->was_read = true;
+  if (c->left_bytes == 0)
+    c->input_since_ms
+        = clock ? loop_clock_input_since_ms (clock, accepted) : clock_ms ();
+  c->left_bytes = evbuffer_get_length (bufferevent_get_input (c->bev));
+}
+
 static void
 conn_handle_request (struct http_listener_conn *c)
 {
@@ -219,6 +232,7 @@
       c->state = CONN_READING;
       c->late_input = false;
       c->request_start_ms = clock_ms ();
+      c->request_since_ms = c->input_since_ms;
       set_timer (c, c->listener->limits.read_ms);
     }
   switch (http_codec_feed (c->codec, in, c->body))
@@ -260,6 +274,7 @@
         break;
     }
   c->in_conn_read = false;
+  c->left_bytes = evbuffer_get_length (in);
   if (c->state == CONN_IDLE)
     set_timer (c, f->limits.idle_ms);
 }
@@ -274,6 +289,7 @@
       evbuffer_drain (in, evbuffer_get_length (in));
       return;
     }
+  note_input (c);
   bool responding = c->state == CONN_RESPONDING;
   if (responding
       && evbuffer_get_length (bufferevent_get_input (bev)) > READ_AHEAD_BYTES)
@@ -411,6 +427,8 @@
   struct http_listener_conn *c = g_new0 (struct http_listener_conn, 1);
   c->listener = f;
   c->since_ms = clock_ms ();
+  if (f->limits.clock)
+    c->accepted = loop_clock_mark (f->limits.clock);
   c->bev = bufferevent_socket_new (f->base, fd, BEV_OPT_CLOSE_ON_FREE);
   c->codec = http_codec_create (HTTP_SIDE_REQUESTS, &size_limits);
   c->body = evbuffer_new ();
--- a/src/links/http_listener.h
+++ b/src/links/http_listener.h
@@ -8,6 +8,7 @@
 #include "base/http_head.h"
 #include "decide/memory_budget.h"
 #include "links/http_codec.h"
+#include "links/loop_clock.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -34,6 +35,7 @@
   unsigned stall_ms;    /**< without progress of a body while others wait for
                            memory, before it is refused; 0: no bound */
   struct memory_budget *memory; /**< of request bodies; NULL for no bound */
+  struct loop_clock *clock;     /**< of the event loop; NULL for none */
 };
 
 /** Callbacks of the listener.  */
@@ -88,6 +90,9 @@
 /** Time at which the first byte of R was read, in milliseconds of the
     monotonic clock.  */
 int64_t inbound_request_start_ms (const struct inbound_request *r);
+/** Earliest time at which the first byte of R can have come: it may have
+   waited for the event loop, or behind other requests of its connection.  */
+int64_t inbound_request_since_ms (const struct inbound_request *r);
 
 /* Sending of a response.  */
 
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -54,7 +54,12 @@
   struct evbuffer *body; /* of the current request */
   enum conn_state state;
   struct inbound_request request;
-  int64_t request_start_ms;  /* first byte of the current request */
+  int64_t request_start_ms;  /* first byte of the current request was read */
+  int64_t request_since_ms;  /* earliest time at which it can have come */
+  struct loop_mark accepted; /* when the connection was accepted */
+  bool was_read;             /* input was read before */
+  int64_t input_since_ms;    /* the same for the oldest input not parsed */
+  size_t left_bytes;         /* input that was left unparsed */
   size_t unwritten;          /* bytes of responses not written, when checked */
   int64_t progress_ms;       /* when UNWRITTEN last changed */
   bool close_after_response; /* close after the current response */
--- a/src/links/http_listener_response.c
+++ b/src/links/http_listener_response.c
@@ -24,6 +24,12 @@
   return r->conn->request_start_ms;
 }
 
+int64_t
+inbound_request_since_ms (const struct inbound_request *r)
+{
+  return r->conn->request_since_ms;
+}
+
 void
 inbound_request_on_close (struct inbound_request *r, void (*on_close) (void *),
                           void *arg)
