--- /dev/null
+++ b/tests/process/test_held_loop.c
@@ -0,0 +1,212 @@
+/** @file
+    Process test of a VM whose loop is held, by a pause of the process or by a
+    large configuration: requests that wait meanwhile are answered by their
+    route's time-out.  */
+#include "harness/site.h"
+#include "process/common.h"
+
+#include <jansson.h>
+#include <signal.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
+
+#define VMS 1
+#define UPSTREAMS 2
+#define ROUTE_TIMEOUT_MS 1100
+/* A request must have its answer this long after its time-out.  */
+#define GRACE_MS 500
+#define PAUSE_US 900000
+#define RESPONSE_TIMEOUT_MS 6000
+#define MANY_ROUTES 4260
+#define HELD_MAX_MS 50
+#define APPLY_MS 2500
+
+static struct site *site;
+
+static int64_t
+now_ms (void)
+{
+  return g_get_monotonic_time () / 1000;
+}
+
+/* Pauses the VM for PAUSE_US after a request, which it has not read.  */
+static void
+pause_vm (void)
+{
+  g_usleep (PAUSE_US);
+  proc_signal (site->vms[0], SIGCONT);
+}
+
+static void
+check_answered_in_time (struct web *w, int64_t sent_ms)
+{
+  web_read_response (w, RESPONSE_TIMEOUT_MS);
+  int64_t ms = now_ms () - sent_ms;
+  g_test_message ("status %d after %" G_GINT64_FORMAT " ms", w->status, ms);
+  g_assert_true (w->status == 504 || w->status == 503);
+  g_assert_cmpint (ms, <=, ROUTE_TIMEOUT_MS + GRACE_MS);
+}
+
+/* The only request of its connection.  */
+static void
+test_paused_before_first_request (void)
+{
+  proc_signal (site->vms[0], SIGSTOP);
+  int64_t sent_ms = now_ms ();
+  struct web *w = site_send_request (site, 0, "POST", "/once/silent",
+                                     "held-first", NULL, NULL);
+  pause_vm ();
+  check_answered_in_time (w, sent_ms);
+  web_close (w);
+}
+
+/* A later request on a kept connection.  */
+static void
+test_paused_before_next_request (void)
+{
+  struct web *w = site_request (site, 0, "POST", "/once/ok", "held-before");
+  g_assert_cmpint (w->status, ==, 200);
+  proc_signal (site->vms[0], SIGSTOP);
+  int64_t sent_ms = now_ms ();
+  web_send_next_request (w, site->front_addresses[0], "POST", "/once/silent",
+                         "Host: " SITE_HOST "\r\nX-Request-Id: held-next\r\n");
+  pause_vm ();
+  check_answered_in_time (w, sent_ms);
+  web_close (w);
+}
+
+/* Returns whether a status line has come from FD within the time.  */
+static bool
+read_status_line (int fd, GString *text)
+{
+  struct timeval tv = { RESPONSE_TIMEOUT_MS / 1000, 0 };
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVTIMEO, &tv, sizeof tv);
+  while (strstr (text->str, "HTTP/1.1 ") == NULL)
+    {
+      char part[4096];
+      ssize_t n = recv (fd, part, sizeof part, 0);
+      if (n <= 0)
+        return false;
+      g_string_append_len (text, part, n);
+    }
+  return true;
+}
+
+/* A request that is sent together with the one before it.  */
+static void
+test_queued_behind_another (void)
+{
+  static const char second[]
+      = "POST /once/silent HTTP/1.1\r\nHost: " SITE_HOST
+        "\r\nX-Request-Id: held-queued\r\nContent-Length: 0\r\n\r\n";
+  struct web *w = site_send_request (site, 0, "POST", "/once/wait-900",
+                                     "held-ahead", NULL, NULL);
+  int64_t sent_ms = now_ms ();
+  g_assert_cmpint (send (w->fd, second, strlen (second), 0), ==,
+                   (ssize_t)strlen (second));
+  web_read_response (w, RESPONSE_TIMEOUT_MS);
+  g_assert_cmpint (w->status, ==, 200);
+  g_assert_true (read_status_line (w->fd, w->raw));
+  int64_t ms = now_ms () - sent_ms;
+  g_test_message ("%.12s after %" G_GINT64_FORMAT " ms", w->raw->str, ms);
+  g_assert_cmpint (ms, <=, ROUTE_TIMEOUT_MS + GRACE_MS);
+  web_close (w);
+}
+
+static void
+add_route (json_t *routes, const char *name, const char *prefix)
+{
+  json_array_append_new (
+      routes, json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}",
+                         "name", name, "host", SITE_HOST, "pathPrefix", prefix,
+                         "kind", "unsafe", "timeoutMs", ROUTE_TIMEOUT_MS,
+                         "targetLatencyMs", SITE_TARGET_MS, "priority", 0,
+                         "service", "s", "maxAttempts", 2, "sticky", 0));
+}
+
+/* Writes a configuration with COUNT routes of one host, beside /once/ and
+   /vVERSION/.  */
+static void
+write_many_routes (unsigned version, unsigned count)
+{
+  json_t *routes = json_array ();
+  g_autofree char *last = g_strdup_printf ("/v%u/", version);
+  add_route (routes, "once", "/once/");
+  for (unsigned i = 0; i < count; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("many-%u", i);
+      g_autofree char *prefix = g_strdup_printf ("/many-%u/", i);
+      add_route (routes, name, prefix);
+    }
+  add_route (routes, "last", last);
+  json_t *root = json_pack ("{s:i, s:o, s:[{s:s, s:s, s:i}], s:{s:i}}",
+                            "version", (int)version, "routes", routes,
+                            "services", "name", "s", "healthPath", "/health",
+                            "maxConns", 100, "limits", "maxHeaderBytes", 8192);
+  char *text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  site_put (site, "op/config", text);
+  free (text);
+}
+
+static bool
+serves (void *path)
+{
+  static unsigned n;
+  g_autofree char *id = g_strdup_printf ("many-routes-%u", n++);
+  struct web *w = site_request (site, 0, "POST", path, id);
+  bool served = w->status == 200;
+  web_close (w);
+  return served;
+}
+
+/* Returns the most processor time, in ms, of one piece of work on routes that
+   the VM has logged.  */
+static long
+longest_work_ms (void)
+{
+  g_autofree char *log = site_log (site, 0);
+  long longest = 0;
+  for (const char *at = log;
+       (at = strstr (at, "event=loop_held work=routes")) != NULL; at++)
+    {
+      const char *cpu = strstr (at, "cpu_ms=");
+      longest = MAX (longest, strtol (cpu + strlen ("cpu_ms="), NULL, 10));
+    }
+  return longest;
+}
+
+/* A configuration with many routes, and small changes of it.  */
+static void
+test_many_routes_do_not_hold_the_loop (void)
+{
+  write_many_routes (10, MANY_ROUTES);
+  site_wait (serves, (char *)"/v10/ok", APPLY_MS);
+  write_many_routes (11, MANY_ROUTES);
+  site_wait (serves, (char *)"/v11/ok", APPLY_MS);
+  g_test_message ("longest piece of work: %ld ms", longest_work_ms ());
+  g_assert_cmpint (longest_work_ms (), <, HELD_MAX_MS);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  program_directory_init (argv[0]);
+  site = site_create (program_directory (), VMS, UPSTREAMS);
+  site->timeout_ms = ROUTE_TIMEOUT_MS;
+  site_write_routes (site, 2, NULL);
+  site_start (site);
+  g_test_add_func ("/held-loop/paused-before-first-request",
+                   test_paused_before_first_request);
+  g_test_add_func ("/held-loop/paused-before-next-request",
+                   test_paused_before_next_request);
+  g_test_add_func ("/held-loop/queued-behind-another",
+                   test_queued_behind_another);
+  g_test_add_func ("/held-loop/many-routes-do-not-hold-the-loop",
+                   test_many_routes_do_not_hold_the_loop);
+  int status = g_test_run ();
+  site_destroy (site);
+  return status;
+}
