A request's time counts from when it can have come, not from when it was read

Callers saw answers up to two seconds past their route's time-out: what a request had waited in the socket, or behind another one on its connection, was not counted, and it was passed on with its whole time again.

A request whose time is over when it is read is refused at once, and not passed on.

--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -147,7 +147,8 @@
   X (request_seconds, "Time to the end of a routed answer")                   \
   X (unread_seconds, "Time that a request may have waited to be read")        \
   X (loop_turn_seconds, "Time of a turn of the event loop")                   \
-  X (loop_work_seconds, "Time of one piece of long work in the event loop")
+  X (loop_work_seconds, "Time of one piece of long work in the event loop")   \
+  X (process_paused_seconds, "Pauses without processor time")
 
 #define METRICS_ENUM(name, help) METRIC_##name,
 enum metrics_counter
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -101,7 +101,7 @@
   bool is_canary;      /* sent although a part of its prompt is in
                           quarantine */
   const char *service; /* chosen among the route's targets */
-  int64_t since_ms;    /* when the request's first byte arrived */
+  int64_t since_ms;    /* earliest time at which it can have come */
   int64_t until_ms;    /* deadline of the request */
   int64_t unread_ms;   /* time that it may have waited to be read */
   struct event *timer; /* expires at until_ms */
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -77,21 +77,23 @@
     refuse (e, why->not_run, why->retry_after_ms);
 }
 
+static const struct early_end timed_out
+    = { "timeout_in_answer", "timeout", "timeout_before_sending",
+        LOAD_SHED_RETRY_AFTER_MIN_MS };
+
 static void
 on_timeout (evutil_socket_t fd, short what, void *arg)
 {
-  static const struct early_end why
-      = { "timeout_in_answer", "timeout", "timeout_before_sending",
-          LOAD_SHED_RETRY_AFTER_MIN_MS };
   (void)fd;
   (void)what;
   exchange_record_work (arg, false);
-  end_early (arg, &why);
+  end_early (arg, &timed_out);
 }
 
 /* Routing of new requests.  */
 
-static void
+/* Sets the deadline of E.  Returns false if it is over.  */
+static bool
 set_deadline (struct exchange *e)
 {
   int64_t ms
@@ -99,10 +101,13 @@
   if (e->facts.caller_timeout_ms >= 0)
     ms = MIN (ms, e->facts.caller_timeout_ms);
   e->until_ms = e->since_ms + ms;
-  int64_t left = MAX (e->until_ms - clock_ms (), 0);
+  int64_t left = e->until_ms - clock_ms ();
+  if (left <= 0)
+    return false;
   struct timeval tv = { left / 1000, (left % 1000) * 1000 };
   e->timer = evtimer_new (e->proxy->parts.base, on_timeout, e);
   evtimer_add (e->timer, &tv);
+  return true;
 }
 
 static bool
@@ -167,9 +172,10 @@
     exchange_reply (e, 404, "no_route", 0);
   else if (!identify_caller (e))
     exchange_reply (e, 401, "unknown_key", 0);
+  else if (!set_deadline (e))
+    end_early (e, &timed_out);
   else
     {
-      set_deadline (e);
       if (outlasts_shutdown (e))
         {
           refuse (e, "stopping", STOPPING_RETRY_MS);
@@ -197,8 +203,8 @@
   e->proxy = p;
   e->caller = r;
   e->no_retry = "";
-  e->since_ms = inbound_request_start_ms (r);
-  e->unread_ms = e->since_ms - inbound_request_since_ms (r);
+  e->since_ms = inbound_request_since_ms (r);
+  e->unread_ms = inbound_request_start_ms (r) - e->since_ms;
   metrics_observe (METRIC_unread_seconds, e->unread_ms * US_PER_MS);
   e->current = attempt_create (e);
   e->table = p->table ? route_table_ref (p->table) : NULL;
--- a/src/links/loop_clock.c
+++ b/src/links/loop_clock.c
@@ -13,6 +13,9 @@
 /* A timer that is later than this shows that the process got no processor
    time.  */
 #define LATE_TICK_US (25 * US_PER_MS)
+/* A pause of at least this long is logged.  Those of a usage cap, ten a second,
+   are shorter.  */
+#define PAUSE_LOG_MS 200
 
 /* Times are of the monotonic clock, in microseconds.  */
 struct loop_clock
@@ -25,7 +28,10 @@
   int64_t before_us;   /* latest known time at or before the end of the look of
                           the turn before */
   int64_t tick_us;     /* when the tick is due next; 0: never called */
-  bool after_held;     /* the turn before took HELD_MIN_US or more */
+  int64_t paused_us;   /* how late the tick was at the look of NOTED_TURN; not
+                          for the work of the turn before */
+  bool after_held;     /* the turn before took HELD_MIN_US or more, or its look
+                          was paused */
   bool look_again;     /* the next turn must not wait for input */
   bool waits;          /* the present turn may wait for input */
 };
@@ -60,7 +66,9 @@
          - cached.tv_usec;
 }
 
-/* Notes when the look of the present turn ended.  */
+/* Notes when the look of the present turn ended, and whether it lasted beyond
+   the time at which the tick was due: then the process got no processor
+   time.  */
 static void
 note_look (struct loop_clock *c)
 {
@@ -70,24 +78,32 @@
   int64_t now = g_get_monotonic_time ();
   c->noted_turn = c->turn;
   c->looked_us = CLAMP (now - since_us, c->entered_us, now);
+  c->paused_us
+      = c->tick_us > 0 ? c->looked_us - MAX (c->tick_us, c->entered_us) : 0;
+  if (c->paused_us >= LATE_TICK_US)
+    metrics_observe (METRIC_process_paused_seconds, c->paused_us);
+  if (c->paused_us >= PAUSE_LOG_MS * US_PER_MS)
+    log_event (LOG_INFO, "process_paused", "ms",
+               log_num (c->paused_us / US_PER_MS), NULL);
 }
 
 /* Observes the present turn, which ends, and begins the next one.  After a
-   long turn it does not wait for input, so that what it reads is known to have
-   waited itself.  */
+   long turn or a pause it does not wait for input, so that what it reads is
+   known to have waited itself.  */
 static void
 next_turn (struct loop_clock *c)
 {
   int64_t now = g_get_monotonic_time ();
   bool noted = c->noted_turn == c->turn;
   int64_t held_us = noted ? now - c->looked_us : 0;
-  c->before_us = noted ? c->looked_us : c->entered_us;
+  bool paused = noted && c->paused_us >= LATE_TICK_US;
+  c->before_us = noted && !paused ? c->looked_us : c->entered_us;
   if (noted)
     metrics_observe (METRIC_loop_turn_seconds, held_us);
   if (held_us >= LOOP_HELD_LOG_MS * US_PER_MS)
     log_event (LOG_INFO, "loop_turn_long", "ms", log_num (held_us / US_PER_MS),
                NULL);
-  c->after_held = held_us >= HELD_MIN_US;
+  c->after_held = paused || held_us >= HELD_MIN_US;
   c->waits = !c->after_held && !c->look_again;
   c->look_again = false;
   c->turn++;
@@ -105,21 +121,10 @@
       && !event_base_got_break (c->base));
 }
 
-/* For how long the look of this turn lasted beyond the time at which the tick
-   was due: the process got no processor time.  */
-static int64_t
-paused_us (const struct loop_clock *c)
-{
-  return c->tick_us > 0 ? c->looked_us - MAX (c->tick_us, c->entered_us) : 0;
-}
-
 void
 loop_clock_tick (struct loop_clock *c)
 {
   note_look (c);
-  if (paused_us (c) >= LATE_TICK_US)
-    log_event (LOG_INFO, "process_paused", "ms",
-               log_num (paused_us (c) / US_PER_MS), NULL);
   c->tick_us = c->looked_us + LOOP_TICK_MS * US_PER_MS;
 }
 
@@ -131,7 +136,7 @@
   int64_t since_us = c->looked_us;
   if (c->after_held)
     since_us = c->before_us;
-  else if (paused_us (c) >= LATE_TICK_US)
+  else if (c->paused_us >= LATE_TICK_US)
     since_us = c->entered_us;
   int64_t since_ms = since_us / US_PER_MS;
   if (accepted && accepted->turn + 1 == c->turn && !c->waits)
