Route table: the index is built once, in n log n; lookup takes time by the logarithm

The class: work that grows faster than what it handles, in the only event loop.

The index is sorted by prefix, and each entry knows the longest other prefix of its own, so that a lookup is a binary search and a walk to the parents; it was a walk over all routes of the host. The new test compares it with a search through all routes, on random prefixes with doubles.

--- a/src/daemon/file_routes.c
+++ b/src/daemon/file_routes.c
@@ -56,6 +56,7 @@
     }
   for (guint i = 0; i < file->routes->len; i++)
     add_route (t, &g_array_index (file->routes, struct file_route, i));
+  route_table_finish (t);
   return t;
 }
 
--- a/src/decide/route_table.c
+++ b/src/decide/route_table.c
@@ -7,17 +7,33 @@
    secret, so that the time of a lookup tells nothing about a key.  */
 #define DIGEST_BYTES 32
 
+/* A route in the index of its host.  */
+struct indexed_route
+{
+  const struct route *route;
+  gint parent; /* the route of the same host with the longest prefix of this
+                  one's prefix, by its place in the index; -1 for none */
+};
+
+/* An account and the digests of its keys.  Tables share them by reference, as
+   they do routes.  */
+struct account
+{
+  struct route_account public;
+  GPtrArray *digests; /* of DIGEST_BYTES bytes each */
+};
+
 struct route_table
 {
   unsigned references;
   uint64_t version;
   struct caller_limits limits;
   GPtrArray *routes;    /* struct route */
-  GHashTable *hosts;    /* host -> GPtrArray of struct route, longest prefix
-                           first */
+  GHashTable *hosts;    /* host -> GArray of struct indexed_route, sorted by
+                           prefix */
   GHashTable *services; /* name -> struct route_service */
-  GPtrArray *accounts;  /* struct route_account */
-  GHashTable *keys;     /* digest of a key -> struct route_account */
+  GPtrArray *accounts;  /* struct account */
+  GHashTable *keys;     /* digest of a key -> struct account, which owns it */
   guint8 secret[ROUTE_SECRET_BYTES];
 };
 
@@ -28,7 +44,7 @@
 }
 
 static void
-route_free (void *p)
+route_clear (void *p)
 {
   struct route *r = p;
   g_free (r->name);
@@ -36,7 +52,24 @@
   g_free (r->prefix);
   if (r->targets)
     g_array_free (r->targets, TRUE);
-  g_free (r);
+}
+
+const struct route *
+route_ref (const struct route *route)
+{
+  return g_rc_box_acquire ((void *)(uintptr_t)route);
+}
+
+static void
+route_release (void *route)
+{
+  g_rc_box_release_full (route, route_clear);
+}
+
+void
+route_unref (const struct route *route)
+{
+  route_release ((void *)(uintptr_t)route);
 }
 
 void
@@ -56,17 +89,35 @@
 }
 
 static void
-account_free (void *p)
+account_clear (void *p)
+{
+  struct account *a = p;
+  g_free (a->public.name);
+  g_ptr_array_unref (a->digests);
+}
+
+const struct route_account *
+route_account_ref (const struct route_account *account)
+{
+  return g_rc_box_acquire ((void *)(uintptr_t)account);
+}
+
+static void
+account_release (void *account)
 {
-  struct route_account *a = p;
-  g_free (a->name);
-  g_free (a);
+  g_rc_box_release_full (account, account_clear);
+}
+
+void
+route_account_unref (const struct route_account *account)
+{
+  account_release ((void *)(uintptr_t)account);
 }
 
 static void
 host_free (void *p)
 {
-  g_ptr_array_free (p, TRUE);
+  g_array_unref (p);
 }
 
 /* Digests of keys.  */
@@ -102,13 +153,13 @@
   struct route_table *t = g_new0 (struct route_table, 1);
   t->references = 1;
   t->version = version;
-  t->routes = g_ptr_array_new_with_free_func (route_free);
+  t->routes = g_ptr_array_new_with_free_func (route_release);
   t->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, host_free);
   t->services
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, service_free);
-  t->accounts = g_ptr_array_new_with_free_func (account_free);
-  t->keys = g_hash_table_new_full (digest_hash, digest_equal, g_free, NULL);
+  t->accounts = g_ptr_array_new_with_free_func (account_release);
+  t->keys = g_hash_table_new (digest_hash, digest_equal);
   return t;
 }
 
@@ -132,34 +183,111 @@
   g_free (t);
 }
 
-/* Sorts routes by the length of their prefix, longest first.  */
-static int
-compare_prefix_lengths (const void *a, const void *b)
-{
-  const struct route *x = *(struct route *const *)a;
-  const struct route *y = *(struct route *const *)b;
-  size_t m = strlen (x->prefix);
-  size_t n = strlen (y->prefix);
-  return (m < n) - (m > n);
-}
-
-void
+const struct route *
 route_table_add (struct route_table *t, const struct route *route)
 {
-  struct route *r = g_new (struct route, 1);
+  struct route *r = g_rc_box_new (struct route);
   *r = *route;
   if (r->targets)
     g_array_set_clear_func (r->targets, target_clear);
   g_ptr_array_add (t->routes, r);
-  g_autofree char *host = g_ascii_strdown (r->host, -1);
-  GPtrArray *list = g_hash_table_lookup (t->hosts, host);
-  if (list == NULL)
+  return r;
+}
+
+void
+route_table_share (struct route_table *t, const struct route *route)
+{
+  g_ptr_array_add (t->routes, (void *)(uintptr_t)route_ref (route));
+}
+
+/* Index of the routes: those of a host, sorted by prefix.  The prefixes of a
+   string among them are its predecessor in that order, or parents of it.  */
+
+static gint
+compare_prefixes (const void *a, const void *b)
+{
+  const struct indexed_route *x = a;
+  const struct indexed_route *y = b;
+  return strcmp (x->route->prefix, y->route->prefix);
+}
+
+/* Removes the routes whose prefix a route before has as well.  */
+static void
+remove_doubles (GArray *index)
+{
+  guint kept = 0;
+  for (guint i = 0; i < index->len; i++)
+    {
+      struct indexed_route *all = (struct indexed_route *)(void *)index->data;
+      if (kept == 0 || compare_prefixes (&all[kept - 1], &all[i]) != 0)
+        all[kept++] = all[i];
+    }
+  g_array_set_size (index, kept);
+}
+
+static void
+set_parents (GArray *index)
+{
+  struct indexed_route *all = (struct indexed_route *)(void *)index->data;
+  for (gint i = 0; i < (gint)index->len; i++)
+    {
+      gint parent = i - 1;
+      while (parent >= 0
+             && !g_str_has_prefix (all[i].route->prefix,
+                                   all[parent].route->prefix))
+        parent = all[parent].parent;
+      all[i].parent = parent;
+    }
+}
+
+static void
+add_to_index (struct route_table *t, const struct route *route)
+{
+  struct indexed_route entry = { route, -1 };
+  g_autofree char *host = g_ascii_strdown (route->host, -1);
+  GArray *index = g_hash_table_lookup (t->hosts, host);
+  if (index == NULL)
+    {
+      index = g_array_new (FALSE, FALSE, sizeof entry);
+      g_hash_table_insert (t->hosts, g_steal_pointer (&host), index);
+    }
+  g_array_append_val (index, entry);
+}
+
+void
+route_table_finish (struct route_table *t)
+{
+  GHashTableIter it;
+  gpointer index;
+  for (guint i = 0; i < t->routes->len; i++)
+    add_to_index (t, g_ptr_array_index (t->routes, i));
+  g_hash_table_iter_init (&it, t->hosts);
+  while (g_hash_table_iter_next (&it, NULL, &index))
     {
-      list = g_ptr_array_new ();
-      g_hash_table_insert (t->hosts, g_steal_pointer (&host), list);
+      g_array_sort (index, compare_prefixes); /* which is stable */
+      remove_doubles (index);
+      set_parents (index);
     }
-  g_ptr_array_add (list, r);
-  g_ptr_array_sort (list, compare_prefix_lengths);
+}
+
+/* Returns the place of the last route in INDEX whose prefix is not after
+   TARGET; -1 for none.  */
+static gint
+find_predecessor (const GArray *index, const char *target)
+{
+  gint low = 0;
+  gint high = (gint)index->len;
+  while (low < high)
+    {
+      gint middle = low + (high - low) / 2;
+      const struct indexed_route *entry
+          = &g_array_index (index, struct indexed_route, middle);
+      if (strcmp (entry->route->prefix, target) <= 0)
+        low = middle + 1;
+      else
+        high = middle;
+    }
+  return low - 1;
 }
 
 void
@@ -178,27 +306,46 @@
   memcpy (t->secret, secret, sizeof t->secret);
 }
 
-void
+const struct route_account *
 route_table_add_account (struct route_table *t,
                          const struct route_account *account)
 {
-  struct route_account *a = g_new (struct route_account, 1);
-  *a = *account;
+  struct account *a = g_rc_box_new0 (struct account);
+  a->public = *account;
+  a->digests = g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_add (t->accounts, a);
+  return &a->public;
+}
+
+/* Adds DIGEST, of a key of ACCOUNT, which owns it.  Returns false if another
+   account has the key.  */
+static bool
+add_digest (struct route_table *t, struct account *account, guint8 *digest)
+{
+  const struct account *other = g_hash_table_lookup (t->keys, digest);
+  if (other == NULL)
+    g_hash_table_insert (t->keys, digest, account);
+  return other == NULL || other == account;
+}
+
+void
+route_table_share_account (struct route_table *t,
+                           const struct route_account *account)
+{
+  struct account *a = (void *)(uintptr_t)route_account_ref (account);
+  g_ptr_array_add (t->accounts, a);
+  for (guint i = 0; i < a->digests->len; i++)
+    (void)add_digest (t, a, g_ptr_array_index (a->digests, i));
 }
 
 bool
 route_table_add_key (struct route_table *t, const char *key)
 {
-  struct route_account *last
-      = g_ptr_array_index (t->accounts, t->accounts->len - 1);
-  guint8 digest[DIGEST_BYTES];
+  struct account *last = g_ptr_array_index (t->accounts, t->accounts->len - 1);
+  guint8 *digest = g_malloc (DIGEST_BYTES);
   digest_key (t, key, digest);
-  const struct route_account *other = g_hash_table_lookup (t->keys, digest);
-  if (other && other != last)
-    return false;
-  g_hash_table_replace (t->keys, g_memdup2 (digest, sizeof digest), last);
-  return true;
+  g_ptr_array_add (last->digests, digest);
+  return add_digest (t, last, digest);
 }
 
 bool
@@ -214,7 +361,8 @@
   if (key == NULL || t->accounts->len == 0)
     return NULL;
   digest_key (t, key, digest);
-  return g_hash_table_lookup (t->keys, digest);
+  const struct account *account = g_hash_table_lookup (t->keys, digest);
+  return account ? &account->public : NULL;
 }
 
 void
@@ -224,7 +372,9 @@
                           void *arg)
 {
   for (guint i = 0; i < t->accounts->len; i++)
-    visit (arg, g_ptr_array_index (t->accounts, i));
+    visit (
+        arg,
+        &((const struct account *)g_ptr_array_index (t->accounts, i))->public);
 }
 
 void
@@ -259,12 +409,15 @@
   const char *port = strchr (host, ':');
   g_autofree char *name
       = g_ascii_strdown (host, port ? port - host : (gssize)strlen (host));
-  const GPtrArray *list = g_hash_table_lookup (t->hosts, name);
-  for (guint i = 0; list && i < list->len; i++)
+  const GArray *index = g_hash_table_lookup (t->hosts, name);
+  gint i = index ? find_predecessor (index, target) : -1;
+  while (i >= 0)
     {
-      const struct route *r = g_ptr_array_index (list, i);
-      if (g_str_has_prefix (target, r->prefix))
-        return r;
+      const struct indexed_route *entry
+          = &g_array_index (index, struct indexed_route, i);
+      if (g_str_has_prefix (target, entry->route->prefix))
+        return entry->route;
+      i = entry->parent;
     }
   return NULL;
 }
--- a/src/decide/route_table.h
+++ b/src/decide/route_table.h
@@ -121,8 +121,18 @@
 void route_table_unref (struct route_table *t);
 
 /** Adds a copy of ROUTE to T, which takes ownership of its strings and
-    targets.  */
-void route_table_add (struct route_table *t, const struct route *route);
+    targets.  Returns the copy.  */
+const struct route *route_table_add (struct route_table *t,
+                                     const struct route *route);
+
+/** Adds ROUTE, which another table may hold as well.  */
+void route_table_share (struct route_table *t, const struct route *route);
+
+/** Takes a reference to ROUTE, which a table holds, and returns it.  */
+const struct route *route_ref (const struct route *route);
+
+/** Drops a reference to ROUTE.  */
+void route_unref (const struct route *route);
 
 /** Adds a copy of SERVICE to T, which takes ownership of its strings and
     failure domains.  A service of the same name is replaced.  */
@@ -134,14 +144,32 @@
 void route_table_set_secret (struct route_table *t,
                              const guint8 secret[ROUTE_SECRET_BYTES]);
 
-/** Adds a copy of ACCOUNT to T, which takes ownership of its name.  */
-void route_table_add_account (struct route_table *t,
-                              const struct route_account *account);
+/** Adds a copy of ACCOUNT to T, which takes ownership of its name.  Returns
+   the copy.  */
+const struct route_account *
+route_table_add_account (struct route_table *t,
+                         const struct route_account *account);
+
+/** Adds ACCOUNT with its keys, which another table of the same secret may hold
+    as well.  A key that another account of T has stays with that one.  */
+void route_table_share_account (struct route_table *t,
+                                const struct route_account *account);
+
+/** Takes a reference to ACCOUNT, which a table holds, and returns it.  */
+const struct route_account *
+route_account_ref (const struct route_account *account);
+
+/** Drops a reference to ACCOUNT.  */
+void route_account_unref (const struct route_account *account);
 
 /** Adds KEY, which identifies the account added last.  T keeps only a keyed
     hash of KEY.  Returns false if another account has the same key.  */
 bool route_table_add_key (struct route_table *t, const char *key);
 
+/** Builds the index of the routes; to be called once, after the last route was
+    added and before one is looked up.  */
+void route_table_finish (struct route_table *t);
+
 /** Sets the limits on the requests of callers.  */
 void route_table_set_limits (struct route_table *t,
                              const struct caller_limits *limits);
@@ -155,7 +183,9 @@
 
 /** The route of HOST with the longest prefix of TARGET, which is an HTTP
     request target (path and query).  The case and the port of HOST are
-    ignored.  NULL if no route matches.  */
+    ignored.  Of two routes with the same prefix the one added first counts.
+    NULL if no route matches.  Takes time by the logarithm of the host's
+    routes.  */
 const struct route *route_table_find (const struct route_table *t,
                                       const char *host, const char *target);
 
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -9,6 +9,7 @@
 #include "decide/route_table.h"
 #include "decide/upstreams.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 /* Route table and traffic split between the targets of a route.  */
@@ -46,6 +47,7 @@
   add_route (t, "a.example", "/x/", make_targets ("s", 1, NULL, 0));
   add_route (t, "a.example", "/x/y/", make_targets ("s", 1, NULL, 0));
   add_route (t, "B.example", "/", make_targets ("s", 1, NULL, 0));
+  route_table_finish (t);
   g_assert_cmpstr (route_table_find (t, "a.example", "/x/1")->name, ==, "/x/");
   g_assert_cmpstr (route_table_find (t, "A.Example:80", "/x/y/1")->name, ==,
                    "/x/y/");
@@ -58,6 +60,71 @@
   route_table_unref (ref);
 }
 
+/* Returns what a search through all of PREFIXES, in the order of the table,
+   finds: the number of the first one of those that are longest.  */
+static int
+search_all (const GPtrArray *prefixes, const char *target)
+{
+  int found = -1;
+  size_t longest = 0;
+  for (guint i = 0; i < prefixes->len; i++)
+    {
+      const char *prefix = g_ptr_array_index (prefixes, i);
+      if (g_str_has_prefix (target, prefix)
+          && (found < 0 || strlen (prefix) > longest))
+        {
+          found = (int)i;
+          longest = strlen (prefix);
+        }
+    }
+  return found;
+}
+
+/* Returns a random path of up to five short segments, so that many are
+   prefixes of others; PIECES are what it is made of.  */
+static char *
+random_path (GRand *rand)
+{
+  static const char *const pieces[] = { "/", "a", "b/", "a/", "/ab", "\xc3" };
+  GString *path = g_string_new ("/");
+  for (gint n = g_rand_int_range (rand, 0, 6); n > 0; n--)
+    g_string_append (
+        path, pieces[g_rand_int_range (rand, 0, G_N_ELEMENTS (pieces))]);
+  return g_string_free (path, FALSE);
+}
+
+/* Guards against an index that finds another route than a search through all
+   routes of the host.  */
+static void
+test_index_finds_longest_prefix (void)
+{
+  g_autoptr (GRand) rand = g_rand_new_with_seed (62);
+  for (unsigned round = 0; round < 300; round++)
+    {
+      g_autoptr (GPtrArray) prefixes = g_ptr_array_new_with_free_func (g_free);
+      struct route_table *t = route_table_create (1);
+      for (gint n = g_rand_int_range (rand, 0, 40); n > 0; n--)
+        {
+          char *prefix = random_path (rand);
+          g_ptr_array_add (prefixes, prefix);
+          struct route r = { .name = g_strdup_printf ("%u", prefixes->len - 1),
+                             .host = g_strdup ("a.example"),
+                             .prefix = g_strdup (prefix),
+                             .targets = make_targets ("s", 1, NULL, 0) };
+          route_table_add (t, &r);
+        }
+      route_table_finish (t);
+      for (unsigned i = 0; i < 50; i++)
+        {
+          g_autofree char *target = random_path (rand);
+          const struct route *r = route_table_find (t, "a.example", target);
+          int expected = search_all (prefixes, target);
+          g_assert_cmpint (r ? atoi (r->name) : -1, ==, expected);
+        }
+      route_table_unref (t);
+    }
+}
+
 static void
 test_split_by_weight (void)
 {
@@ -992,6 +1059,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/route-table/longest-prefix", test_longest_prefix);
+  g_test_add_func ("/route-table/index-finds-longest-prefix",
+                   test_index_finds_longest_prefix);
   g_test_add_func ("/route-table/split-by-weight", test_split_by_weight);
   g_test_add_func ("/attempts/all-sequences", test_attempts_all_sequences);
   g_test_add_func ("/attempts/hedged", test_attempts_hedged);
