Routes are decoded in slices beside the requests, and only what changed

Callers saw answers up to two and a half seconds late, and past their route's time-out, at each change of a configuration with many routes: every version was read and decoded in one piece in the only event loop, all of it also for a small change.

The class is work in one piece that grows with what it handles.

Elements whose bytes were in the version before are not parsed at all: both tables hold the same route, or account with the digests of its keys. Versions that wait meanwhile are passed over for the newest valid one. The store's adapter leaves large values out of what it parses: that alone took 11 ms for 1 MB.

--- a/src/daemon/discovery.c
+++ b/src/daemon/discovery.c
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "daemon/prefix_watch.h"
+#include "daemon/routes_intake.h"
 #include "decide/departures.h"
 
 #include <string.h>
@@ -37,18 +38,16 @@
 
 struct discovery
 {
-  struct loop_clock *clock;
   const struct kv *kv;
   const struct platform_ops *platform;
   struct upstreams *upstreams;
   struct departures *departures;
   const struct discovery_callbacks *callbacks;
   void *arg;
+  struct routes_intake *intake;
   struct prefix_watch *routes_watch;
   struct prefix_watch *upstreams_watch;
   struct event *timer;
-  uint64_t version; /* version of the routes in force */
-  bool has_routes;
   unsigned recovery_ms;    /* see struct discovery_times */
   int64_t grace_end_ms;    /* end of the period of RECONNECT_GRACE_MS */
   int64_t burst_grace_ms;  /* see BURST_GRACE_PERCENT */
@@ -63,43 +62,23 @@
 on_routes_change (void *arg, const char *key, GBytes *value, int64_t revision)
 {
   struct discovery *d = arg;
-  if (strcmp (key, d->platform->routes_key) != 0 || value == NULL)
-    return;
-  g_autoptr (GError) error = NULL;
-  gsize size = 0;
-  const void *data = g_bytes_get_data (value, &size);
-  LOOP_WORK_AUTO struct loop_work work
-      = loop_work_begin (d->clock, "routes", size);
-  struct route_table *t = d->platform->decode_routes (data, size, &error);
-  if (t == NULL)
-    {
-      log_event (LOG_ERROR, "routes_malformed", "key", key, "revision",
-                 log_num (revision), "error", error->message, NULL);
-      return;
-    }
-  uint64_t version = route_table_version (t);
-  bool newer = !d->has_routes || version > d->version;
-  log_event (LOG_INFO, newer ? "routes_in_force" : "routes_passed_over",
-             "version", log_num ((long long)version), "previous_version",
-             log_num (d->has_routes ? (long long)d->version : -1), "revision",
-             log_num (revision), "routes", log_num (route_table_count (t)),
-             NULL);
-  if (!newer)
-    {
-      route_table_unref (t);
-      return;
-    }
-  d->has_routes = true;
-  d->version = version;
-  metrics_set (METRIC_routes_version, (int64_t)version);
-  d->callbacks->on_routes (d->arg, t);
+  if (strcmp (key, d->platform->routes_key) == 0 && value)
+    routes_intake_add (d->intake, value, revision);
 }
 
 static void
 on_routes_batch (void *arg, bool listed)
 {
-  (void)arg;
+  struct discovery *d = arg;
   (void)listed;
+  routes_intake_start (d->intake);
+}
+
+static void
+on_routes (void *arg, struct route_table *table)
+{
+  struct discovery *d = arg;
+  d->callbacks->on_routes (d->arg, table);
 }
 
 static void
@@ -290,7 +269,7 @@
 {
   static const struct timeval tick = { 0, TICK_MS * 1000 };
   struct discovery *d = g_new0 (struct discovery, 1);
-  d->clock = clock;
+  d->intake = routes_intake_create (base, clock, platform, on_routes, d);
   d->kv = kv;
   d->platform = platform;
   d->departures = departures_create ();
@@ -335,6 +314,7 @@
   if (d == NULL)
     return;
   event_free (d->timer);
+  routes_intake_destroy (d->intake);
   prefix_watch_destroy (d->routes_watch);
   prefix_watch_destroy (d->upstreams_watch);
   g_hash_table_destroy (d->missing);
@@ -367,7 +347,8 @@
 bool
 discovery_is_complete (const struct discovery *d)
 {
-  return d->has_routes && prefix_watch_is_synced (d->upstreams_watch);
+  return routes_intake_has_routes (d->intake)
+         && prefix_watch_is_synced (d->upstreams_watch);
 }
 
 int64_t
--- a/src/links/loop_clock.c
+++ b/src/links/loop_clock.c
@@ -13,8 +13,8 @@
 /* A timer that is later than this shows that the process got no processor
    time.  */
 #define LATE_TICK_US (25 * US_PER_MS)
-/* A pause of at least this long is logged.  Those of a usage cap, ten a second,
-   are shorter.  */
+/* A pause of at least this long is logged.  Those of a usage cap, ten a
+   second, are shorter.  */
 #define PAUSE_LOG_MS 200
 
 /* Times are of the monotonic clock, in microseconds.  */
--- a/src/links/platform.h
+++ b/src/links/platform.h
@@ -3,7 +3,7 @@
     registry of VMs in place of the product's own file and membership: tables
     of functions that translate the platform's HTTP heads, configuration and
     upstream entries into the product's types.  These functions make no
-    decisions and keep no state.  */
+    decisions, and only the decoder of routes and the store keep state.  */
 #ifndef LINKS_PLATFORM_H
 #define LINKS_PLATFORM_H
 
@@ -18,6 +18,17 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+/** Decoder of versions of the routes.  */
+struct route_decoder;
+
+/** Result of a step of a decoder.  */
+enum route_decode_step
+{
+  ROUTE_DECODE_MORE,  /**< there are more steps to do */
+  ROUTE_DECODE_DONE,  /**< the version is decoded */
+  ROUTE_DECODE_FAILED /**< the version is invalid and dropped */
+};
+
 /** What the header fields of a caller's request state.  */
 struct request_info
 {
@@ -146,10 +157,22 @@
       usage_total.  The calling code frees it.  */
   char *(*write_usage_report) (uint64_t window, const GArray *totals);
 
-  /** Decodes the routes.  Returns NULL if DATA is invalid, and ERROR then
-      names the faulty object and field, or the line of a syntax error.  */
-  struct route_table *(*decode_routes) (const void *data, size_t size,
-                                        GError **error);
+  /** Creates a decoder of routes.  It keeps the elements of the last version
+      that it decoded, so that the next one costs what changed.  */
+  struct route_decoder *(*create_route_decoder) (void);
+  /** Frees a decoder, which may be NULL.  */
+  void (*destroy_route_decoder) (struct route_decoder *d);
+  /** Begins to decode VALUE, of which VERSION is set; drops a version in
+      progress.  Returns false if the text as a whole is invalid, and ERROR
+      then names the faulty field, or the line of a syntax error.  */
+  bool (*begin_routes) (struct route_decoder *d, GBytes *value,
+                        uint64_t *version, GError **error);
+  /** Decodes one element of the version that was begun.  Sets TABLE, of which
+      the calling code owns a reference, at the last one; or ERROR, which names
+      the faulty element and field.  */
+  enum route_decode_step (*decode_step) (struct route_decoder *d,
+                                         struct route_table **table,
+                                         GError **error);
   /** Decodes DATA, the entry of an upstream under KEY.  Returns false and sets
       ERROR if it is invalid; OUT then holds nothing.  */
   bool (*decode_upstream) (const char *key, const void *data, size_t size,
--- a/tests/unit/test_store.c
+++ b/tests/unit/test_store.c
@@ -376,6 +376,37 @@
   stop ();
 }
 
+/* Guards against a value that is a number in the answer and is taken for a
+   large value, whose place in the parsed answer a number takes.  */
+static void
+test_numbers_are_no_values (void)
+{
+  g_autofree char *large = g_strnfill (8000, 'A');
+  g_autofree char *both = g_strdup_printf (
+      "{\"items\":[{\"key\":\"k1\",\"value\":0,\"revision\":1},"
+      "{\"key\":\"k2\",\"value\":\"%s\",\"revision\":1}],\"asOf\":1}",
+      large);
+  g_autofree char *one = g_strdup_printf (
+      "{\"items\":[{\"key\":\"k1\",\"value\":\"dg==\",\"revision\":1},"
+      "{\"key\":\"k2\",\"value\":\"%s\",\"revision\":1}],\"asOf\":1}",
+      large);
+  const struct answer script[]
+      = { { "1", 200, "{\"key\":\"k\",\"value\":0,\"revision\":1}", 0 },
+          { "1", 200, both, 0 },
+          { "1", 200, one, 0 } };
+  start (script);
+  get (0);
+  await_ends (1);
+  kv_list (kv, "k", on_changes, GUINT_TO_POINTER (1));
+  await_ends (2);
+  kv_list (kv, "k", on_changes, GUINT_TO_POINTER (2));
+  await_ends (3);
+  g_assert_cmpint (statuses[0], ==, KV_NOT_DONE);
+  g_assert_cmpint (statuses[1], ==, KV_NOT_DONE);
+  g_assert_cmpint (statuses[2], ==, KV_OK);
+  stop ();
+}
+
 int
 main (int argc, char **argv)
 {
@@ -389,5 +420,6 @@
                    test_answers_without_revision);
   g_test_add_func ("/store/absurd-revisions", test_absurd_revisions);
   g_test_add_func ("/store/removed-items", test_removed_items);
+  g_test_add_func ("/store/numbers-are-no-values", test_numbers_are_no_values);
   return g_test_run ();
 }
