The product's own interface and a stop count their time from when it can have come

Deadlines of streams and bookings at the product's own interface counted from when the request was read; and a stop from when the loop came to the signal: a VM paused for 2 s while SIGTERM came ended 6.65 s after the signal, at a leave deadline of 5 s (stop-counts-from-signal, red before), so that a platform would have killed it with its requests.

--- a/src/daemon/calls.c
+++ b/src/daemon/calls.c
@@ -117,7 +117,7 @@
   e->id = ++c->next_id;
   e->request = r;
   e->start_us = g_get_monotonic_time ();
-  e->deadline_ms = clock_ms () + (int64_t)m->deadline_ms;
+  e->deadline_ms = http_request_since_ms (r) + (int64_t)m->deadline_ms;
   span_start (&e->span, "entry", http_request_header (r, "traceparent"));
   span_traceparent (&e->span, traceparent);
   call_open_copy (&e->open, m);
--- a/src/daemon/context.h
+++ b/src/daemon/context.h
@@ -9,6 +9,7 @@
 #include "generated/settings_table.h"
 #include "links/http_client.h"
 #include "links/kv.h"
+#include "links/loop_clock.h"
 #include "links/peer.h"
 
 #include <event2/event.h>
@@ -19,6 +20,7 @@
 struct context
 {
   struct event_base *base;
+  struct loop_clock *clock;
   struct settings *settings;
   char *fleet_key;      /**< secret that all VMs of the fleet share */
   uint64_t incarnation; /**< number of this process start; rises each time */
--- a/src/daemon/daemon.c
+++ b/src/daemon/daemon.c
@@ -33,6 +33,7 @@
 struct daemon
 {
   struct context ctx;
+  struct event *tick; /* of the loop's clock */
   struct http_server *server;
   struct caller_api caller_api;
 
@@ -287,7 +288,7 @@
   route_server_leave (d->routes);
   struct shutdown *s = g_new0 (struct shutdown, 1);
   s->d = d;
-  s->started_ms = clock_ms ();
+  s->started_ms = loop_clock_input_since_ms (d->ctx.clock, NULL);
   s->timer = context_add_timer (&d->ctx, LEAVE_TICK_MS, on_shutdown_timer, s);
 }
 
@@ -340,7 +341,8 @@
   struct settings *s = d->ctx.settings;
   struct http_limits limits = { .body_bytes = s->max_body_bytes,
                                 .header_bytes = s->max_header_bytes,
-                                .connections = (unsigned)s->max_connections };
+                                .connections = (unsigned)s->max_connections,
+                                .clock = d->ctx.clock };
   d->ctx.fleet_key = read_fleet_key (s->fleet_key_file, error);
   if (d->ctx.fleet_key == NULL)
     return false;
@@ -413,11 +415,22 @@
   return false;
 }
 
+static void
+on_loop_tick (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  const struct daemon *d = arg;
+  loop_clock_tick (d->ctx.clock);
+}
+
 struct daemon *
 daemon_create (struct settings *settings, GError **error)
 {
   struct daemon *d = g_new0 (struct daemon, 1);
   d->ctx.base = create_event_base ();
+  d->ctx.clock = loop_clock_create (d->ctx.base);
+  d->tick = context_add_timer (&d->ctx, LOOP_TICK_MS, on_loop_tick, d);
   d->ctx.settings = settings;
   d->ctx.incarnation = member_first_incarnation (wall_ms ());
   d->ctx.members = create_members (d);
@@ -447,7 +460,7 @@
              log_num ((long long)d->ctx.settings->peer_port), "region",
              d->ctx.settings->region, "failure_domain",
              d->ctx.settings->failure_domain, NULL);
-  event_base_dispatch (d->ctx.base);
+  loop_clock_run (d->ctx.clock);
   event_free (term);
   event_free (intr);
 }
@@ -477,6 +490,8 @@
   trace_close ();
   settings_destroy (d->ctx.settings);
   g_free (d->ctx.fleet_key);
+  event_free (d->tick);
+  loop_clock_destroy (d->ctx.clock);
   event_base_free (d->ctx.base);
   g_free (d);
 }
--- a/src/daemon/entry.c
+++ b/src/daemon/entry.c
@@ -128,7 +128,7 @@
                     : (unsigned)caller->priority;
   s->routing.avoid = ROUTE_NONE;
   s->start_us = g_get_monotonic_time ();
-  s->deadline_ms = clock_ms () + (int64_t)caller->deadline_ms;
+  s->deadline_ms = http_request_since_ms (r) + (int64_t)caller->deadline_ms;
   span_start (&s->span, "entry", http_request_header (r, "traceparent"));
   g_hash_table_insert (e->streams, &s->id, s);
   metrics_set (METRIC_streams_open, g_hash_table_size (e->streams));
@@ -136,8 +136,9 @@
   return s;
 }
 
-/* Lowers the deadline to X-Deadline-Ms, from 1 to 2^32 - 1 ms after now.  A
-   malformed value, or one that would raise the deadline, is ignored.  */
+/* Lowers the deadline to X-Deadline-Ms, from 1 to 2^32 - 1 ms after the
+   request can have come.  A malformed value, or one that would raise the
+   deadline, is ignored.  */
 static void
 read_deadline (struct entry_stream *s)
 {
@@ -145,7 +146,8 @@
   guint64 ms = 0;
   if (header
       && g_ascii_string_to_unsigned (header, 10, 1, G_MAXUINT32, &ms, NULL))
-    s->deadline_ms = MIN (s->deadline_ms, clock_ms () + (int64_t)ms);
+    s->deadline_ms = MIN (s->deadline_ms,
+                          http_request_since_ms (s->request) + (int64_t)ms);
 }
 
 /* Returns the size of the messages' contents, and adds their first
--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -80,7 +80,7 @@
   int64_t second_ms;      /* when the settings file was last checked */
   int64_t joined_ms;      /* when the VM was first seen to have joined; or 0 */
   struct file_stamp file; /* stamp of the settings file as last read */
-  int64_t leaving_ms;     /* when shutdown began; 0 before */
+  int64_t leaving_ms;     /* earliest time of the stop signal; 0 before */
   bool was_ready;         /* readiness as last logged */
 };
 
@@ -143,13 +143,14 @@
 set_engine_limits (void *arg, const struct route_service *s)
 {
   const struct limits_visit *v = arg;
+  if (!s->is_engine)
+    return;
   struct engine_limits limits = { .kv_tokens = s->kv_tokens,
                                   .kv_bytes_per_token = s->kv_bytes_per_token,
                                   .link_mbit_per_s = s->link_mbit_per_s,
                                   .role_change_ms = s->role_change_ms };
   limits.event_gap_ms = route_table_event_gap_ms (v->table, s->name);
-  if (s->is_engine)
-    upstreams_set_engine_limits (v->gateway->upstreams, s->name, &limits);
+  upstreams_set_engine_limits (v->gateway->upstreams, s->name, &limits);
 }
 
 static void
@@ -384,7 +385,7 @@
   struct gateway *g = arg;
   if (g->leaving_ms != 0)
     return;
-  g->leaving_ms = clock_ms ();
+  g->leaving_ms = loop_clock_input_since_ms (g->clock, NULL);
   log_event (LOG_INFO, "stopping", "signal", log_num (signal), "open",
              log_num (proxy_open_requests (g->proxy)), "deadline_s",
              log_num ((long long)g->settings->leave_deadline_s), NULL);
--- a/src/daemon/route_server.c
+++ b/src/daemon/route_server.c
@@ -140,7 +140,8 @@
           .read_ms = REQUEST_READ_MS,
           .idle_ms = CALLER_IDLE_MS,
           .connections = (unsigned)s->max_connections,
-          .stall_ms = (unsigned)s->upload_stall_ms };
+          .stall_ms = (unsigned)s->upload_stall_ms,
+          .clock = ctx->clock };
   struct route_server *r = g_new0 (struct route_server, 1);
   r->ctx = ctx;
   r->conf = conf;
--- a/src/links/http_server.c
+++ b/src/links/http_server.c
@@ -102,7 +102,8 @@
           .body_bytes = limits->body_bytes,
           .read_ms = CALLER_READ_TIMEOUT_MS,
           .idle_ms = IDLE_MS,
-          .connections = limits->connections };
+          .connections = limits->connections,
+          .clock = limits->clock };
   struct http_server *s = g_new0 (struct http_server, 1);
   s->handler = handler;
   s->arg = arg;
@@ -135,6 +136,12 @@
   return http_listener_open_requests (server->listener);
 }
 
+int64_t
+http_request_since_ms (const struct http_request *r)
+{
+  return inbound_request_since_ms (r->inbound);
+}
+
 const char *
 http_request_method (const struct http_request *r)
 {
--- a/src/links/http_server.h
+++ b/src/links/http_server.h
@@ -4,6 +4,8 @@
 #ifndef LINKS_HTTP_SERVER_H
 #define LINKS_HTTP_SERVER_H
 
+#include "links/loop_clock.h"
+
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <glib.h>
@@ -22,7 +24,8 @@
 {
   size_t body_bytes;   /**< of a request body; 0 for no limit */
   size_t header_bytes; /**< of a request head; 0 or more than 64 KiB: 64 KiB */
-  unsigned connections; /**< open at a time; others are closed on accept */
+  unsigned connections;     /**< open at a time; others are closed on accept */
+  struct loop_clock *clock; /**< of the event loop; NULL for none */
 };
 
 /** Handles a request that has been received completely.  It may respond
@@ -49,6 +52,9 @@
 
 /* Reading of a request.  */
 
+/** Earliest time at which the first byte of R can have come, in milliseconds
+   of the monotonic clock.  */
+int64_t http_request_since_ms (const struct http_request *r);
 /** Method, such as "GET".  */
 const char *http_request_method (const struct http_request *r);
 /** Path without the query.  */
--- a/tests/process/test_held_loop.c
+++ b/tests/process/test_held_loop.c
@@ -17,6 +17,7 @@
 /* A request must have its answer this long after its time-out.  */
 #define GRACE_MS 500
 #define PAUSE_US 900000
+#define STOP_PAUSE_US 2000000
 #define RESPONSE_TIMEOUT_MS 6000
 #define MANY_ROUTES 4260
 #define HELD_MAX_MS 50
@@ -189,6 +190,29 @@
   g_assert_cmpint (longest_work_ms (), <, HELD_MAX_MS);
 }
 
+/* A VM is told to stop while it is paused, with a stream open that does not
+   end.  It must end by its deadline, counted from the signal.  */
+static void
+test_stop_counts_from_signal (void)
+{
+  site_write_routes (site, 20, "again");
+  site_wait (serves, (char *)"/again/ok", APPLY_MS);
+  struct web *w = site_send_request (site, 0, "GET", "/live/long", "held-stop",
+                                     NULL, NULL);
+  web_read_events (w, 1, RESPONSE_TIMEOUT_MS);
+  g_assert_cmpint (w->status, ==, 200);
+  proc_signal (site->vms[0], SIGSTOP);
+  int64_t stopped_ms = now_ms ();
+  proc_signal (site->vms[0], SIGTERM);
+  g_usleep (STOP_PAUSE_US);
+  proc_signal (site->vms[0], SIGCONT);
+  g_assert_true (proc_wait (site->vms[0], RESPONSE_TIMEOUT_MS));
+  int64_t ms = now_ms () - stopped_ms;
+  g_test_message ("ended after %" G_GINT64_FORMAT " ms", ms);
+  g_assert_cmpint (ms, <=, (int64_t)site->leave_s * 1000);
+  web_close (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -206,6 +230,8 @@
                    test_queued_behind_another);
   g_test_add_func ("/held-loop/many-routes-do-not-hold-the-loop",
                    test_many_routes_do_not_hold_the_loop);
+  g_test_add_func ("/held-loop/stop-counts-from-signal",
+                   test_stop_counts_from_signal);
   int status = g_test_run ();
   site_destroy (site);
   return status;
