--- a/src/base/json_split.c
+++ b/src/base/json_split.c
@@ -19,6 +19,8 @@
 scan_begin (const char *text, size_t size)
 {
   struct json_split *out = g_new (struct json_split, 1);
+  if (size == 0)
+    text = "";
   out->outline = g_string_new (NULL);
   out->parts = g_array_new (FALSE, FALSE, sizeof (struct json_part));
   return (struct scan){ text, text + size, out, text };
--- a/tests/process/test_held_loop.c
+++ b/tests/process/test_held_loop.c
@@ -18,6 +18,10 @@
 #define GRACE_MS 500
 #define PAUSE_US 900000
 #define STOP_PAUSE_US 2000000
+/* A usage cap, for as long as a request may take.  */
+#define CAP_PAUSE_US 100000
+#define CAP_RUN_US 30000
+#define CAP_ROUNDS 12
 #define RESPONSE_TIMEOUT_MS 6000
 #define MANY_ROUTES 4260
 #define HELD_MAX_MS 50
@@ -77,6 +81,29 @@
   web_close (w);
 }
 
+/* A process that runs for 30 ms in each 130, as under a usage cap.  */
+static void
+test_paused_again_and_again (void)
+{
+  struct web *w = NULL;
+  int64_t sent_ms = 0;
+  for (unsigned i = 0; i < CAP_ROUNDS; i++)
+    {
+      proc_signal (site->vms[0], SIGSTOP);
+      if (i == 0)
+        {
+          sent_ms = now_ms ();
+          w = site_send_request (site, 0, "POST", "/once/silent", "held-cap",
+                                 NULL, NULL);
+        }
+      g_usleep (CAP_PAUSE_US);
+      proc_signal (site->vms[0], SIGCONT);
+      g_usleep (CAP_RUN_US);
+    }
+  check_answered_in_time (w, sent_ms);
+  web_close (w);
+}
+
 /* Returns whether a status line has come from FD within the time.  */
 static bool
 read_status_line (int fd, GString *text)
@@ -226,6 +253,8 @@
                    test_paused_before_first_request);
   g_test_add_func ("/held-loop/paused-before-next-request",
                    test_paused_before_next_request);
+  g_test_add_func ("/held-loop/paused-again-and-again",
+                   test_paused_again_and_again);
   g_test_add_func ("/held-loop/queued-behind-another",
                    test_queued_behind_another);
   g_test_add_func ("/held-loop/many-routes-do-not-hold-the-loop",
--- a/tests/unit/test_json_split.c
+++ b/tests/unit/test_json_split.c
@@ -61,6 +61,7 @@
   check_elements ("{\"a\":[:]}", 1);
   check_elements ("{\"a", 0);
   check_elements ("", 0);
+  json_split_free (json_split_elements (NULL, 0));
 }
 
 /* Guards against a text that is accepted because of the way in which it was
--- a/tests/unit/test_route_decoder.c
+++ b/tests/unit/test_route_decoder.c
@@ -174,6 +174,23 @@
   platform_destroy_route_decoder (d);
 }
 
+/* Guards against a text that is no JSON and is accepted, as what is wrong with
+   it stands where nothing is read.  */
+static void
+test_unused_members_are_checked (void)
+{
+  static const char *const malformed[]
+      = { "{\"version\":2,\"routes\":[],\"services\":[],\"x\":[{\"a\"}]}",
+          "{\"version\":2,\"routes\":[{\"a\"}],\"routes\":[],"
+          "\"services\":[]}" };
+  struct route_table *t = decode (
+      NULL, "{\"version\":2,\"routes\":[],\"services\":[],\"x\":[{}]}");
+  g_assert_nonnull (t);
+  route_table_unref (t);
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+    g_assert_null (decode (NULL, malformed[i]));
+}
+
 /* Guards against routes that are decoded again although they did not
    change.  */
 static void
@@ -210,6 +227,8 @@
                    test_differences_equal_whole);
   g_test_add_func ("/route-decoder/dropped-version-leaves-nothing",
                    test_dropped_version_leaves_nothing);
+  g_test_add_func ("/route-decoder/unused-members-are-checked",
+                   test_unused_members_are_checked);
   g_test_add_func ("/route-decoder/unchanged-routes-are-shared",
                    test_unchanged_routes_are_shared);
   return g_test_run ();
