--- a/bench/route_versions.c
+++ b/bench/route_versions.c
@@ -2,6 +2,7 @@
     Processor time to take in versions of the routes: the longest step, which
     holds the event loop, and what a small change costs beside a version of
     which nothing is known.  */
+#include "harness/route_versions.h"
 #include "platform/adapter.h"
 
 #include <stdio.h>
@@ -11,15 +12,6 @@
 #define STEP_MS_TARGET 5.0
 #define CHANGE_PART_TARGET 0.05
 #define ROUNDS 5
-#define KEYS 2
-
-struct size
-{
-  const char *name;
-  unsigned routes;
-  unsigned hosts;
-  unsigned accounts;
-};
 
 /* Times of one version, in ms of processor time.  */
 struct times
@@ -38,35 +30,6 @@
   return (double)t.tv_sec * 1e3 + (double)t.tv_nsec / 1e6;
 }
 
-/* Returns VERSION; its number is the time-out of one of the routes.  */
-static GBytes *
-write_version (const struct size *size, unsigned version)
-{
-  GString *s = g_string_new (NULL);
-  g_string_append_printf (s, "{\"version\":%u,\"routes\":[", version);
-  for (unsigned i = 0; i < size->routes; i++)
-    g_string_append_printf (
-        s,
-        "%s{\"name\":\"r%05u\",\"host\":\"h%u.example\",\"pathPrefix\":"
-        "\"/p%05u/\",\"kind\":\"streaming\",\"timeoutMs\":%u,"
-        "\"targetLatencyMs\":500,\"priority\":2,\"service\":\"s\","
-        "\"maxAttempts\":2,\"public\":false,\"sticky\":true,"
-        "\"resumable\":true,\"gapAimMs\":200}",
-        i > 0 ? "," : "", i, i % size->hosts, i,
-        i == size->routes / 2 ? version : 2000);
-  g_string_append (s, "],\"services\":[{\"name\":\"s\"}],\"tenants\":[");
-  for (unsigned i = 0; i < size->accounts; i++)
-    {
-      g_string_append_printf (s, "%s{\"name\":\"a%u\",\"apiKeys\":[",
-                              i > 0 ? "," : "", i);
-      for (unsigned k = 0; k < KEYS; k++)
-        g_string_append_printf (s, "%s\"k%u-%014u\"", k > 0 ? "," : "", k, i);
-      g_string_append (s, "]}");
-    }
-  g_string_append (s, "]}");
-  return g_string_free_to_bytes (s);
-}
-
 /* Takes in VALUE, in place of the version *TABLE, and returns the longest step
    in ms; 0 without TIMED, as the clock takes as long as a step.  */
 static double
@@ -118,12 +81,12 @@
 
 /* Measures a first version and a change of one route, the best of ROUNDS.  */
 static void
-measure (const struct size *size)
+measure (const struct version_size *size)
 {
   struct times first = { 1e9, 1e9 };
   struct times change = { 1e9, 1e9 };
-  g_autoptr (GBytes) one = write_version (size, 1);
-  g_autoptr (GBytes) two = write_version (size, 2);
+  g_autoptr (GBytes) one = version_write (size, 1);
+  g_autoptr (GBytes) two = version_write (size, 2);
   for (unsigned i = 0; i < 2 * ROUNDS; i++)
     {
       struct route_decoder *d = platform_create_route_decoder ();
@@ -147,9 +110,10 @@
 int
 main (void)
 {
-  static const struct size sizes[] = { { "routes-of-one-host", 4260, 1, 40 },
-                                       { "routes-of-six-hosts", 4260, 6, 40 },
-                                       { "accounts", 60, 6, 14000 } };
+  static const struct version_size sizes[]
+      = { { "routes-of-one-host", 4260, 1, 40 },
+          { "routes-of-six-hosts", 4260, 6, 40 },
+          { "accounts", 60, 6, 14000 } };
   for (size_t i = 0; i < G_N_ELEMENTS (sizes); i++)
     measure (&sizes[i]);
   return exit_status;
