--- a/src/base/json_split.c
+++ b/src/base/json_split.c
@@ -3,9 +3,10 @@
 #include <stdbool.h>
 #include <string.h>
 
-/* Depth of the elements of an array that is a member of the outermost
-   object.  */
-#define ELEMENT_DEPTH 2
+/* Depths of arrays whose elements are parts: a member of the outermost object,
+   or of an object in it.  */
+#define ARRAY_DEPTH_MIN 2
+#define ARRAY_DEPTH_MAX 3
 
 struct scan
 {
@@ -131,7 +132,7 @@
       else if (c == '{' || c == '[')
         {
           depth++;
-          if (c == '[' && depth == ELEMENT_DEPTH)
+          if (c == '[' && depth >= ARRAY_DEPTH_MIN && depth <= ARRAY_DEPTH_MAX)
             take_elements (&s);
         }
     }
--- a/src/base/json_split.h
+++ b/src/base/json_split.h
@@ -25,9 +25,9 @@
   GArray *parts;    /**< struct json_part, in the order of their numbers */
 };
 
-/** Splits TEXT, which must outlive the result and may be NULL if SIZE is 0:
-   the parts are the elements of the arrays that are members of the object
-   TEXT.  */
+/** Splits TEXT, which must outlive the result and may be NULL if SIZE is 0.
+    The parts are the elements of the arrays that are members of the object
+    TEXT, or of an object that is a member of it.  */
 struct json_split *json_split_elements (const char *text, size_t size);
 
 /** The same; the parts are the contents of the strings of LEAST bytes or more
--- a/tests/unit/test_route_decoder.c
+++ b/tests/unit/test_route_decoder.c
@@ -99,6 +99,33 @@
     }
 }
 
+/* Returns LIST, of objects, as a table that names its columns once.  */
+static json_t *
+as_table (const json_t *list)
+{
+  static const char *const names[]
+      = { "name",      "host",    "pathPrefix",  "kind",
+          "timeoutMs", "service", "maxAttempts", "apiKeys" };
+  json_t *columns = json_array ();
+  json_t *rows = json_array ();
+  size_t i;
+  json_t *object;
+  for (size_t k = 0; k < G_N_ELEMENTS (names); k++)
+    json_array_append_new (columns, json_string (names[k]));
+  json_array_foreach (list, i, object)
+    {
+      json_t *row = json_array ();
+      for (size_t k = 0; k < G_N_ELEMENTS (names); k++)
+        {
+          json_t *value = json_object_get (object, names[k]);
+          json_array_append_new (row,
+                                 value ? json_incref (value) : json_null ());
+        }
+      json_array_append_new (rows, row);
+    }
+  return json_pack ("{s:o, s:o}", "columns", columns, "rows", rows);
+}
+
 /* Returns a version with ROUTES and ACCOUNTS; every sixth one is invalid.  */
 static char *
 write_version (GRand *rand, unsigned version, json_t *routes, json_t *accounts)
@@ -114,6 +141,22 @@
   return text;
 }
 
+/* Decodes TEXT with D, with tables in place of its arrays of objects.  */
+static struct route_table *
+decode_as_tables (struct route_decoder *d, const char *text)
+{
+  json_t *root = json_loads (text, 0, NULL);
+  const char *const names[] = { "routes", "services", "tenants" };
+  for (size_t i = 0; i < G_N_ELEMENTS (names); i++)
+    json_object_set_new (root, names[i],
+                         as_table (json_object_get (root, names[i])));
+  char *tables = json_dumps (root, JSON_COMPACT);
+  struct route_table *t = decode (d, tables);
+  json_decref (root);
+  free (tables);
+  return t;
+}
+
 /* Guards against a route, a time-out or a key of a version before that a
    change leaves in force, and against one that it loses.  */
 static void
@@ -121,6 +164,7 @@
 {
   g_autoptr (GRand) rand = g_rand_new_with_seed (62);
   struct route_decoder *d = platform_create_route_decoder ();
+  struct route_decoder *tables = platform_create_route_decoder ();
   json_t *routes = json_array ();
   json_t *accounts = json_array ();
   unsigned valid = 0;
@@ -134,12 +178,16 @@
       char *text = write_version (rand, version, routes, accounts);
       struct route_table *a = decode (d, text);
       struct route_table *b = decode (NULL, text);
+      struct route_table *c = decode_as_tables (tables, text);
       g_assert_cmpint (a != NULL, ==, b != NULL);
+      g_assert_cmpint (a != NULL, ==, c != NULL);
       if (a)
         {
           valid++;
           check_same (a, b);
+          check_same (a, c);
         }
+      route_table_unref (c);
       route_table_unref (a);
       route_table_unref (b);
       free (text);
@@ -148,6 +196,7 @@
   json_decref (routes);
   json_decref (accounts);
   platform_destroy_route_decoder (d);
+  platform_destroy_route_decoder (tables);
 }
 
 /* Guards against a version that is dropped half decoded and leaves something
@@ -174,6 +223,32 @@
   platform_destroy_route_decoder (d);
 }
 
+/* Guards against a table whose rows do not fit its columns.  */
+static void
+test_malformed_tables (void)
+{
+  static const char *const malformed[]
+      = { "{\"columns\":[\"name\"],\"rows\":[[\"a\",1]]}",
+          "{\"columns\":[\"name\"],\"rows\":[[]]}",
+          "{\"columns\":[\"name\"],\"rows\":[{\"name\":\"a\"}]}",
+          "{\"columns\":[7],\"rows\":[]}",
+          "{\"columns\":[\"name\"}],\"rows\":[]}",
+          "{\"columns\":7,\"rows\":[]}",
+          "{\"columns\":[\"name\"]}",
+          "{\"rows\":[]}" };
+  for (size_t i = 0; i < G_N_ELEMENTS (malformed); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"version\":1,\"routes\":[],\"services\":%s}", malformed[i]);
+      g_assert_null (decode (NULL, text));
+    }
+  struct route_table *t
+      = decode (NULL, "{\"version\":1,\"routes\":[],\"services\":{"
+                      "\"columns\":[\"name\"],\"rows\":[[\"a\"]]}}");
+  g_assert_nonnull (route_table_service (t, "a"));
+  route_table_unref (t);
+}
+
 /* Guards against a text that is no JSON and is accepted, as what is wrong with
    it stands where nothing is read.  */
 static void
@@ -227,6 +302,7 @@
                    test_differences_equal_whole);
   g_test_add_func ("/route-decoder/dropped-version-leaves-nothing",
                    test_dropped_version_leaves_nothing);
+  g_test_add_func ("/route-decoder/malformed-tables", test_malformed_tables);
   g_test_add_func ("/route-decoder/unused-members-are-checked",
                    test_unused_members_are_checked);
   g_test_add_func ("/route-decoder/unchanged-routes-are-shared",
