The loop's clock sees a hold also in a turn in which nobody asked for the time

Cause: when the process is paused in a handler of a turn in which no handler has asked the loop's clock for the time, the clock did not know when the look of that turn ended, and took the turn for one without work. The tick was not handled in it, so its look ended before the tick was due; what lies beyond that was a hold.

--- a/src/links/loop_clock.c
+++ b/src/links/loop_clock.c
@@ -87,6 +87,18 @@
                log_num (c->paused_us / US_PER_MS), NULL);
 }
 
+/* For how long the present turn, which ends at NOW, was held after its look.
+   If nobody has asked for the end of the look, the tick was not handled, and
+   so the look ended before it was due.  */
+static int64_t
+get_held_us (const struct loop_clock *c, int64_t now)
+{
+  if (c->noted_turn == c->turn)
+    return now - c->looked_us;
+  int64_t look_end_us = MAX (c->tick_us, c->entered_us);
+  return c->tick_us > 0 ? MAX (now - look_end_us, 0) : 0;
+}
+
 /* Observes the present turn, which ends, and begins the next one.  After a
    long turn or a pause it does not wait for input, so that what it reads is
    known to have waited itself.  */
@@ -95,7 +107,7 @@
 {
   int64_t now = g_get_monotonic_time ();
   bool noted = c->noted_turn == c->turn;
-  int64_t held_us = noted ? now - c->looked_us : 0;
+  int64_t held_us = get_held_us (c, now);
   bool paused = noted && c->paused_us >= LATE_TICK_US;
   c->before_us = noted && !paused ? c->looked_us : c->entered_us;
   if (noted)
--- a/tests/unit/test_loop_clock.c
+++ b/tests/unit/test_loop_clock.c
@@ -66,6 +66,18 @@
   g_usleep (HOLD_MS * 1000 / 2);
 }
 
+/* The same, by work that the clock knows nothing of.  */
+static void
+on_unknown_hold (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  (void)arg;
+  g_usleep (HOLD_MS * 1000 / 2);
+  send_byte ();
+  g_usleep (HOLD_MS * 1000 / 2);
+}
+
 static void
 on_send (evutil_socket_t fd, short what, void *arg)
 {
@@ -113,6 +125,17 @@
   g_assert_cmpint (waited_ms, <=, delay_ms + HOLD_MS / 2 + ERROR_MS);
 }
 
+/* Guards against the same where no handler of that turn has asked for the
+   time.  */
+static void
+test_input_waits_for_unknown_work (void)
+{
+  run (on_unknown_hold, 120);
+  g_assert_cmpint (delay_ms, >=, HOLD_MS / 2 - 1);
+  g_assert_cmpint (waited_ms, >=, delay_ms - 1);
+  g_assert_cmpint (waited_ms, <=, delay_ms + HOLD_MS / 2 + ERROR_MS);
+}
+
 /* Guards against a fresh request that counts as one that has waited.  */
 static void
 test_idle_loop_adds_nothing (void)
@@ -127,6 +150,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/loop-clock/input-waits-for-work",
                    test_input_waits_for_work);
+  g_test_add_func ("/loop-clock/input-waits-for-unknown-work",
+                   test_input_waits_for_unknown_work);
   g_test_add_func ("/loop-clock/idle-loop-adds-nothing",
                    test_idle_loop_adds_nothing);
   return g_test_run ();
