A request that comes at the end of a pause is not taken for one that waited all of it

Callers saw 503 (not run) just after a VM was resumed: the loop's clock knows only the earliest time at which input can have come, and a request that came between the end of a pause and the next look counted from its beginning.

After a hold of 20 ms or more the listener now asks the kernel for the age of the last bytes on that connection (TCP_INFO). If it does not tell, the earliest time stands, as before.

--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -33,6 +33,9 @@
 #define INPUT_CHECK_MS 50
 /* Least input in that time with which the time-out is put off again.  */
 #define INPUT_CHECK_BYTES 4096
+/* From this age on, which the loop states as the highest possible one, the
+   kernel is asked for that of the last bytes.  */
+#define INPUT_AGE_CHECK_MS 20
 /* Buffers of the kernel for one connection.  Without a bound they would grow
    to several MB for a caller that sends or reads slowly.  */
 #define SEND_BUFFER_BYTES (128 * 1024)
@@ -181,16 +184,43 @@
 
 /* Reading of requests, and events of connections.  */
 
-/* Notes since when the input may have waited that was just read.  */
-static void
-note_input (struct http_listener_conn *c)
+/* Returns the age in ms of the last bytes that came on the connection; MOST_MS
+   if the kernel does not tell, and at most.  */
+static int64_t
+last_input_age_ms (const struct http_listener_conn *c, int64_t most_ms)
+{
+  struct tcp_info info = { 0 };
+  socklen_t size = sizeof info;
+  int fd = bufferevent_getfd (c->bev);
+  if (getsockopt (fd, IPPROTO_TCP, TCP_INFO, &info, &size) != 0
+      || info.tcpi_state == 0)
+    return most_ms;
+  return MIN (most_ms, (int64_t)info.tcpi_last_data_recv);
+}
+
+/* Returns since when the input has waited that was just read.  The loop knows
+   the earliest time possible, and after a pause the kernel one that is closer
+   to the true one.  */
+static int64_t
+input_since_ms (struct http_listener_conn *c)
 {
   struct loop_clock *clock = c->listener->limits.clock;
   const struct loop_mark *accepted = c->was_read ? NULL : &c->accepted;
-  c->was_read = true;
+  int64_t now = clock_ms ();
+  if (clock == NULL)
+    return now;
+  int64_t since = loop_clock_input_since_ms (clock, accepted);
+  bool may_be_later = now - since >= INPUT_AGE_CHECK_MS;
+  return may_be_later ? now - last_input_age_ms (c, now - since) : since;
+}
+
+/* Notes since when the input has waited that was just read.  */
+static void
+note_input (struct http_listener_conn *c)
+{
   if (c->left_bytes == 0)
-    c->input_since_ms
-        = clock ? loop_clock_input_since_ms (clock, accepted) : clock_ms ();
+    c->input_since_ms = input_since_ms (c);
+  c->was_read = true;
   c->left_bytes = evbuffer_get_length (bufferevent_get_input (c->bev));
 }
 
--- a/tests/unit/test_listener.c
+++ b/tests/unit/test_listener.c
@@ -29,6 +29,9 @@
    time.  */
 #define BODY_BYTES (512U * 1024)
 #define BUSY_MS 30
+/* A handler that holds the loop, and how exact the age of a request is.  */
+#define HOLD_MS 400
+#define AGE_ERROR_MS 100
 
 /* The listener and the request that is in progress.  */
 struct world
@@ -40,6 +43,8 @@
   bool hold;             /* start a stream, and go on in the test */
   struct inbound_request *held;
   unsigned requests;
+  struct loop_clock *clock; /* NULL in most cases */
+  int64_t waited_ms;        /* of the last request, before it was read */
 };
 
 static void
@@ -49,6 +54,9 @@
   struct http_head *h = http_head_create ();
   h->status = 200;
   w->requests++;
+  w->waited_ms = clock_ms () - inbound_request_since_ms (r);
+  if (w->clock)
+    event_base_loopbreak (w->base);
   if (w->hold)
     {
       inbound_request_stream_start (r, h, HTTP_FRAMING_CHUNKED, 0);
@@ -601,6 +609,94 @@
     }
 }
 
+/* A request that a handler sends while it holds the loop.  */
+struct held_send
+{
+  struct world *w;
+  int fd;      /* open connection; -1: a new one is opened */
+  bool at_end; /* send at the end of the hold, not at its start */
+};
+
+static void
+held_send (struct held_send *h)
+{
+  if (h->fd < 0)
+    h->fd = caller_connect (h->w);
+  g_assert_cmpint (send (h->fd, REQUEST, strlen (REQUEST), 0), ==,
+                   (ssize_t)strlen (REQUEST));
+}
+
+static void
+on_hold (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  struct held_send *h = arg;
+  if (!h->at_end)
+    held_send (h);
+  g_usleep (HOLD_MS * 1000);
+  if (h->at_end)
+    held_send (h);
+}
+
+static void
+on_clock_tick (evutil_socket_t fd, short what, void *arg)
+{
+  (void)fd;
+  (void)what;
+  loop_clock_tick (arg);
+}
+
+/* Returns for how long the listener takes a request to have waited that is
+   sent at the start or the end of a hold, on an open or a new connection.  */
+static int64_t
+waited_after_hold (bool open_connection, bool at_end)
+{
+  static const struct timeval tick = { 0, LOOP_TICK_MS * 1000 };
+  static const struct timeval later = { 0, 120000 };
+  struct world *w = world_create ();
+  struct http_listener_limits limits = default_limits ();
+  struct held_send h
+      = { w, open_connection ? caller_connect (w) : -1, at_end };
+  w->clock = limits.clock = loop_clock_create (w->base);
+  limits.idle_ms = limits.read_ms = 10 * HOLD_MS;
+  http_listener_set_limits (w->listener, &limits);
+  struct event *ticks
+      = event_new (w->base, -1, EV_PERSIST, on_clock_tick, w->clock);
+  struct event *hold = evtimer_new (w->base, on_hold, &h);
+  event_add (ticks, &tick);
+  evtimer_add (hold, &later);
+  loop_clock_run (w->clock);
+  int64_t waited_ms = w->waited_ms;
+  close (h.fd);
+  event_free (ticks);
+  event_free (hold);
+  struct loop_clock *clock = w->clock;
+  world_destroy (w);
+  loop_clock_destroy (clock);
+  return waited_ms;
+}
+
+/* Guards against a request that came at the end of a pause, and is refused as
+   if it had waited for all of it.  */
+static void
+test_fresh_request_after_hold (void)
+{
+  g_assert_cmpint (waited_after_hold (true, true), <=, AGE_ERROR_MS);
+  g_assert_cmpint (waited_after_hold (false, true), <=, AGE_ERROR_MS);
+}
+
+/* Guards against a request that came at the start of a pause, and whose time
+   begins at its end.  */
+static void
+test_old_request_after_hold (void)
+{
+  g_assert_cmpint (waited_after_hold (true, false), >=,
+                   HOLD_MS - AGE_ERROR_MS);
+  g_assert_cmpint (waited_after_hold (false, false), >=,
+                   HOLD_MS - AGE_ERROR_MS);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -633,6 +729,10 @@
                    test_stalled_body_is_refused);
   g_test_add_func ("/listener/silent-callers-give-way",
                    test_silent_callers_give_way);
+  g_test_add_func ("/listener/fresh-request-after-hold",
+                   test_fresh_request_after_hold);
+  g_test_add_func ("/listener/old-request-after-hold",
+                   test_old_request_after_hold);
   g_test_add_func ("/listener/endless-framing-is-refused",
                    test_endless_framing_is_refused);
   return g_test_run ();
