--- a/tests/harness/route_versions.c
+++ b/tests/harness/route_versions.c
@@ -1,5 +1,8 @@
 #include "harness/route_versions.h"
 
+#include <jansson.h>
+#include <stdlib.h>
+
 /* Keys of each account.  */
 #define KEYS 2
 /* Time-out of all routes but one.  */
@@ -32,3 +35,38 @@
   g_string_append (s, "]}");
   return g_string_free_to_bytes (s);
 }
+
+static void
+add_route (const struct site *s, json_t *routes, const char *name,
+           const char *prefix)
+{
+  json_array_append_new (
+      routes, json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}",
+                         "name", name, "host", SITE_HOST, "pathPrefix", prefix,
+                         "kind", "unsafe", "timeoutMs", (int)s->timeout_ms,
+                         "targetLatencyMs", SITE_TARGET_MS, "priority", 0,
+                         "service", "s", "maxAttempts", 2, "sticky", 0));
+}
+
+void
+version_put_many (const struct site *s, unsigned version, unsigned count)
+{
+  json_t *routes = json_array ();
+  g_autofree char *last = g_strdup_printf ("/v%u/", version);
+  add_route (s, routes, "once", "/once/");
+  for (unsigned i = 0; i < count; i++)
+    {
+      g_autofree char *name = g_strdup_printf ("many-%u", i);
+      g_autofree char *prefix = g_strdup_printf ("/many-%u/", i);
+      add_route (s, routes, name, prefix);
+    }
+  add_route (s, routes, "last", last);
+  json_t *root = json_pack ("{s:i, s:o, s:[{s:s, s:s, s:i}], s:{s:i}}",
+                            "version", (int)version, "routes", routes,
+                            "services", "name", "s", "healthPath", "/health",
+                            "maxConns", 100, "limits", "maxHeaderBytes", 8192);
+  char *text = json_dumps (root, JSON_COMPACT);
+  json_decref (root);
+  site_put (s, "op/config", text);
+  free (text);
+}
--- a/tests/process/test_held_loop.c
+++ b/tests/process/test_held_loop.c
@@ -2,10 +2,10 @@
     Process test of a VM whose loop is held, by a pause of the process or by a
     large configuration: requests that wait meanwhile are answered by their
     route's time-out.  */
+#include "harness/route_versions.h"
 #include "harness/site.h"
 #include "process/common.h"
 
-#include <jansson.h>
 #include <signal.h>
 #include <stdlib.h>
 #include <string.h>
@@ -145,42 +145,6 @@
   web_close (w);
 }
 
-static void
-add_route (json_t *routes, const char *name, const char *prefix)
-{
-  json_array_append_new (
-      routes, json_pack ("{s:s, s:s, s:s, s:s, s:i, s:i, s:i, s:s, s:i, s:b}",
-                         "name", name, "host", SITE_HOST, "pathPrefix", prefix,
-                         "kind", "unsafe", "timeoutMs", ROUTE_TIMEOUT_MS,
-                         "targetLatencyMs", SITE_TARGET_MS, "priority", 0,
-                         "service", "s", "maxAttempts", 2, "sticky", 0));
-}
-
-/* Writes a configuration with COUNT routes of one host, beside /once/ and
-   /vVERSION/.  */
-static void
-write_many_routes (unsigned version, unsigned count)
-{
-  json_t *routes = json_array ();
-  g_autofree char *last = g_strdup_printf ("/v%u/", version);
-  add_route (routes, "once", "/once/");
-  for (unsigned i = 0; i < count; i++)
-    {
-      g_autofree char *name = g_strdup_printf ("many-%u", i);
-      g_autofree char *prefix = g_strdup_printf ("/many-%u/", i);
-      add_route (routes, name, prefix);
-    }
-  add_route (routes, "last", last);
-  json_t *root = json_pack ("{s:i, s:o, s:[{s:s, s:s, s:i}], s:{s:i}}",
-                            "version", (int)version, "routes", routes,
-                            "services", "name", "s", "healthPath", "/health",
-                            "maxConns", 100, "limits", "maxHeaderBytes", 8192);
-  char *text = json_dumps (root, JSON_COMPACT);
-  json_decref (root);
-  site_put (site, "op/config", text);
-  free (text);
-}
-
 static bool
 serves (void *path)
 {
@@ -212,9 +176,9 @@
 static void
 test_many_routes_do_not_hold_the_loop (void)
 {
-  write_many_routes (10, MANY_ROUTES);
+  version_put_many (site, 10, MANY_ROUTES);
   site_wait (serves, (char *)"/v10/ok", APPLY_MS);
-  write_many_routes (11, MANY_ROUTES);
+  version_put_many (site, 11, MANY_ROUTES);
   site_wait (serves, (char *)"/v11/ok", APPLY_MS);
   g_test_message ("longest piece of work: %ld ms", longest_work_ms ());
   g_assert_cmpint (longest_work_ms (), <, HELD_MAX_MS);
