--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -37,7 +37,7 @@
           .prefill_handle = a->prefilling ? NULL : e->prefill_handle,
           .resume_after = e->last_event_id,
           .account = e->account ? e->account->name : NULL,
-          .remove_key = route_table_has_accounts (e->table) };
+          .remove_key = route_table_requires_keys (e->table) };
   http_head_strip_hop_by_hop (h, ops->protected_fields);
   http_head_remove (h, "Expect");
   http_head_remove (h, "Content-Length");
--- a/src/daemon/proxy.c
+++ b/src/daemon/proxy.c
@@ -158,7 +158,7 @@
   e->account = route_table_account (e->table, e->facts.key);
   g_clear_pointer (&e->facts.key, g_free);
   return e->account || e->route->is_public
-         || !route_table_has_accounts (e->table);
+         || !route_table_requires_keys (e->table);
 }
 
 static void
--- a/src/daemon/routes_intake.c
+++ b/src/daemon/routes_intake.c
@@ -37,14 +37,31 @@
   g_free (c);
 }
 
+/* Returns the number of the version in force; -1 for none.  */
+static long long
+previous_version (const struct routes_intake *i)
+{
+  return i->has_routes ? (long long)i->version : -1;
+}
+
+static void
+log_passed_over (const struct routes_intake *i)
+{
+  log_event (LOG_INFO, "routes_passed_over", "version",
+             log_num ((long long)i->decoded), "previous_version",
+             log_num (previous_version (i)), "revision", log_num (i->revision),
+             NULL);
+}
+
 static void
-log_version (const struct routes_intake *i, const char *event,
-             long long routes)
+log_in_force (const struct routes_intake *i, const struct route_table *table)
 {
-  log_event (LOG_INFO, event, "version", log_num ((long long)i->decoded),
-             "previous_version",
-             log_num (i->has_routes ? (long long)i->version : -1), "revision",
-             log_num (i->revision), "routes", log_num (routes), NULL);
+  log_event (LOG_INFO, "routes_in_force", "version",
+             log_num ((long long)i->decoded), "previous_version",
+             log_num (previous_version (i)), "revision", log_num (i->revision),
+             "routes", log_num (route_table_count (table)), "accounts",
+             log_num (route_table_count_accounts (table)), "keys_required",
+             route_table_requires_keys (table) ? "true" : "false", NULL);
 }
 
 static void
@@ -68,7 +85,7 @@
     }
   if (!i->has_routes || i->decoded > i->version)
     return true;
-  log_version (i, "routes_passed_over", -1);
+  log_passed_over (i);
   return false;
 }
 
@@ -90,7 +107,7 @@
 static void
 put_in_force (struct routes_intake *i, struct route_table *table)
 {
-  log_version (i, "routes_in_force", route_table_count (table));
+  log_in_force (i, table);
   struct candidate *c;
   while ((c = g_queue_peek_tail (&i->waiting)) != NULL
          && c->revision < i->revision)
--- a/src/decide/route_table.c
+++ b/src/decide/route_table.c
@@ -34,6 +34,7 @@
   GHashTable *services; /* name -> struct route_service */
   GPtrArray *accounts;  /* struct account */
   GHashTable *keys;     /* digest of a key -> struct account, which owns it */
+  bool requires_keys;
   guint8 secret[ROUTE_SECRET_BYTES];
 };
 
@@ -306,6 +307,12 @@
   memcpy (t->secret, secret, sizeof t->secret);
 }
 
+void
+route_table_require_keys (struct route_table *t)
+{
+  t->requires_keys = true;
+}
+
 const struct route_account *
 route_table_add_account (struct route_table *t,
                          const struct route_account *account)
@@ -314,6 +321,7 @@
   a->public = *account;
   a->digests = g_ptr_array_new_with_free_func (g_free);
   g_ptr_array_add (t->accounts, a);
+  route_table_require_keys (t);
   return &a->public;
 }
 
@@ -334,6 +342,7 @@
 {
   struct account *a = (void *)(uintptr_t)route_account_ref (account);
   g_ptr_array_add (t->accounts, a);
+  route_table_require_keys (t);
   for (guint i = 0; i < a->digests->len; i++)
     (void)add_digest (t, a, g_ptr_array_index (a->digests, i));
 }
@@ -349,9 +358,15 @@
 }
 
 bool
-route_table_has_accounts (const struct route_table *t)
+route_table_requires_keys (const struct route_table *t)
+{
+  return t->requires_keys;
+}
+
+unsigned
+route_table_count_accounts (const struct route_table *t)
 {
-  return t->accounts->len > 0;
+  return t->accounts->len;
 }
 
 const struct route_account *
--- a/src/decide/route_table.h
+++ b/src/decide/route_table.h
@@ -41,7 +41,7 @@
                             their prompt */
   unsigned attempts;   /**< maximum number of upstreams tried per request */
   unsigned priority;   /**< 0 is the most urgent */
-  bool is_public;      /**< needs no key, even if the table has accounts */
+  bool is_public;      /**< needs no key, even if the table requires keys */
   unsigned timeout_ms; /**< for the whole request; 0: the daemon's default */
   unsigned target_ms; /**< latency objective; to the first event of a stream */
   unsigned event_gap_ms; /**< target for the longest gap between two events; 0
@@ -139,19 +139,24 @@
 void route_table_add_service (struct route_table *t,
                               const struct route_service *service);
 
+/** From now on callers must state a key of an account of T, unless the route
+   is public: the configuration lists accounts, and be it none.  */
+void route_table_require_keys (struct route_table *t);
+
 /** Sets the secret under which the keys of accounts are hashed; to be called
     before a key is added.  */
 void route_table_set_secret (struct route_table *t,
                              const guint8 secret[ROUTE_SECRET_BYTES]);
 
-/** Adds a copy of ACCOUNT to T, which takes ownership of its name.  Returns
-   the copy.  */
+/** Adds a copy of ACCOUNT to T, which takes ownership of its name and requires
+    keys from now on.  Returns the copy.  */
 const struct route_account *
 route_table_add_account (struct route_table *t,
                          const struct route_account *account);
 
 /** Adds ACCOUNT with its keys, which another table of the same secret may hold
-    as well.  A key that another account of T has stays with that one.  */
+    as well; T requires keys from now on.  A key that another account of T has
+    stays with that one.  */
 void route_table_share_account (struct route_table *t,
                                 const struct route_account *account);
 
@@ -189,9 +194,11 @@
 const struct route *route_table_find (const struct route_table *t,
                                       const char *host, const char *target);
 
-/** Whether callers must state a key of an account, unless the route is
-    public.  */
-bool route_table_has_accounts (const struct route_table *t);
+/** Whether callers must state a key of an account, unless the route is public.
+    If they must and T has no account, only public routes can be used.  */
+bool route_table_requires_keys (const struct route_table *t);
+/** Number of accounts.  */
+unsigned route_table_count_accounts (const struct route_table *t);
 /** The account that KEY, which may be NULL, identifies; or NULL.  */
 const struct route_account *route_table_account (const struct route_table *t,
                                                  const char *key);
--- a/tests/fuzz/fuzz_route_decoder.c
+++ b/tests/fuzz/fuzz_route_decoder.c
@@ -45,6 +45,7 @@
   const struct route *y = route_table_find (b, "a.example", "/x/y");
   if (route_table_version (a) != route_table_version (b)
       || route_table_count (a) != route_table_count (b)
+      || route_table_requires_keys (a) != route_table_requires_keys (b)
       || (x == NULL) != (y == NULL) || (x && strcmp (x->name, y->name) != 0)
       || (route_table_account (a, "k1") == NULL)
              != (route_table_account (b, "k1") == NULL))
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -83,7 +83,12 @@
   add_route (s, routes, "model", "streaming", true);
   add_route (s, routes, "model-live", "streaming", false);
   if (extra)
-    add_route (s, routes, extra, "safe", false);
+    {
+      add_route (s, routes, extra, "safe", false);
+      json_object_set_new (
+          json_array_get (routes, json_array_size (routes) - 1), "public",
+          json_boolean (s->extra_is_public));
+    }
   json_t *engine
       = json_pack ("{s:i, s:i}", "slots", 16, "kvCapacity", 1000000);
   if (s->kv_fetch_ms > 0)
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -67,8 +67,10 @@
                                  to an engine */
   const char *crash_part; /**< instances end when they run a request with this
                              prompt part; NULL for none */
-  const char *accounts;   /**< JSON array of the accounts in the configuration;
-                             NULL for none */
+  const char *accounts;   /**< JSON of the accounts in the configuration; NULL
+                             to leave them out */
+  bool extra_is_public;   /**< the EXTRA route of site_write_routes needs no
+                             key */
   unsigned slots;         /**< request slots in the entries of instances */
   bool quiet;             /**< VMs log warnings only */
 };
--- a/tests/process/test_accounts.c
+++ b/tests/process/test_accounts.c
@@ -128,6 +128,40 @@
   g_assert_true (is_accepted ((char *)"key-b"));
 }
 
+/* Guards against routes that are open to everybody, and a key that reaches an
+   instance, once a version has taken away the last account.  */
+static void
+test_last_account_removed (void)
+{
+  static const char *const no_accounts[]
+      = { "{\"columns\":[\"name\",\"apiKeys\"],\"rows\":[]}", "[]" };
+  static const char *const fields[]
+      = { "", "X-Tenant: acme\r\n", "Authorization: Bearer key-x\r\n",
+          "Authorization: Bearer key-b\r\n" };
+  unsigned version = 2;
+  for (unsigned i = 0; i < G_N_ELEMENTS (no_accounts); i++)
+    {
+      site->accounts = one_key;
+      site_write_routes (site, ++version, "welcome");
+      site_wait (is_accepted, (char *)"key-b", TIMEOUT_MS);
+      site->accounts = no_accounts[i];
+      site_write_routes (site, ++version, "welcome");
+      site_wait (is_refused, (char *)"key-b", TIMEOUT_MS);
+      for (unsigned k = 0; k < VMS * G_N_ELEMENTS (fields); k++)
+        {
+          g_autofree char *id = g_strdup_printf ("emptied-%u-%u", i, k);
+          int status = status_of (k % VMS, "/once/ok", id, fields[k / VMS]);
+          g_assert_cmpint (status, ==, 401);
+          g_assert_cmpuint (site_runs (site, -1, id), ==, 0);
+        }
+      g_autofree char *id = g_strdup_printf ("public-%u", i);
+      int status = status_of (i % VMS, "/welcome/ok", id, fields[3]);
+      g_assert_cmpint (status, ==, 200);
+      g_autofree char *head = head_at_instance (id);
+      g_assert_null (strstr (head, "key-b"));
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -135,11 +169,14 @@
   program_directory_init (argv[0]);
   site = site_create (program_directory (), VMS, UPSTREAMS);
   site->accounts = both_keys;
+  site->extra_is_public = true;
   site_write_routes (site, 1, NULL);
   site_start (site);
   g_test_add_func ("/accounts/named", test_account_is_named);
   g_test_add_func ("/accounts/unknown-keys", test_unknown_keys);
   g_test_add_func ("/accounts/keys-change", test_keys_change);
+  g_test_add_func ("/accounts/last-account-removed",
+                   test_last_account_removed);
   int status = g_test_run ();
   site_destroy (site);
   return status;
--- a/tests/unit/test_platform.c
+++ b/tests/unit/test_platform.c
@@ -82,7 +82,7 @@
   struct route_table *t
       = platform_decode_routes (text->str, text->len, &error);
   g_assert_no_error (error);
-  g_assert_true (route_table_has_accounts (t));
+  g_assert_true (route_table_requires_keys (t));
   g_assert_true (route_table_find (t, "a.example", "/x/")->is_public);
   g_assert_false (route_table_find (t, "a.example", "/y/")->is_public);
   const struct route_account *a = route_table_account (t, "k1");
--- a/tests/unit/test_route_decoder.c
+++ b/tests/unit/test_route_decoder.c
@@ -92,6 +92,8 @@
         if (x)
           g_assert_cmpuint (x->timeout_ms, ==, y->timeout_ms);
       }
+  g_assert_cmpint (route_table_requires_keys (a), ==,
+                   route_table_requires_keys (b));
   for (unsigned key = 0; key < KEYS; key++)
     {
       g_autofree char *text = g_strdup_printf ("k%u", key);
@@ -199,6 +201,41 @@
   platform_destroy_route_decoder (tables);
 }
 
+/* Guards against routes that are open to everybody because the list of
+   accounts is there and empty, in each form and after each kind of version. */
+static void
+test_empty_accounts_require_keys (void)
+{
+  static const struct
+  {
+    const char *member;
+    bool requires_keys;
+  } versions[]
+      = { { "", false },
+          { ",\"tenants\":[]", true },
+          { ",\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k1\"]}]", true },
+          { ",\"tenants\":{\"columns\":[\"name\"],\"rows\":[]}", true },
+          { "", false },
+          { ",\"tenants\":[{\"name\":\"t\",\"apiKeys\":[\"k1\"]}]", true },
+          { ",\"tenants\":[]", true },
+          { ",\"tenants\":[{\"name\":\"t\",\"apiKeys\":[]}]", true } };
+  struct route_decoder *d = platform_create_route_decoder ();
+  for (size_t i = 0; i < G_N_ELEMENTS (versions); i++)
+    {
+      g_autofree char *text = g_strdup_printf (
+          "{\"version\":%zu,\"routes\":[],\"services\":[]%s}", i,
+          versions[i].member);
+      struct route_table *t = decode (d, text);
+      g_assert_cmpint (route_table_requires_keys (t), ==,
+                       versions[i].requires_keys);
+      g_assert_cmpint (route_table_account (t, "k1") != NULL, ==,
+                       strstr (text, "k1") != NULL);
+      g_assert_null (route_table_account (t, "k2"));
+      route_table_unref (t);
+    }
+  platform_destroy_route_decoder (d);
+}
+
 /* Guards against a version that is dropped half decoded and leaves something
    behind in the next one.  */
 static void
@@ -300,6 +337,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/route-decoder/differences-equal-whole",
                    test_differences_equal_whole);
+  g_test_add_func ("/route-decoder/empty-accounts-require-keys",
+                   test_empty_accounts_require_keys);
   g_test_add_func ("/route-decoder/dropped-version-leaves-nothing",
                    test_dropped_version_leaves_nothing);
   g_test_add_func ("/route-decoder/malformed-tables", test_malformed_tables);
