--- a/tests/fakes/fake_upstream.c
+++ b/tests/fakes/fake_upstream.c
@@ -71,6 +71,7 @@
                      200 with a body without end, a head without end, interim
                      responses (100) without end
       large          a body of 6,000,000 bytes
+      bytes-N        a body of N bytes, which the upstream sends at once
       two            2 events at once
       fast           1,000 events at once
       held           1 event, then nothing more
--- a/tests/fakes/upstream_response.c
+++ b/tests/fakes/upstream_response.c
@@ -560,10 +560,13 @@
     response_send_events (c, 1, true);
   else if (find_stream_variant (d))
     start_stream (c, find_stream_variant (d));
-  else if (strcmp (d, "large") == 0)
+  else if (strcmp (d, "large") == 0 || g_str_has_prefix (d, "bytes-"))
     {
-      g_autofree char *body = g_strnfill (LARGE_BYTES, 'x');
-      response_send (c, c->id, "200 OK", true, body, LARGE_BYTES);
+      size_t size = strcmp (d, "large") == 0
+                        ? LARGE_BYTES
+                        : g_ascii_strtoull (d + strlen ("bytes-"), NULL, 10);
+      g_autofree char *body = g_strnfill (size, 'x');
+      response_send (c, c->id, "200 OK", true, body, size);
       response_finish (c, false);
     }
   else if (is_endless (d))
--- a/tests/harness/proc.c
+++ b/tests/harness/proc.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
@@ -133,6 +134,56 @@
   return line ? (long)g_ascii_strtoll (line + 8, NULL, 10) : 0;
 }
 
+/* Returns the inodes of the sockets of P, as text.  */
+static GHashTable *
+socket_inodes (const struct proc *p)
+{
+  GHashTable *inodes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  g_autofree char *path = g_strdup_printf ("/proc/%d/fd", (int)p->pid);
+  g_autoptr (GDir) dir = g_dir_open (path, 0, NULL);
+  const char *name;
+  while (dir && (name = g_dir_read_name (dir)) != NULL)
+    {
+      g_autofree char *link = g_build_filename (path, name, NULL);
+      g_autofree char *target = g_file_read_link (link, NULL);
+      if (target && g_str_has_prefix (target, "socket:["))
+        g_hash_table_add (
+            inodes, g_strndup (target + strlen ("socket:["),
+                               strcspn (target + strlen ("socket:["), "]")));
+    }
+  return inodes;
+}
+
+long
+proc_unread_kib (const struct proc *p, const char *address)
+{
+  g_auto (GStrv) parts = g_strsplit (address, ":", 2);
+  g_autofree char *local
+      = g_strdup_printf ("%08X:%04X", (unsigned)inet_addr (parts[0]),
+                         (unsigned)g_ascii_strtoull (parts[1], NULL, 10));
+  g_autoptr (GHashTable) inodes = socket_inodes (p);
+  g_autofree char *text = NULL;
+  unsigned long bytes = 0;
+  if (!g_file_get_contents ("/proc/net/tcp", &text, NULL, NULL))
+    return 0;
+  for (const char *line = strchr (text, '\n'); line;
+       line = strchr (line + 1, '\n'))
+    {
+      char from[14], inode[24];
+      unsigned state = 0;
+      unsigned long unread = 0;
+      int n = sscanf (line, " %*u: %13s %*s %x %*x:%lx %*s %*s %*s %*s %23s",
+                      from, &state, &unread, inode);
+      if (n != 4 || state == TCP_LISTEN)
+        continue;
+      bool unaccepted = strcmp (inode, "0") == 0 && strcmp (from, local) == 0;
+      if (unaccepted || g_hash_table_contains (inodes, inode))
+        bytes += unread;
+    }
+  return (long)(bytes / 1024);
+}
+
 gint64
 proc_cpu_us (const struct proc *p)
 {
--- a/tests/harness/proc.h
+++ b/tests/harness/proc.h
@@ -47,6 +47,11 @@
     it cannot be read.  */
 long proc_rss_kib (const struct proc *p);
 
+/** Returns the bytes in KiB that the kernel holds unread on the TCP
+   connections of P, those included that are not accepted yet, to ADDRESS
+   ("IP:PORT").  */
+long proc_unread_kib (const struct proc *p, const char *address);
+
 /** Returns the user and system CPU time of the process so far in microseconds,
     0 if it cannot be read.  */
 gint64 proc_cpu_us (const struct proc *p);
--- a/tests/process/test_uploads.c
+++ b/tests/process/test_uploads.c
@@ -1,35 +1,18 @@
 /** @file
     Process tests of uploads from callers that stay within no limit: too long,
-    in very large or very small chunks, never completed, or beside callers that
-    read no response.  The VM must live, its memory and its open descriptors
-    must stay bounded, and it must answer an ordinary request afterwards.  */
-#include "harness/site.h"
+    in very large or very small chunks, never completed, behind heads of very
+    many fields, or beside callers that read no response.  The VM must live,
+   its memory and its open descriptors must stay bounded, and it must answer an
+    ordinary request afterwards.  */
+#include "harness/crowd.h"
 #include "process/common.h"
 
-#include <arpa/inet.h>
-#include <errno.h>
-#include <fcntl.h>
-#include <netinet/in.h>
 #include <signal.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <unistd.h>
 
-#define VMS 1
-#define UPSTREAMS 1
-/* Half of it may hold bodies and responses: 12 MB.  */
-#define MEMORY_MB 24
-#define BODY_MAX_BYTES (1024U * 1024)
 #define CONNECTIONS_MAX 200
-/* No caller of a test is ended by the time-out of its request.  */
-#define HEADER_TIMEOUT_MS 60000
-#define ROUTE_TIMEOUT_MS 60000
-/* Growth over the memory in use before the crowd came, and open descriptors:
-   the budget of 12 MB and as much for all else.  */
-#define GROWTH_MAX_KIB (24 * 1024)
-#define DESCRIPTORS_MAX (2 * CONNECTIONS_MAX + 60)
-/* Growth that is left once the crowd has gone.  */
-#define GROWTH_LEFT_KIB (12 * 1024)
+/* Callers halfway through a body: more than there are ordinary ones.  */
+#define HALFWAY_CALLERS 400
 /* A crowd uploads 64 MB, if that is read.  */
 #define CROWD 64
 #define UNREAD_RESPONSES 60
@@ -39,350 +22,192 @@
 #define PATTERN_BYTES 65536U
 /* Of ten uploads this many are never completed.  */
 #define INCOMPLETE_OF_TEN 9
+/* Bytes of a head of very many fields, just under the bound of 8,192.  */
+#define MANY_FIELDS_BYTES 8000U
 #define PLAY_MS 6000
-#define PART_MAX_BYTES (128U * 1024)
-#define WARM_UP_REQUESTS 20
-#define ANSWER_TIMEOUT_MS 30000
 #define STOP_TIMEOUT_MS 30000
-/* Freed memory that a sanitizer keeps cannot be told from memory in use.  */
-#ifdef __SANITIZE_ADDRESS__
-#define IS_SANITIZED true
-#else
-#define IS_SANITIZED false
-#endif
 
-/* One caller: sends HEAD, then PATTERN over and over up to SIZE bytes, then
-   END, and reads nothing until the play ends.  */
-struct sender
+static struct crowd *
+create_crowd (void)
 {
-  int fd;
-  const GString *head;
-  const GString *pattern;
-  const char *end;
-  size_t size;
-  size_t sent; /* bytes of all three */
-  bool gone;   /* the VM closed the connection */
-};
-
-struct play
-{
-  struct site *site;
-  GPtrArray *senders; /* of struct sender */
-  long rest_kib;      /* memory before the crowd came */
-  long most_kib;
-  unsigned most_descriptors;
-  size_t part_bytes; /* sent at a time */
-};
-
-static int
-connect_to (const char *address)
-{
-  g_auto (GStrv) parts = g_strsplit (address, ":", 2);
-  struct sockaddr_in sa
-      = { .sin_family = AF_INET,
-          .sin_port = htons ((uint16_t)g_ascii_strtoull (parts[1], NULL, 10)),
-          .sin_addr.s_addr = inet_addr (parts[0]) };
-  int fd = socket (AF_INET, SOCK_STREAM, 0);
-  g_assert_cmpint (fd, >=, 0);
-  g_assert_cmpint (connect (fd, (struct sockaddr *)&sa, sizeof sa), ==, 0);
-  g_assert_cmpint (fcntl (fd, F_SETFL, O_NONBLOCK), ==, 0);
-  return fd;
-}
-
-static void
-sender_free (void *arg)
-{
-  struct sender *s = arg;
-  close (s->fd);
-  g_free (s);
-}
-
-static unsigned
-count_descriptors (const struct proc *p)
-{
-  g_autofree char *path = g_strdup_printf ("/proc/%d/fd", (int)p->pid);
-  g_autoptr (GDir) dir = g_dir_open (path, 0, NULL);
-  unsigned n = 0;
-  g_assert_nonnull (dir);
-  while (g_dir_read_name (dir))
-    n++;
-  return n;
+  return crowd_create (program_directory (), CONNECTIONS_MAX);
 }
 
-/* The VM runs, and its memory and descriptors are within their bounds.  */
-static void
-sample (struct play *p)
-{
-  struct proc *vm = p->site->vms[0];
-  g_assert_false (proc_wait (vm, 0));
-  long kib = proc_rss_kib (vm) - p->rest_kib;
-  unsigned descriptors = count_descriptors (vm);
-  p->most_kib = MAX (p->most_kib, kib);
-  p->most_descriptors = MAX (p->most_descriptors, descriptors);
-  g_assert_cmpint (kib, <, GROWTH_MAX_KIB);
-  g_assert_cmpuint (descriptors, <, DESCRIPTORS_MAX);
-}
-
-/* Whether an ordinary request is answered.  A VM that is overloaded may refuse
-   it once.  */
-static bool
-is_answered (void *arg)
-{
-  struct play *p = arg;
-  static unsigned number;
-  g_autofree char *id = g_strdup_printf ("ordinary-%u", number++);
-  struct web *w = site_request (p->site, 0, "GET", "/safe/ok", id);
-  bool answered = w->complete && w->status == 200;
-  web_close (w);
-  sample (p);
-  return answered;
-}
-
-static struct play *
-play_create (void)
+static GString *
+create_large_chunk (struct crowd *c)
 {
-  struct play *p = g_new0 (struct play, 1);
-  p->site = site_create (program_directory (), VMS, UPSTREAMS);
-  p->site->timeout_ms = ROUTE_TIMEOUT_MS;
-  p->site->max_body_bytes = BODY_MAX_BYTES;
-  p->site->header_timeout_ms = HEADER_TIMEOUT_MS;
-  p->site->memory_mb = MEMORY_MB;
-  p->site->vm_connections = CONNECTIONS_MAX;
-  p->senders = g_ptr_array_new_with_free_func (sender_free);
-  p->part_bytes = PART_MAX_BYTES;
-  site_write_routes (p->site, 2, NULL);
-  site_start (p->site);
-  p->rest_kib = proc_rss_kib (p->site->vms[0]);
-  for (unsigned i = 0; i < WARM_UP_REQUESTS; i++)
-    g_assert_true (is_answered (p));
-  p->rest_kib = proc_rss_kib (p->site->vms[0]);
-  p->most_kib = 0;
-  return p;
+  GString *chunk = crowd_text (c, "");
+  g_string_printf (chunk, "%x\r\n", LARGE_CHUNK_BYTES);
+  g_autofree char *data = g_strnfill (LARGE_CHUNK_BYTES, 'x');
+  g_string_append (chunk, data);
+  g_string_append (chunk, "\r\n");
+  return chunk;
 }
 
+/* A crowd of chunked uploads, of CHUNKS times CHUNK each.  Most of ten stop 9
+   bytes before their end and stay open.  */
 static void
-add_sender (struct play *p, const GString *head, const GString *pattern,
-            size_t size, const char *end)
-{
-  struct sender *s = g_new0 (struct sender, 1);
-  s->fd = connect_to (p->site->front_addresses[0]);
-  s->head = head;
-  s->pattern = pattern;
-  s->size = size;
-  s->end = end;
-  g_ptr_array_add (p->senders, s);
-}
-
-/* Returns what S sends next, of N bytes; 0 at its end.  */
-static const char *
-next_part (const struct sender *s, size_t *n)
+add_chunked_crowd (struct crowd *c, const GString *chunk, size_t chunks)
 {
-  size_t at = s->sent;
-  if (at < s->head->len)
-    {
-      *n = s->head->len - at;
-      return s->head->str + at;
-    }
-  at -= s->head->len;
-  if (at < s->size)
+  for (unsigned i = 0; i < CROWD; i++)
     {
-      size_t in_pattern = at % s->pattern->len;
-      *n = MIN (s->pattern->len - in_pattern, s->size - at);
-      return s->pattern->str + in_pattern;
+      GString *head = crowd_head (c, "/once/ok", "Transfer-Encoding: chunked");
+      bool complete = i % 10 >= INCOMPLETE_OF_TEN;
+      size_t size = chunk->len * chunks;
+      crowd_add (c, head, chunk, complete ? size : size - 9,
+                 complete ? "0\r\n\r\n" : "");
     }
-  at -= s->size;
-  *n = strlen (s->end) - at;
-  return s->end + at;
 }
 
 static void
-send_parts (const struct play *p, struct sender *s)
+add_large_chunks (struct crowd *c)
 {
-  size_t left = p->part_bytes;
-  while (!s->gone && left > 0)
-    {
-      size_t n = 0;
-      const char *part = next_part (s, &n);
-      n = MIN (n, left);
-      if (n == 0)
-        return;
-      ssize_t sent = send (s->fd, part, n, MSG_NOSIGNAL | MSG_DONTWAIT);
-      if (sent < 0 && errno == EAGAIN)
-        return;
-      s->gone = sent < 0;
-      s->sent += s->gone ? 0 : (size_t)sent;
-      left -= s->gone ? 0 : (size_t)sent;
-    }
+  add_chunked_crowd (c, create_large_chunk (c),
+                     CROWD_BODY_MAX_BYTES / LARGE_CHUNK_BYTES);
 }
 
+/* The crowd of C sends, and leaves.  */
 static void
-play_for (struct play *p, unsigned ms)
-{
-  gint64 end_us = g_get_monotonic_time () + (gint64)ms * 1000;
-  while (g_get_monotonic_time () < end_us)
-    {
-      for (guint i = 0; i < p->senders->len; i++)
-        send_parts (p, g_ptr_array_index (p->senders, i));
-      sample (p);
-      g_usleep (5000);
-    }
-}
-
-static bool
-has_fallen (void *arg)
+play (struct crowd *c)
 {
-  struct play *p = arg;
-  sample (p);
-  return proc_rss_kib (p->site->vms[0]) - p->rest_kib < GROWTH_LEFT_KIB;
+  crowd_play (c, PLAY_MS);
+  crowd_end (c);
+  crowd_destroy (c);
 }
 
-/* The crowd leaves.  */
+/* Announced lengths far over the limit are not read.  */
 static void
-end_crowd (struct play *p)
+test_announced_too_long (void)
 {
-  g_test_message ("grew by %ld KiB, %u descriptors", p->most_kib,
-                  p->most_descriptors);
-  site_wait (is_answered, p, ANSWER_TIMEOUT_MS);
-  g_ptr_array_set_size (p->senders, 0);
-  if (!IS_SANITIZED)
-    site_wait (has_fallen, p, ANSWER_TIMEOUT_MS);
-  site_wait (is_answered, p, ANSWER_TIMEOUT_MS);
+  struct crowd *c = create_crowd ();
+  GString *pattern = create_large_chunk (c);
+  for (unsigned i = 0; i < CROWD; i++)
+    crowd_add (c, crowd_head (c, "/once/ok", "Content-Length: 4000000000"),
+               pattern, 4000000000, "");
+  crowd_play (c, PLAY_MS);
+  for (guint i = 0; i < c->senders->len; i++)
+    g_assert_true (((struct sender *)g_ptr_array_index (c->senders, i))->gone);
+  crowd_end (c);
+  crowd_destroy (c);
 }
 
+/* Chunked bodies without end.  */
 static void
-play_destroy (struct play *p)
-{
-  site_destroy (p->site);
-  g_ptr_array_free (p->senders, TRUE);
-  g_free (p);
-}
-
-static GString *
-create_head (const char *path, const char *framing)
+test_sent_too_long (void)
 {
-  static unsigned number;
-  GString *head = g_string_new (NULL);
-  g_string_printf (head,
-                   "POST %s HTTP/1.1\r\nHost: " SITE_HOST
-                   "\r\nX-Request-Id: upload-%u\r\n%s\r\n\r\n",
-                   path, number++, framing);
-  return head;
+  struct crowd *c = create_crowd ();
+  add_chunked_crowd (c, create_large_chunk (c), 60000);
+  play (c);
 }
 
-static GString *
-create_large_chunk (void)
+static void
+test_large_chunks (void)
 {
-  GString *chunk = g_string_new (NULL);
-  g_string_printf (chunk, "%x\r\n", LARGE_CHUNK_BYTES);
-  g_autofree char *data = g_strnfill (LARGE_CHUNK_BYTES, 'x');
-  g_string_append (chunk, data);
-  g_string_append (chunk, "\r\n");
-  return chunk;
+  struct crowd *c = create_crowd ();
+  add_large_chunks (c);
+  play (c);
 }
 
 static void
-free_text (void *text)
+test_small_chunks (void)
 {
-  g_string_free (text, TRUE);
+  struct crowd *c = create_crowd ();
+  GString *chunks = crowd_text (c, "");
+  while (chunks->len < PATTERN_BYTES)
+    g_string_append (chunks, "1\r\nx\r\n");
+  size_t per_pattern = chunks->len / strlen ("1\r\nx\r\n");
+  add_chunked_crowd (c, chunks, CROWD_BODY_MAX_BYTES / per_pattern);
+  play (c);
 }
 
-/* A crowd of chunked uploads, of CHUNKS times CHUNK each.  MOST of ten stop 9
-   bytes before their end and stay open.  */
+/* More connections than the VM accepts, each with a head that arrives a byte
+   at a time: they must not use up the connections of ordinary callers.  */
 static void
-add_chunked_crowd (struct play *p, GPtrArray *texts, GString *chunk,
-                   size_t chunks, unsigned most)
+test_slow_heads (void)
 {
-  g_ptr_array_add (texts, chunk);
-  for (unsigned i = 0; i < CROWD; i++)
-    {
-      GString *head = create_head ("/once/ok", "Transfer-Encoding: chunked");
-      bool complete = i % 10 >= most;
-      size_t size = chunk->len * chunks;
-      g_ptr_array_add (texts, head);
-      add_sender (p, head, chunk, complete ? size : size - 9,
-                  complete ? "0\r\n\r\n" : "");
-    }
+  struct crowd *c = create_crowd ();
+  GString *start = crowd_text (c, "GET /safe/ok HTTP/1.1\r\nHost: ");
+  GString *byte = crowd_text (c, "a");
+  c->part_bytes = 1;
+  for (unsigned i = 0; i < SLOW_HEADS; i++)
+    crowd_add (c, start, byte, CROWD_BODY_MAX_BYTES, "");
+  play (c);
 }
 
-/* Announced lengths far over the limit are not read.  */
+/* Guards against heads that take many times their bytes once they are complete
+   and are part of no sum: each has very many fields, and a body to come.  */
 static void
-test_announced_too_long (void)
+test_many_fields (void)
 {
-  struct play *p = play_create ();
-  g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (free_text);
-  GString *pattern = create_large_chunk ();
-  g_ptr_array_add (texts, pattern);
-  for (unsigned i = 0; i < CROWD; i++)
-    {
-      GString *head = create_head ("/once/ok", "Content-Length: 4000000000");
-      g_ptr_array_add (texts, head);
-      add_sender (p, head, pattern, 4000000000, "");
-    }
-  play_for (p, PLAY_MS);
-  for (guint i = 0; i < p->senders->len; i++)
-    g_assert_true (((struct sender *)g_ptr_array_index (p->senders, i))->gone);
-  end_crowd (p);
-  play_destroy (p);
+  struct crowd *c = create_crowd ();
+  GString *none = crowd_text (c, "");
+  g_autoptr (GString) fields = g_string_new ("Content-Length: 1000");
+  while (fields->len < MANY_FIELDS_BYTES)
+    g_string_append (fields, "\r\na:");
+  for (unsigned i = 0; i < CONNECTIONS_MAX; i++)
+    crowd_add (c, crowd_head (c, "/once/ok", fields->str), none, 0, "");
+  play (c);
 }
 
-/* Chunked bodies without end.  */
+/* Guards against bytes that the kernel holds unread, which grow with the
+   connections: each caller is halfway through its body.  */
 static void
-test_sent_too_long (void)
+test_halfway_bodies (void)
 {
-  struct play *p = play_create ();
-  g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (free_text);
-  add_chunked_crowd (p, texts, create_large_chunk (), 60000,
-                     INCOMPLETE_OF_TEN);
-  play_for (p, PLAY_MS);
-  end_crowd (p);
-  play_destroy (p);
+  struct crowd *c = crowd_create (program_directory (), HALFWAY_CALLERS);
+  GString *bytes = create_large_chunk (c);
+  g_autofree char *length
+      = g_strdup_printf ("Content-Length: %u", CROWD_BODY_MAX_BYTES);
+  for (unsigned i = 0; i < HALFWAY_CALLERS; i++)
+    crowd_add (c, crowd_head (c, "/once/ok", length), bytes,
+               CROWD_BODY_MAX_BYTES / 2, "");
+  play (c);
 }
 
+/* The same with chunks, each caller just short of its end.  */
 static void
-test_large_chunks (void)
+test_halfway_chunks (void)
 {
-  struct play *p = play_create ();
-  g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (free_text);
-  add_chunked_crowd (p, texts, create_large_chunk (),
-                     BODY_MAX_BYTES / LARGE_CHUNK_BYTES, INCOMPLETE_OF_TEN);
-  play_for (p, PLAY_MS);
-  end_crowd (p);
-  play_destroy (p);
+  struct crowd *c = crowd_create (program_directory (), HALFWAY_CALLERS);
+  const GString *chunk = create_large_chunk (c);
+  size_t size = chunk->len * (CROWD_BODY_MAX_BYTES / LARGE_CHUNK_BYTES);
+  for (unsigned i = 0; i < HALFWAY_CALLERS; i++)
+    crowd_add (c, crowd_head (c, "/once/ok", "Transfer-Encoding: chunked"),
+               chunk, size - 9, "");
+  play (c);
 }
 
+/* Guards against a buffer of the kernel that stays large for good: each caller
+   is halfway through its second body.  */
 static void
-test_small_chunks (void)
+test_second_bodies (void)
 {
-  struct play *p = play_create ();
-  g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (free_text);
-  GString *chunks = g_string_new (NULL);
-  while (chunks->len < PATTERN_BYTES)
-    g_string_append (chunks, "1\r\nx\r\n");
-  size_t per_pattern = chunks->len / strlen ("1\r\nx\r\n");
-  add_chunked_crowd (p, texts, chunks, BODY_MAX_BYTES / per_pattern,
-                     INCOMPLETE_OF_TEN);
-  play_for (p, PLAY_MS);
-  end_crowd (p);
-  play_destroy (p);
+  struct crowd *c = create_crowd ();
+  GString *bytes = create_large_chunk (c);
+  g_autofree char *first = g_strdup_printf ("Content-Length: %zu", bytes->len);
+  g_autofree char *second
+      = g_strdup_printf ("Content-Length: %u", CROWD_BODY_MAX_BYTES);
+  for (unsigned i = 0; i < CONNECTIONS_MAX; i++)
+    {
+      GString *head = crowd_head (c, "/once/ok", first);
+      g_string_append_len (head, bytes->str, (gssize)bytes->len);
+      g_string_append (head, crowd_head (c, "/once/ok", second)->str);
+      crowd_add (c, head, bytes, CROWD_BODY_MAX_BYTES / 2, "");
+    }
+  play (c);
 }
 
-/* More connections than the VM accepts, each with a head that arrives a byte
-   at a time: they must not use up the connections of ordinary callers.  */
+/* Guards against requests that are sent ahead of a response, and held in each
+   connection: each caller sends many behind one that takes long.  */
 static void
-test_slow_heads (void)
+test_requests_ahead (void)
 {
-  struct play *p = play_create ();
-  g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (free_text);
-  GString *start = g_string_new ("GET /safe/ok HTTP/1.1\r\nHost: ");
-  GString *byte = g_string_new ("a");
-  g_ptr_array_add (texts, start);
-  g_ptr_array_add (texts, byte);
-  p->part_bytes = 1;
-  for (unsigned i = 0; i < SLOW_HEADS; i++)
-    add_sender (p, start, byte, BODY_MAX_BYTES, "");
-  play_for (p, PLAY_MS);
-  end_crowd (p);
-  play_destroy (p);
+  struct crowd *c = crowd_create (program_directory (), HALFWAY_CALLERS);
+  const GString *ahead = crowd_head (c, "/once/ok", "Content-Length: 0");
+  for (unsigned i = 0; i < HALFWAY_CALLERS; i++)
+    crowd_add (c, crowd_head (c, "/once/wait-20000", "Content-Length: 0"),
+               ahead, CROWD_BODY_MAX_BYTES, "");
+  play (c);
 }
 
 /* Responses that wait for callers and bodies that are read share one budget.
@@ -390,42 +215,39 @@
 static void
 test_beside_unread_responses (void)
 {
-  struct play *p = play_create ();
+  struct crowd *c = create_crowd ();
   struct web *unread[UNREAD_RESPONSES];
-  g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (free_text);
   for (unsigned i = 0; i < UNREAD_RESPONSES; i++)
     {
       g_autofree char *id = g_strdup_printf ("unread-%u", i);
-      unread[i] = site_send_request (p->site, 0, "GET", "/safe/endless-body",
+      unread[i] = site_send_request (c->site, 0, "GET", "/safe/endless-body",
                                      id, NULL, NULL);
     }
-  add_chunked_crowd (p, texts, create_large_chunk (),
-                     BODY_MAX_BYTES / LARGE_CHUNK_BYTES, INCOMPLETE_OF_TEN);
-  play_for (p, PLAY_MS);
-  end_crowd (p);
+  add_large_chunks (c);
+  crowd_play (c, PLAY_MS);
+  crowd_end (c);
   for (unsigned i = 0; i < UNREAD_RESPONSES; i++)
     web_close (unread[i]);
-  play_destroy (p);
+  crowd_destroy (c);
 }
 
 /* The settings are reloaded beside the crowd, and SIGTERM ends the process. */
 static void
 test_reload_and_stop (void)
 {
-  struct play *p = play_create ();
-  g_autoptr (GPtrArray) texts = g_ptr_array_new_with_free_func (free_text);
-  add_chunked_crowd (p, texts, create_large_chunk (),
-                     BODY_MAX_BYTES / LARGE_CHUNK_BYTES, INCOMPLETE_OF_TEN);
+  struct crowd *c = create_crowd ();
+  struct proc *vm = c->site->vms[0];
+  add_large_chunks (c);
   for (unsigned i = 0; i < 3; i++)
     {
-      play_for (p, PLAY_MS / 3);
-      proc_signal (p->site->vms[0], SIGHUP);
+      crowd_play (c, PLAY_MS / 3);
+      proc_signal (vm, SIGHUP);
     }
-  site_wait (is_answered, p, ANSWER_TIMEOUT_MS);
-  proc_signal (p->site->vms[0], SIGTERM);
-  g_assert_true (proc_wait (p->site->vms[0], STOP_TIMEOUT_MS));
-  g_assert_cmpint (p->site->vms[0]->status, ==, 0);
-  play_destroy (p);
+  crowd_expect_answer (c);
+  proc_signal (vm, SIGTERM);
+  g_assert_true (proc_wait (vm, STOP_TIMEOUT_MS));
+  g_assert_cmpint (vm->status, ==, 0);
+  crowd_destroy (c);
 }
 
 int
@@ -441,6 +263,11 @@
   g_test_add_func ("/uploads/large-chunks", test_large_chunks);
   g_test_add_func ("/uploads/small-chunks", test_small_chunks);
   g_test_add_func ("/uploads/slow-heads", test_slow_heads);
+  g_test_add_func ("/uploads/many-fields", test_many_fields);
+  g_test_add_func ("/uploads/halfway-bodies", test_halfway_bodies);
+  g_test_add_func ("/uploads/halfway-chunks", test_halfway_chunks);
+  g_test_add_func ("/uploads/second-bodies", test_second_bodies);
+  g_test_add_func ("/uploads/requests-ahead", test_requests_ahead);
   g_test_add_func ("/uploads/beside-unread-responses",
                    test_beside_unread_responses);
   g_test_add_func ("/uploads/reload-and-stop", test_reload_and_stop);
