--- a/src/base/http_head.c
+++ b/src/base/http_head.c
@@ -4,26 +4,27 @@
 #include <string.h>
 
 #define MS_PER_S 1000.0
+/* Names and values are allocated in blocks of this size.  */
+#define TEXT_BLOCK_BYTES 512
+/* Memory of a byte of text: a block may be left half empty.  */
+#define TEXT_FACTOR 2
+/* The shortest field: a name of one character, a colon and the line end.  */
+#define FIELD_WIRE_BYTES_MIN 4
+/* Memory of a field beside its text: an array that grows has up to twice the
+   elements that it needs.  */
+#define FIELD_BYTES (2 * sizeof (struct http_field))
 
 static const char *const hop_by_hop_fields[]
     = { "Connection", "Keep-Alive", "Transfer-Encoding", "TE",
         "Trailer",    "Upgrade",    "Proxy-Connection",  NULL };
 
-static void
-field_clear (void *p)
-{
-  struct http_field *f = p;
-  g_free (f->name);
-  g_free (f->value);
-}
-
 struct http_head *
 http_head_create (void)
 {
   struct http_head *h = g_new0 (struct http_head, 1);
   h->minor = 1;
   h->fields = g_array_new (FALSE, FALSE, sizeof (struct http_field));
-  g_array_set_clear_func (h->fields, field_clear);
+  h->text = g_string_chunk_new (TEXT_BLOCK_BYTES);
   return h;
 }
 
@@ -36,9 +37,25 @@
   g_free (h->target);
   g_free (h->reason);
   g_array_free (h->fields, TRUE);
+  g_string_chunk_free (h->text);
   g_free (h);
 }
 
+size_t
+http_head_memory (const struct http_head *h)
+{
+  size_t target = h->target ? strlen (h->target) + 1 : 0;
+  return sizeof *h + TEXT_BLOCK_BYTES + target + TEXT_FACTOR * h->text_bytes
+         + h->fields->len * FIELD_BYTES;
+}
+
+size_t
+http_head_memory_max (size_t bytes)
+{
+  return sizeof (struct http_head) + TEXT_BLOCK_BYTES + TEXT_FACTOR * bytes
+         + bytes / FIELD_WIRE_BYTES_MIN * FIELD_BYTES;
+}
+
 static struct http_field *
 field_at (const struct http_head *h, guint i)
 {
@@ -80,7 +97,9 @@
 void
 http_head_add (struct http_head *h, const char *name, const char *value)
 {
-  struct http_field f = { g_strdup (name), g_strdup (value) };
+  struct http_field f = { g_string_chunk_insert (h->text, name),
+                          g_string_chunk_insert (h->text, value) };
+  h->text_bytes += strlen (name) + strlen (value) + 2;
   g_array_append_val (h->fields, f);
 }
 
--- a/src/base/http_head.h
+++ b/src/base/http_head.h
@@ -13,19 +13,22 @@
 /** One header field; spelling and case as received.  */
 struct http_field
 {
-  char *name;
-  char *value;
+  const char *name;
+  const char *value;
 };
 
 /** Start line and header fields of a request or a response.  */
 struct http_head
 {
-  char *method;    /**< NULL in a response */
-  char *target;    /**< path and query; NULL in a response */
-  unsigned status; /**< 0 in a request */
-  char *reason;    /**< NULL in a request */
-  unsigned minor;  /**< minor version: 1 for HTTP/1.1, 0 for HTTP/1.0 */
-  GArray *fields;  /**< of struct http_field, in order */
+  char *method;       /**< NULL in a response */
+  char *target;       /**< path and query; NULL in a response */
+  unsigned status;    /**< 0 in a request */
+  char *reason;       /**< NULL in a request */
+  unsigned minor;     /**< minor version: 1 for HTTP/1.1, 0 for HTTP/1.0 */
+  GArray *fields;     /**< of struct http_field, in order */
+  GStringChunk *text; /**< names and values of the fields, those included that
+                         were removed */
+  size_t text_bytes;  /**< size of TEXT */
 };
 
 /** Creates an HTTP/1.1 head without fields; release it with
@@ -38,6 +41,13 @@
 /** Returns a deep copy of H.  */
 struct http_head *http_head_copy (const struct http_head *h);
 
+/** Returns the bytes of memory that H takes, about.  */
+size_t http_head_memory (const struct http_head *h);
+
+/** Returns the most that http_head_memory can be of a head that has BYTES on
+    the wire.  */
+size_t http_head_memory_max (size_t bytes);
+
 /* Access to header fields.  Names are compared case-insensitively.  */
 
 /** Returns the value of the first field NAME, or NULL.  */
--- a/src/decide/memory_budget.c
+++ b/src/decide/memory_budget.c
@@ -228,6 +228,19 @@
   return true;
 }
 
+/* Reserves SIZE bytes for M, a small body, if they are free in its part or in
+   that of larger ones.  */
+static bool
+grant_small (struct memory_body *m, size_t size)
+{
+  bool fits
+      = size <= MEMORY_SMALL_BODY_BYTES && has_room (m, POOL_SMALL, size);
+  if (!fits && !has_large_room (m, size))
+    return false;
+  move_to (m, fits ? POOL_SMALL : POOL_LARGE, size);
+  return true;
+}
+
 static int
 compare_deadlines (const void *a, const void *b, void *arg)
 {
@@ -270,30 +283,17 @@
   g_assert (m->place == NULL);
   if (size <= memory_body_reserved (m))
     return MEMORY_GRANTED;
-  bool small = m->pool == POOL_SMALL && size <= MEMORY_SMALL_BODY_BYTES;
-  if (small && has_room (m, POOL_SMALL, size))
-    {
-      move_to (m, POOL_SMALL, size);
-      return MEMORY_GRANTED;
-    }
-  if (small)
-    {
-      if (!has_large_room (m, size))
-        return MEMORY_REFUSED;
-      move_to (m, POOL_LARGE, size);
-      return MEMORY_GRANTED;
-    }
+  if (m->pool == POOL_SMALL && size <= MEMORY_SMALL_BODY_BYTES)
+    return grant_small (m, size) ? MEMORY_GRANTED : MEMORY_REFUSED;
   if (is_next (m) && grant_large (m, size))
     return MEMORY_GRANTED;
   return wait_for (m, size, read);
 }
 
-void
-memory_body_settle (struct memory_body *m, size_t size)
+/* Returns what M reserves beyond SIZE bytes.  */
+static void
+shrink (struct memory_body *m, size_t size)
 {
-  g_assert (m->place == NULL);
-  if (size >= memory_body_reserved (m))
-    return;
   if (m->apart > size)
     {
       m->budget->first_used -= m->apart - size;
@@ -304,6 +304,20 @@
     end_first (m);
 }
 
+bool
+memory_body_take (struct memory_body *m, size_t size)
+{
+  g_assert (m->place == NULL);
+  if (size <= memory_body_reserved (m))
+    {
+      shrink (m, size);
+      return true;
+    }
+  if (m->pool == POOL_SMALL)
+    return grant_small (m, size) || grant_large (m, size);
+  return grant_large (m, size);
+}
+
 void
 memory_body_release (struct memory_body *m)
 {
--- a/src/decide/memory_budget.h
+++ b/src/decide/memory_budget.h
@@ -9,7 +9,8 @@
     Bodies take the rest.  A body reserves memory before it is read
     (memory_body_grow), all of it at once if its length is known.  Bodies of at
     most MEMORY_SMALL_BODY_BYTES have a part of their own, so that they do not
-    wait for larger ones.  Larger ones wait for memory in the order of their
+    wait for larger ones.  A head that takes much memory counts with its body,
+    also if there is none.  Larger ones wait for memory in the order of their
     deadlines.  Memory of the size of the largest body is set apart for one of
     them, the first that has to wait: so bodies that grow while they arrive
     cannot block each other for good.  What waiting bodies have already read is
@@ -93,9 +94,10 @@
 enum memory_grant memory_body_grow (struct memory_body *m, size_t size,
                                     size_t read);
 
-/** M is complete and has SIZE bytes: returns what it reserved beyond.  M must
+/** M is complete and has SIZE bytes: reserves just these, without waiting.
+    Returns false, and keeps what M has, if they are more and not free.  M must
     not be waiting.  */
-void memory_body_settle (struct memory_body *m, size_t size);
+bool memory_body_take (struct memory_body *m, size_t size);
 
 /** Releases M, which may be NULL, with its memory.  */
 void memory_body_release (struct memory_body *m);
--- a/src/links/http_codec.c
+++ b/src/links/http_codec.c
@@ -8,6 +8,8 @@
 #define HEAD_MAX_BYTES (64U * 1024)
 /* Most body bytes passed to http_parser in one call.  */
 #define FEED_BYTES (64U * 1024)
+/* Most memory for the text of a field that is kept between two heads.  */
+#define KEPT_TEXT_BYTES 256
 /* Length of the version and the status code, with the separator after each. */
 #define STATUS_LINE_BYTES (sizeof "HTTP/1.1 200 " - 1)
 
@@ -51,6 +53,20 @@
 
 /* Callbacks of http_parser.  */
 
+/* Empties TEXT.  One that a long field has enlarged is replaced, as each
+   connection keeps its own.  */
+static void
+clear_text (GString **text)
+{
+  if ((*text)->allocated_len <= KEPT_TEXT_BYTES)
+    {
+      g_string_truncate (*text, 0);
+      return;
+    }
+  g_string_free (*text, TRUE);
+  *text = g_string_new (NULL);
+}
+
 /* Adds the parsed header field to the head.  */
 static void
 add_parsed_field (struct http_codec *c)
@@ -169,6 +185,8 @@
 {
   struct http_codec *c = get_codec (p);
   add_parsed_field (c);
+  clear_text (&c->name);
+  clear_text (&c->value);
   c->head->minor = p->http_minor;
   if (c->side == HTTP_SIDE_REQUESTS)
     c->head->method = g_strdup (http_method_str (p->method));
@@ -322,11 +340,11 @@
   return true;
 }
 
-static size_t
-head_limit (const struct http_codec *c)
+size_t
+http_codec_head_limit (size_t head_bytes)
 {
-  size_t limit = c->limits.head_bytes;
-  return limit > 0 && limit < HEAD_MAX_BYTES ? limit : HEAD_MAX_BYTES;
+  return head_bytes > 0 && head_bytes < HEAD_MAX_BYTES ? head_bytes
+                                                       : HEAD_MAX_BYTES;
 }
 
 static void
@@ -340,7 +358,7 @@
     evbuffer_drain (in, 2);
   if (c->side == HTTP_SIDE_RESPONSES)
     check_status_line (c, in);
-  size_t limit = head_limit (c);
+  size_t limit = http_codec_head_limit (c->limits.head_bytes);
   struct evbuffer_ptr end = evbuffer_search (in, "\r\n\r\n", 4, NULL);
   size_t size = end.pos < 0 ? evbuffer_get_length (in) : (size_t)end.pos + 4;
   if (size > limit)
@@ -374,7 +392,8 @@
       run_parser (c, data, n, &used);
       evbuffer_drain (in, MIN (used, n));
       c->framing_bytes = c->body_parsed > before ? 0 : c->framing_bytes + used;
-      if (c->progress == HTTP_IN_BODY && c->framing_bytes > head_limit (c))
+      if (c->progress == HTTP_IN_BODY
+          && c->framing_bytes > http_codec_head_limit (c->limits.head_bytes))
         refuse (c, 400, "a chunk line or the trailer exceeds the size limit");
     }
 }
@@ -439,8 +458,8 @@
 {
   http_head_destroy (c->head);
   c->head = http_head_create ();
-  g_string_truncate (c->name, 0);
-  g_string_truncate (c->value, 0);
+  clear_text (&c->name);
+  clear_text (&c->value);
   c->in_value = false;
   c->progress = HTTP_IN_HEAD;
   c->bodiless = bodiless;
--- a/src/links/http_codec.h
+++ b/src/links/http_codec.h
@@ -43,6 +43,10 @@
   HTTP_FRAMING_CLOSE    /**< the body ends when the connection is closed */
 };
 
+/** Returns the limit of a head, in bytes, that HEAD_BYTES of a struct
+    http_size_limits stands for.  */
+size_t http_codec_head_limit (size_t head_bytes);
+
 /** Name of FRAMING for logs: none, length, chunked or close.  */
 const char *http_framing_name (enum http_framing framing);
 
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -132,7 +132,6 @@
   c->since_ms = clock_ms ();
   http_body_end (c);
   read_ahead (c);
-  http_codec_next (c->codec, false);
   if (more && !c->in_conn_read)
     http_conn_read (c);
   else if (!more)
@@ -253,7 +252,10 @@
       c->request_since_ms = c->input_since_ms;
       set_timer (c, c->listener->limits.read_ms);
     }
-  switch (http_codec_feed (c->codec, in, c->body))
+  enum http_parse_state progress = http_codec_feed (c->codec, in, c->body);
+  if (!had_head && (progress == HTTP_IN_BODY || progress == HTTP_COMPLETE))
+    http_body_note_head (c);
+  switch (progress)
     {
     case HTTP_COMPLETE:
       conn_handle_request (c);
@@ -496,6 +498,16 @@
 
 /* Creation, limits, draining and release of the listener.  */
 
+static void
+set_largest_request (const struct http_listener_limits *limits)
+{
+  if (limits->memory)
+    memory_budget_set_largest (
+        limits->memory, limits->body_bytes
+                            + http_head_memory_max (
+                                http_codec_head_limit (limits->head_bytes)));
+}
+
 struct http_listener *
 http_listener_create (struct event_base *base, const char *address,
                       const struct http_listener_limits *limits,
@@ -515,8 +527,7 @@
   f->callbacks = callbacks;
   f->arg = arg;
   f->conns = g_hash_table_new (NULL, NULL);
-  if (limits->memory)
-    memory_budget_set_largest (limits->memory, limits->body_bytes);
+  set_largest_request (limits);
   f->listener = evconnlistener_new_bind (
       base, on_accept, f, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof sa);
@@ -553,8 +564,7 @@
                           const struct http_listener_limits *limits)
 {
   f->limits = *limits;
-  if (limits->memory)
-    memory_budget_set_largest (limits->memory, limits->body_bytes);
+  set_largest_request (limits);
   struct http_size_limits size_limits
       = { limits->head_bytes, limits->body_bytes };
   GHashTableIter it;
--- a/src/links/http_listener_body.c
+++ b/src/links/http_listener_body.c
@@ -1,7 +1,7 @@
 /** @file
-    Memory of request bodies: a body is read as the budget
-    (decide/memory_budget.h) grants bytes; what is not granted waits in the
-    socket, whose buffer is bounded.  */
+    Memory of requests: a body is read as the budget (decide/memory_budget.h)
+    grants bytes; what is not granted waits in the socket, whose buffer is
+    bounded.  A head that takes much memory counts with the body.  */
 #include "links/http_listener_conn.h"
 
 #include "base/clock.h"
@@ -10,8 +10,10 @@
 
 #include <sys/socket.h>
 
-/* An incomplete head up to this size counts as part of the connection.  */
+/* An incomplete head up to this size counts as part of the connection, and so
+   does a complete one that takes no more memory than the second.  */
 #define HEAD_FREE_BYTES ((size_t)1024)
+#define PARSED_HEAD_FREE_BYTES ((size_t)4 * 1024)
 /* Least memory of a body without a length.  */
 #define SMALL_STEP_BYTES ((size_t)1024)
 /* A body without a length that exceeds MEMORY_SMALL_BODY_BYTES grows its
@@ -41,10 +43,19 @@
   event_active (f->recheck, EV_TIMEOUT, 0);
 }
 
+void
+http_body_note_head (struct http_listener_conn *c)
+{
+  size_t bytes = http_head_memory (http_codec_head (c->codec));
+  c->head_bytes = bytes > PARSED_HEAD_FREE_BYTES ? bytes : 0;
+}
+
 void
 http_body_end (struct http_listener_conn *c)
 {
   evbuffer_drain (c->body, evbuffer_get_length (c->body));
+  http_codec_next (c->codec, false);
+  c->head_bytes = 0;
   c->waits_for_memory = false;
   c->stall_ms = 0;
   if (c->memory == NULL)
@@ -55,11 +66,19 @@
   schedule_recheck (c->listener);
 }
 
-/* Bytes of the current request that are read.  */
+/* Memory of the head and the body of the current request, as far as they are
+   parsed.  */
+static size_t
+parsed_bytes (const struct http_listener_conn *c)
+{
+  return c->head_bytes + evbuffer_get_length (c->body);
+}
+
+/* The same with what is read and not parsed.  */
 static size_t
 read_bytes (const struct http_listener_conn *c)
 {
-  return evbuffer_get_length (c->body)
+  return parsed_bytes (c)
          + evbuffer_get_length (bufferevent_get_input (c->bev));
 }
 
@@ -74,7 +93,10 @@
   if (http_codec_head (c->codec) == NULL)
     return read <= HEAD_FREE_BYTES || read <= reserved ? 0 : read;
   if (http_codec_framing (c->codec, &length) == HTTP_FRAMING_SIZED)
-    return length <= reserved ? 0 : (size_t)length;
+    {
+      size_t whole = c->head_bytes + (size_t)length;
+      return whole <= reserved ? 0 : whole;
+    }
   if (read <= MEMORY_SMALL_BODY_BYTES)
     return read <= reserved ? 0 : MAX (read, SMALL_STEP_BYTES);
   if (read + HTTP_READ_BYTES <= reserved)
@@ -82,7 +104,7 @@
   size_t grown = MAX (reserved * GROWTH_FACTOR, read + HTTP_READ_BYTES);
   uint64_t limit = c->listener->limits.body_bytes;
   if (limit > 0)
-    grown = MIN (grown, MAX ((size_t)limit, read));
+    grown = MIN (grown, MAX (c->head_bytes + (size_t)limit, read));
   return grown <= reserved ? 0 : grown;
 }
 
@@ -119,6 +141,15 @@
                       sizeof size);
 }
 
+static void
+create_memory (struct http_listener_conn *c)
+{
+  const struct http_listener_limits *limits = &c->listener->limits;
+  if (c->memory == NULL)
+    c->memory = memory_body_create (limits->memory,
+                                    c->request_start_ms + limits->read_ms, c);
+}
+
 /* Reserves SIZE bytes for the request of C.  Returns false if it was
    refused.  */
 static bool
@@ -126,9 +157,7 @@
 {
   struct http_listener *f = c->listener;
   size_t read = MIN (read_bytes (c), size);
-  if (c->memory == NULL)
-    c->memory = memory_body_create (
-        f->limits.memory, c->request_start_ms + f->limits.read_ms, c);
+  create_memory (c);
   bool was_large = memory_body_is_large (c->memory);
   enum memory_grant grant = memory_body_grow (c->memory, size, read);
   record_memory (f->limits.memory);
@@ -156,16 +185,17 @@
 bool
 http_body_complete (struct http_listener_conn *c)
 {
-  size_t size = evbuffer_get_length (c->body);
+  size_t size = parsed_bytes (c);
   if (c->listener->limits.memory == NULL || (size == 0 && c->memory == NULL))
     return true;
-  bool first = c->memory == NULL && size <= MEMORY_SMALL_BODY_BYTES;
-  if (first && !reserve (c, size))
-    return false;
-  if (c->memory == NULL)
-    return true;
-  memory_body_settle (c->memory, size);
+  create_memory (c);
+  bool has_memory = memory_body_take (c->memory, size);
   record_memory (c->listener->limits.memory);
+  if (!has_memory)
+    {
+      refuse_for_memory (c, size);
+      return false;
+    }
   schedule_recheck (c->listener);
   return true;
 }
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -71,6 +71,7 @@
   unsigned requests; /* complete ones so far */
   int64_t since_ms;  /* idle, or accepted, since then */
   struct memory_body *memory; /* of the current request; NULL for none yet */
+  size_t head_bytes;          /* of its complete head that the budget counts */
   bool waits_for_memory;      /* its body is not read */
   bool ahead_paused;          /* pipelined input is not read */
   size_t stall_bytes;         /* of the body, at STALL_MS */
@@ -95,7 +96,10 @@
 /** Sends 100 Continue if the caller waits for it before it sends the body.  */
 void http_conn_send_continue (struct http_listener_conn *c);
 
-/* Memory of request bodies (http_listener_body.c).  */
+/* Memory of requests, heads and bodies (http_listener_body.c).  */
+
+/** The head of the current request of C is complete.  */
+void http_body_note_head (struct http_listener_conn *c);
 
 /** Reserves memory for the part of a request that is read and the next part.
     Returns false if C was refused.  Stops reading while C waits.  */
@@ -103,7 +107,7 @@
 /** The request of C is complete.  Returns false if there is no memory for
     it and C was refused.  */
 bool http_body_complete (struct http_listener_conn *c);
-/** The request of C has ended, or is refused: drops its body.  */
+/** The request of C has ended, or is refused: drops its head and its body.  */
 void http_body_end (struct http_listener_conn *c);
 /** Lets bodies go on for which there is memory now, and refuses those that
     make no progress while others wait.  Returns whether any waits still.  */
--- a/tests/process/test_uploads.c
+++ b/tests/process/test_uploads.c
@@ -25,6 +25,7 @@
 /* Bytes of a head of very many fields, just under the bound of 8,192.  */
 #define MANY_FIELDS_BYTES 8000U
 #define PLAY_MS 6000
+#define ANSWER_TIMEOUT_MS 30000
 #define STOP_TIMEOUT_MS 30000
 
 static struct crowd *
@@ -149,6 +150,25 @@
   play (c);
 }
 
+/* Guards against a request inside the limits that is refused in calm: the
+   longest body behind a head of very many fields.  */
+static void
+test_largest_request (void)
+{
+  struct crowd *c = create_crowd ();
+  g_autoptr (GString) fields = g_string_new (NULL);
+  while (fields->len < MANY_FIELDS_BYTES)
+    g_string_append (fields, "a:\r\n");
+  g_autofree char *body = g_strnfill (CROWD_BODY_MAX_BYTES, 'x');
+  struct web *w = site_send_request (c->site, 0, "POST", "/once/ok", "largest",
+                                     fields->str, body);
+  web_read_response (w, ANSWER_TIMEOUT_MS);
+  g_assert_cmpint (w->status, ==, 200);
+  web_close (w);
+  crowd_end (c);
+  crowd_destroy (c);
+}
+
 /* Guards against bytes that the kernel holds unread, which grow with the
    connections: each caller is halfway through its body.  */
 static void
@@ -264,6 +284,7 @@
   g_test_add_func ("/uploads/small-chunks", test_small_chunks);
   g_test_add_func ("/uploads/slow-heads", test_slow_heads);
   g_test_add_func ("/uploads/many-fields", test_many_fields);
+  g_test_add_func ("/uploads/largest-request", test_largest_request);
   g_test_add_func ("/uploads/halfway-bodies", test_halfway_bodies);
   g_test_add_func ("/uploads/halfway-chunks", test_halfway_chunks);
   g_test_add_func ("/uploads/second-bodies", test_second_bodies);
--- a/tests/unit/test_http.c
+++ b/tests/unit/test_http.c
@@ -291,6 +291,34 @@
   http_head_destroy (h);
 }
 
+/* Guards against heads whose memory is stated too low, or above what is set
+   apart for the largest one.  */
+static void
+test_head_memory (void)
+{
+  static const char *const fields[]
+      = { "a:\r\n", "name: value\r\n", "x: 0123456789012345678901234567\r\n" };
+  for (size_t i = 0; i < G_N_ELEMENTS (fields); i++)
+    {
+      struct http_codec *c = http_codec_create (HTTP_SIDE_REQUESTS, &limits);
+      struct evbuffer *body = evbuffer_new ();
+      g_autoptr (GString) text
+          = g_string_new ("GET / HTTP/1.1\r\nHost: a\r\n");
+      while (text->len < limits.head_bytes - 100)
+        g_string_append (text, fields[i]);
+      g_string_append (text, "\r\n");
+      feed (c, text->str, text->len, text->len, body);
+      const struct http_head *h = http_codec_head (c);
+      size_t memory = http_head_memory (h);
+      g_assert_cmpuint (memory, >=,
+                        h->fields->len * sizeof (struct http_field));
+      g_assert_cmpuint (memory, >, text->len / 2);
+      g_assert_cmpuint (memory, <=, http_head_memory_max (text->len));
+      evbuffer_free (body);
+      http_codec_destroy (c);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
@@ -302,5 +330,6 @@
   g_test_add_func ("/http/answers", test_responses);
   g_test_add_func ("/http/status-lines", test_status_lines);
   g_test_add_func ("/http/hop-fields", test_strip_hop_fields);
+  g_test_add_func ("/http/head-memory-is-bounded", test_head_memory);
   return g_test_run ();
 }
--- a/tests/unit/test_memory_budget.c
+++ b/tests/unit/test_memory_budget.c
@@ -185,7 +185,7 @@
   if (m->reserved >= m->size)
     {
       m->complete = true;
-      memory_body_settle (m->memory, m->size);
+      g_assert_true (memory_body_take (m->memory, m->size));
       g_assert_cmpuint (memory_body_reserved (m->memory), ==, m->size);
       return;
     }
