--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -40,8 +40,6 @@
 /* Buffers of the kernel for one connection.  Without a bound they would grow
    to several MB for a caller that sends or reads slowly.  */
 #define SEND_BUFFER_BYTES (128 * 1024)
-/* Receive buffer of the kernel until there is memory for a large body.  */
-#define RECEIVE_BUFFER_BYTES (32 * 1024)
 /* How often bodies that wait for memory, and a listener without descriptors,
    are checked.  */
 #define RECHECK_MS 250
@@ -417,10 +415,8 @@
 set_options (evutil_socket_t fd)
 {
   int one = 1;
-  int receive = RECEIVE_BUFFER_BYTES;
   int send = SEND_BUFFER_BYTES;
   unsigned timeout = USER_TIMEOUT_MS;
-  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &receive, sizeof receive);
   (void)setsockopt (fd, SOL_SOCKET, SO_SNDBUF, &send, sizeof send);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout,
@@ -456,7 +452,7 @@
   g_hash_table_add (f->conns, c);
   bufferevent_setcb (c->bev, on_readable, on_written, on_event, c);
   bufferevent_setwatermark (c->bev, EV_READ, 0, INPUT_MAX_BYTES);
-  bufferevent_set_max_single_read (c->bev, HTTP_READ_BYTES);
+  http_body_read_little (c);
   bufferevent_enable (c->bev, EV_READ | EV_WRITE);
   set_timer (c, f->limits.idle_ms);
 }
@@ -533,6 +529,8 @@
       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof sa);
   if (f->listener)
     {
+      /* Connections inherit it, also before they are accepted.  */
+      http_body_bound_buffer (evconnlistener_get_fd (f->listener));
       f->descriptors = http_bound_descriptors ();
       evconnlistener_set_error_cb (f->listener, on_accept_error);
       f->recheck = evtimer_new (base, on_recheck, f);
--- a/src/links/http_listener_body.c
+++ b/src/links/http_listener_body.c
@@ -21,8 +21,15 @@
 #define GROWTH_FACTOR 4
 /* Least bytes of a body that count as progress.  */
 #define PROGRESS_BYTES 4096
-/* Receive buffer of the kernel for a large body that is read.  */
-#define LARGE_RECEIVE_BUFFER_BYTES (128 * 1024)
+/* Receive buffer of the kernel, which doubles it: for a connection, and at
+   most for one whose large body is read.  */
+#define RECEIVE_BUFFER_BYTES (4 * 1024)
+#define LARGE_RECEIVE_BUFFER_BYTES ((size_t)128 * 1024)
+/* Part of a body for which the kernel has a buffer, so that it keeps no more
+   unread than the body's memory.  */
+#define BUFFER_DIVISOR 2
+/* Most bytes that are read at a time without memory for a large body.  */
+#define LITTLE_READ_BYTES ((size_t)4 * 1024 - 64)
 
 static void
 record_memory (const struct memory_budget *b)
@@ -50,12 +57,50 @@
   c->head_bytes = bytes > PARSED_HEAD_FREE_BYTES ? bytes : 0;
 }
 
+static void
+set_receive_buffer (evutil_socket_t fd, size_t bytes)
+{
+  int size = (int)bytes;
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+}
+
+void
+http_body_bound_buffer (evutil_socket_t fd)
+{
+  set_receive_buffer (fd, RECEIVE_BUFFER_BYTES);
+}
+
+void
+http_body_read_little (struct http_listener_conn *c)
+{
+  if (c->reads_much)
+    http_body_bound_buffer (bufferevent_getfd (c->bev));
+  c->reads_much = false;
+  bufferevent_set_max_single_read (c->bev, LITTLE_READ_BYTES);
+}
+
+/* Reads C with large reads and a larger buffer of the kernel if it has memory
+   for a large body.  */
+static void
+read_much (struct http_listener_conn *c)
+{
+  size_t size = memory_body_reserved (c->memory) / BUFFER_DIVISOR;
+  if (!memory_body_is_large (c->memory))
+    return;
+  set_receive_buffer (bufferevent_getfd (c->bev),
+                      MIN (size, LARGE_RECEIVE_BUFFER_BYTES));
+  c->reads_much = true;
+  bufferevent_set_max_single_read (c->bev, HTTP_READ_BYTES);
+}
+
 void
 http_body_end (struct http_listener_conn *c)
 {
   evbuffer_drain (c->body, evbuffer_get_length (c->body));
   http_codec_next (c->codec, false);
   c->head_bytes = 0;
+  if (c->reads_much)
+    http_body_read_little (c);
   c->waits_for_memory = false;
   c->stall_ms = 0;
   if (c->memory == NULL)
@@ -131,16 +176,6 @@
   http_listener_recheck_later (c->listener);
 }
 
-/* Reads a large body with a larger buffer of the kernel.  */
-static void
-start_large (const struct http_listener_conn *c)
-{
-  int size = LARGE_RECEIVE_BUFFER_BYTES;
-  if (memory_body_is_large (c->memory))
-    (void)setsockopt (bufferevent_getfd (c->bev), SOL_SOCKET, SO_RCVBUF, &size,
-                      sizeof size);
-}
-
 static void
 create_memory (struct http_listener_conn *c)
 {
@@ -158,7 +193,6 @@
   struct http_listener *f = c->listener;
   size_t read = MIN (read_bytes (c), size);
   create_memory (c);
-  bool was_large = memory_body_is_large (c->memory);
   enum memory_grant grant = memory_body_grow (c->memory, size, read);
   record_memory (f->limits.memory);
   if (grant == MEMORY_REFUSED)
@@ -168,8 +202,8 @@
     }
   if (grant == MEMORY_WAITS)
     start_waiting (c);
-  else if (!was_large)
-    start_large (c);
+  else
+    read_much (c);
   return true;
 }
 
@@ -186,6 +220,8 @@
 http_body_complete (struct http_listener_conn *c)
 {
   size_t size = parsed_bytes (c);
+  if (c->reads_much)
+    http_body_read_little (c);
   if (c->listener->limits.memory == NULL || (size == 0 && c->memory == NULL))
     return true;
   create_memory (c);
@@ -247,7 +283,7 @@
 {
   c->waits_for_memory = false;
   c->stall_ms = 0;
-  start_large (c);
+  read_much (c);
   bufferevent_enable (c->bev, EV_READ);
   if (evbuffer_get_length (c->body) == 0)
     http_conn_send_continue (c);
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -74,6 +74,8 @@
   size_t head_bytes;          /* of its complete head that the budget counts */
   bool waits_for_memory;      /* its body is not read */
   bool ahead_paused;          /* pipelined input is not read */
+  bool reads_much;            /* large reads and a large buffer of the kernel,
+                                 as it has memory for a large body */
   size_t stall_bytes;         /* of the body, at STALL_MS */
   int64_t stall_ms;           /* when it last made progress; 0: not seen */
 };
@@ -104,6 +106,11 @@
 /** Reserves memory for the part of a request that is read and the next part.
     Returns false if C was refused.  Stops reading while C waits.  */
 bool http_body_claim (struct http_listener_conn *c);
+/** Bounds what the kernel keeps unread of a connection FD, or of those that a
+    listener FD accepts, that has no memory for a large body.  */
+void http_body_bound_buffer (evutil_socket_t fd);
+/** C reads a little at a time: it has no memory for a large body.  */
+void http_body_read_little (struct http_listener_conn *c);
 /** The request of C is complete.  Returns false if there is no memory for
     it and C was refused.  */
 bool http_body_complete (struct http_listener_conn *c);
