--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -505,7 +505,8 @@
   g->http = http_client_create (g->base);
   g->kv = g->platform->open_kv (g->base, g->http, s->kv);
   g->memory = memory_budget_create (memory_budget_total_of (s->memory_mb));
-  g->pool = pool_create (g->base);
+  g->pool = pool_create (
+      g->base, MIN ((unsigned)s->max_connections, http_bound_descriptors ()));
   g->upstreams = upstreams_create (&place);
   g->retries = retry_buckets_create (&bounds, clock_ms ());
   apply_settings (g);
--- a/src/daemon/route_server.c
+++ b/src/daemon/route_server.c
@@ -109,7 +109,8 @@
           .window_ms = (unsigned)s->retry_window_s * MS_PER_S,
           .slack = (unsigned)s->retry_slack };
   r->memory = memory_budget_create (memory_budget_total_of (s->memory_mb));
-  r->pool = pool_create (r->ctx->base);
+  r->pool = pool_create (r->ctx->base, MIN ((unsigned)s->max_connections,
+                                            http_bound_descriptors ()));
   r->upstreams = upstreams_create (&place);
   r->retries = retry_buckets_create (&bounds, clock_ms ());
   struct upstream_statements_parts statements = { .upstreams = r->upstreams };
--- a/src/links/http_client.c
+++ b/src/links/http_client.c
@@ -220,7 +220,7 @@
 {
   struct http_client *c = g_new0 (struct http_client, 1);
   c->base = base;
-  c->pool = pool_create (base);
+  c->pool = pool_create (base, 0);
   c->calls = g_hash_table_new (NULL, NULL);
   return c;
 }
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -5,6 +5,7 @@
 #include "base/address.h"
 #include "base/log.h"
 #include "base/metrics.h"
+#include "links/bev_close.h"
 #include "links/input_age.h"
 
 #include <errno.h>
@@ -65,7 +66,7 @@
     c->listener->open_requests--;
   http_body_end (c);
   event_free (c->timer);
-  bufferevent_free (c->bev);
+  bev_close (c->bev);
   http_codec_destroy (c->codec);
   evbuffer_free (c->body);
   g_free (c);
--- a/src/links/http_listener.h
+++ b/src/links/http_listener.h
@@ -50,6 +50,10 @@
   char *(*on_refused) (void *arg, unsigned status, const char *reason);
 };
 
+/** Returns for how many connections of callers the process has descriptors, if
+    each needs one to an upstream as well.  */
+unsigned http_bound_descriptors (void);
+
 /** Creates a listener on ADDRESS (IP:PORT).  Returns NULL and sets ERROR
     (RESULT_USAGE) if ADDRESS is malformed or cannot be listened on.
     CALLBACKS must outlive the listener.  */
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -122,8 +122,6 @@
 
 /* Bound of the connections (http_listener_bound.c).  */
 
-/** Returns how many descriptors callers' connections may use.  */
-unsigned http_bound_descriptors (void);
 /** Makes room for one more connection of F by closing one that does nothing,
     if the bound is reached.  Returns false if there is none.  */
 bool http_bound_make_room (struct http_listener *f);
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -1,7 +1,8 @@
 #include "links/pool.h"
 
-#include "base/clock.h"
 #include "base/address.h"
+#include "base/clock.h"
+#include "links/bev_close.h"
 
 #include <errno.h>
 #include <event2/bufferevent.h>
@@ -81,8 +82,10 @@
 struct pool
 {
   struct event_base *base;
-  GHashTable *hosts; /* name -> struct host */
-  GHashTable *calls; /* set of struct pool_call */
+  unsigned connections; /* most, to all upstreams; 0: no bound */
+  unsigned total;       /* busy and idle */
+  GHashTable *hosts;    /* name -> struct host */
+  GHashTable *calls;    /* set of struct pool_call */
   struct pool_counts counts;
 };
 
@@ -94,8 +97,9 @@
   struct host *h = c->host;
   g_ptr_array_remove (h->idle, c);
   h->total--;
+  h->pool->total--;
   event_free (c->idle_timer);
-  bufferevent_free (c->bev);
+  bev_close (c->bev);
   http_codec_destroy (c->codec);
   g_free (c);
 }
@@ -487,6 +491,7 @@
   struct conn *c = g_new0 (struct conn, 1);
   c->host = h;
   h->total++;
+  h->pool->total++;
   c->bev = bufferevent_socket_new (h->pool->base, -1, BEV_OPT_CLOSE_ON_FREE);
   c->codec = http_codec_create (HTTP_SIDE_RESPONSES, &no_limits);
   c->idle_timer = evtimer_new (h->pool->base, on_idle_timeout, c);
@@ -566,6 +571,33 @@
   return h;
 }
 
+/* Closes the connection that has been idle for longest if the pool is at its
+   bound.  Keeps the host KEPT.  */
+static void
+make_room (struct pool *pool, const struct host *kept)
+{
+  struct conn *oldest = NULL;
+  GHashTableIter it;
+  gpointer value;
+  if (pool->connections == 0 || pool->total < pool->connections)
+    return;
+  g_hash_table_iter_init (&it, pool->hosts);
+  while (g_hash_table_iter_next (&it, NULL, &value))
+    {
+      const struct host *h = value;
+      struct conn *c
+          = h->idle->len > 0 ? g_ptr_array_index (h->idle, 0) : NULL;
+      if (c && (oldest == NULL || c->idle_since_ms < oldest->idle_since_ms))
+        oldest = c;
+    }
+  if (oldest == NULL)
+    return;
+  struct host *h = oldest->host;
+  conn_discard (oldest);
+  if (h != kept && h->total == 0)
+    g_hash_table_remove (pool->hosts, h->name);
+}
+
 /* Returns an idle connection or opens one.  At the connection limit the least
    recently used idle connection is closed first; NULL if all are busy.  */
 static struct conn *
@@ -578,6 +610,7 @@
     conn_discard (g_ptr_array_index (h->idle, 0));
   if (h->total >= r->connections)
     return NULL;
+  make_room (h->pool, h);
   return conn_open (h);
 }
 
@@ -653,10 +686,11 @@
 /* Creation, release and queries of the pool.  */
 
 struct pool *
-pool_create (struct event_base *base)
+pool_create (struct event_base *base, unsigned connections)
 {
   struct pool *pool = g_new0 (struct pool, 1);
   pool->base = base;
+  pool->connections = connections;
   pool->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, host_free);
   pool->calls = g_hash_table_new (NULL, NULL);
--- a/src/links/pool.h
+++ b/src/links/pool.h
@@ -79,8 +79,11 @@
                                another request */
 };
 
-/** Creates a pool whose connections run on BASE.  */
-struct pool *pool_create (struct event_base *base);
+/** Creates a pool whose connections run on BASE.  It keeps at most CONNECTIONS
+    of them, 0 for no bound, to all upstreams: at the bound the connection that
+    has been idle for longest is closed for a new one.  Only calls in progress
+    can exceed it.  */
+struct pool *pool_create (struct event_base *base, unsigned connections);
 
 /** Frees POOL, which may be NULL; calls in flight are cancelled without a
     callback.  */
--- a/tests/unit/test_duty_calls.c
+++ b/tests/unit/test_duty_calls.c
@@ -61,7 +61,7 @@
 {
   struct site *s = g_new0 (struct site, 1);
   s->base = event_base_new ();
-  s->pool = pool_create (s->base);
+  s->pool = pool_create (s->base, 0);
   s->server = evhttp_new (s->base);
   s->status = 200;
   struct evhttp_bound_socket *socket
--- a/tests/unit/test_duty_link.c
+++ b/tests/unit/test_duty_link.c
@@ -230,7 +230,7 @@
                                 .failure_domain = (char *)"d",
                                 .incarnation = member_first_incarnation (1) };
   s->base = event_base_new ();
-  s->pool = pool_create (s->base);
+  s->pool = pool_create (s->base, 0);
   s->kv.kv.ops = &memory_ops;
   s->kv.site = s;
   s->kv.entries
