--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -105,10 +105,7 @@
   exchange_drop_token (e, &e->token);
   exchange_leave_queue (e);
   exchange_prefill_release (e);
-  if (e->started)
-    memory_budget_leave (e->proxy->parts.memory, e->waiting);
-  else
-    memory_budget_change (e->proxy->parts.memory, e->waiting, 0);
+  memory_budget_change (e->proxy->parts.memory, e->held_bytes, 0);
   if (e->service)
     exchange_return_unused (e);
   if (e->timer)
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -150,8 +150,8 @@
   bool started;            /* the response head was sent to the caller */
   bool started_events;     /* and announces an event stream */
   unsigned started_status; /* its status */
-  size_t waiting;          /* response bytes that are held or wait for the
-                              caller, as the memory budget knows them */
+  size_t held_bytes;       /* of responses whose caller gets nothing yet, as
+                              the memory budget knows them */
   char *last_event_id;     /* of the last event sent to the caller, or NULL */
   int64_t first_ms;        /* first byte of a trusted success; 0: none */
   unsigned events;         /* of the response, over all attempts */
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -19,19 +19,19 @@
 
 /* Back-pressure: a caller that reads slowly pauses its upstream.  */
 
+/* E holds BYTES of a response that its caller does not get yet.  What was
+   passed on counts with the caller's connection.  */
 static void
-set_waiting (struct exchange *e, size_t waiting)
+set_held (struct exchange *e, size_t bytes)
 {
-  memory_budget_change (e->proxy->parts.memory, e->waiting, waiting);
-  e->waiting = waiting;
-  metrics_set (METRIC_responses_waiting_bytes,
-               (int64_t)memory_budget_waiting (e->proxy->parts.memory));
+  memory_budget_change (e->proxy->parts.memory, e->held_bytes, bytes);
+  e->held_bytes = bytes;
 }
 
-/* Stops reading the response of A until the caller has taken what waits for
-   it.  */
+/* Stops reading the response of A until the caller has taken the WAITING bytes
+   that wait for it.  */
 static void
-pause_upstream (struct attempt *a)
+pause_upstream (struct attempt *a, size_t waiting)
 {
   struct exchange *e = a->exchange;
   if (a->paused)
@@ -40,7 +40,7 @@
   pool_pause (a->call, true);
   metrics_add (METRIC_responses_paused_total, 1);
   log_event (LOG_DEBUG, "response_paused", "request", e->facts.id, "upstream",
-             a->upstream_id, "waiting_bytes", log_num ((long long)e->waiting),
+             a->upstream_id, "waiting_bytes", log_num ((long long)waiting),
              "share_bytes",
              log_num ((long long)memory_budget_share (e->proxy->parts.memory)),
              NULL);
@@ -52,7 +52,6 @@
 {
   struct exchange *e = arg;
   struct attempt *a = e->current;
-  set_waiting (e, 0);
   if (a == NULL || !a->paused)
     return;
   a->paused = false;
@@ -72,7 +71,6 @@
   if (e->started)
     return;
   e->started = true;
-  memory_budget_enter (e->proxy->parts.memory);
   inbound_request_on_drained (e->caller, on_caller_drained, e);
   e->started_events = a->is_events;
   e->started_status = a->answer->status;
@@ -207,7 +205,7 @@
   size_t held = evbuffer_get_length (a->held);
   if (e->started || held > BUFFERED_MAX_BYTES)
     return false;
-  set_waiting (e, held);
+  set_held (e, held);
   return held <= MEMORY_SHARE_MIN_BYTES
          || !memory_budget_is_used_up (e->proxy->parts.memory);
 }
@@ -251,9 +249,10 @@
     }
   if (!e->started)
     return;
-  set_waiting (e, inbound_request_stream_backlog (e->caller));
-  if (memory_budget_is_exceeded (e->proxy->parts.memory, e->waiting))
-    pause_upstream (a);
+  set_held (e, 0);
+  size_t waiting = inbound_request_stream_backlog (e->caller);
+  if (memory_budget_is_exceeded (e->proxy->parts.memory, waiting))
+    pause_upstream (a, waiting);
 }
 
 static void
--- a/src/decide/memory_budget.c
+++ b/src/decide/memory_budget.c
@@ -19,6 +19,10 @@
 #define LARGE_MACHINE_FRACTION 0.75
 #define DEFAULT_MACHINE_MB 260.0
 
+/* Part of the share of a response for which the kernel has a buffer, which it
+   doubles.  */
+#define RECEIVE_DIVISOR 4
+
 /* Where the memory of a body is counted.  */
 enum body_pool
 {
@@ -102,11 +106,10 @@
 }
 
 void
-memory_budget_leave (struct memory_budget *b, size_t waiting)
+memory_budget_leave (struct memory_budget *b)
 {
   g_assert (b->responses > 0);
   b->responses--;
-  memory_budget_change (b, waiting, 0);
 }
 
 void
@@ -129,6 +132,16 @@
   return CLAMP (share, MEMORY_SHARE_MIN_BYTES, MEMORY_SHARE_MAX_BYTES);
 }
 
+size_t
+memory_budget_receive_bytes (const struct memory_budget *b)
+{
+  size_t most = memory_budget_share (b) / RECEIVE_DIVISOR;
+  size_t bytes = MEMORY_RECEIVE_MAX_BYTES;
+  while (bytes > most)
+    bytes /= 2;
+  return bytes;
+}
+
 bool
 memory_budget_is_used_up (const struct memory_budget *b)
 {
--- a/src/decide/memory_budget.h
+++ b/src/decide/memory_budget.h
@@ -25,6 +25,8 @@
 /** Least and greatest share of a response, in bytes.  */
 #define MEMORY_SHARE_MIN_BYTES ((size_t)16 * 1024)
 #define MEMORY_SHARE_MAX_BYTES ((size_t)256 * 1024)
+/** Greatest size that memory_budget_receive_bytes returns.  */
+#define MEMORY_RECEIVE_MAX_BYTES ((size_t)64 * 1024)
 /** Longest body that counts as small.  */
 #define MEMORY_SMALL_BODY_BYTES ((size_t)16 * 1024)
 
@@ -55,8 +57,9 @@
 /** A response starts.  */
 void memory_budget_enter (struct memory_budget *b);
 
-/** A response that has started, and of which WAITING bytes wait, ends.  */
-void memory_budget_leave (struct memory_budget *b, size_t waiting);
+/** A response that has started ends.  What waits of it is to be returned
+    apart.  */
+void memory_budget_leave (struct memory_budget *b);
 
 /** Of one response TO bytes wait, instead of FROM bytes; 0 at its start.  */
 void memory_budget_change (struct memory_budget *b, size_t from, size_t to);
@@ -66,6 +69,10 @@
     keeps that.  */
 size_t memory_budget_share (const struct memory_budget *b);
 
+/** Returns the size of the kernel's buffer for one response that is read now:
+    a power of 2, which falls with the share.  */
+size_t memory_budget_receive_bytes (const struct memory_budget *b);
+
 /** Returns the bytes that wait, of all responses.  */
 size_t memory_budget_waiting (const struct memory_budget *b);
 
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -65,6 +65,7 @@
   if (c->state == CONN_RESPONDING)
     c->listener->open_requests--;
   http_body_end (c);
+  http_output_close (c);
   event_free (c->timer);
   bev_close (c->bev);
   http_codec_destroy (c->codec);
@@ -110,7 +111,8 @@
   return unwritten > 0 && now - c->progress_ms < RESPONSE_STALL_MS;
 }
 
-/* Reads pipelined input again.  */
+/* Reads pipelined input again: what was read is parsed, and a request is
+   incomplete.  */
 static void
 read_ahead (struct http_listener_conn *c)
 {
@@ -124,17 +126,27 @@
 static void
 conn_next_request (struct http_listener_conn *c)
 {
-  bool more = evbuffer_get_length (bufferevent_get_input (c->bev)) > 0;
   evtimer_del (c->timer);
   c->state = CONN_IDLE;
   c->request.on_close = NULL;
   c->since_ms = clock_ms ();
   http_body_end (c);
-  read_ahead (c);
-  if (more && !c->in_conn_read)
+  c->waits_for_caller = http_output_is_full (c);
+  if (c->waits_for_caller)
+    {
+      set_timer (c, STALL_CHECK_MS);
+      return;
+    }
+  if (!c->in_conn_read)
     http_conn_read (c);
-  else if (!more)
-    set_timer (c, c->listener->limits.idle_ms);
+}
+
+/* The caller of C has taken the responses so far.  */
+static void
+go_on (struct http_listener_conn *c)
+{
+  c->waits_for_caller = false;
+  http_conn_read (c);
 }
 
 /* Called when the response has been passed completely to the output
@@ -144,6 +156,7 @@
 {
   c->listener->open_requests--;
   c->unwritten = 0;
+  http_output_set_response (c, false);
   if (!c->close_after_response)
     {
       conn_next_request (c);
@@ -282,6 +295,7 @@
   struct evbuffer *in = bufferevent_get_input (c->bev);
   c->in_conn_read = true;
   while (evbuffer_get_length (in) > 0 && !c->waits_for_memory
+         && !c->waits_for_caller
          && (c->state == CONN_IDLE || c->state == CONN_READING))
     {
       size_t before = evbuffer_get_length (in);
@@ -294,8 +308,12 @@
     }
   c->in_conn_read = false;
   c->left_bytes = evbuffer_get_length (in);
+  if (c->waits_for_memory || c->waits_for_caller)
+    return;
   if (c->state == CONN_IDLE)
     set_timer (c, f->limits.idle_ms);
+  if (c->state == CONN_IDLE || c->state == CONN_READING)
+    read_ahead (c);
 }
 
 static void
@@ -309,14 +327,14 @@
       return;
     }
   note_input (c);
-  bool responding = c->state == CONN_RESPONDING;
-  if (responding
+  bool is_ahead = c->state == CONN_RESPONDING || c->waits_for_caller;
+  if (is_ahead
       && evbuffer_get_length (bufferevent_get_input (bev)) > READ_AHEAD_BYTES)
     {
       c->ahead_paused = true;
       bufferevent_disable (bev, EV_READ);
     }
-  if (!responding)
+  if (!is_ahead)
     http_conn_read (c);
 }
 
@@ -327,6 +345,8 @@
   struct http_listener_conn *c = arg;
   if (c->state == CONN_FLUSHING)
     conn_linger (c);
+  else if (c->waits_for_caller)
+    go_on (c);
   else if (c->state == CONN_IDLE)
     set_timer (c, c->listener->limits.idle_ms);
   else if (c->state == CONN_RESPONDING && c->request.on_drained)
@@ -398,7 +418,7 @@
   struct http_listener_conn *c = arg;
   if (c->waits_for_memory)
     http_conn_refuse (c, 503, "no memory for the request body in time");
-  else if (has_unread_input (c))
+  else if (!c->waits_for_caller && has_unread_input (c))
     set_timer (c, INPUT_CHECK_MS);
   else if (c->state == CONN_READING)
     http_conn_refuse (
@@ -454,6 +474,7 @@
   bufferevent_setcb (c->bev, on_readable, on_written, on_event, c);
   bufferevent_setwatermark (c->bev, EV_READ, 0, INPUT_MAX_BYTES);
   http_body_read_little (c);
+  http_output_open (c);
   bufferevent_enable (c->bev, EV_READ | EV_WRITE);
   set_timer (c, f->limits.idle_ms);
 }
--- a/src/links/http_listener_bound.c
+++ b/src/links/http_listener_bound.c
@@ -1,6 +1,8 @@
 /** @file
     Bound of the connections of callers: at the bound, a new connection takes
-    the place of one that does nothing.  */
+    the place of one that does nothing.  If there is none, it is closed, and
+   one that has sent requests ahead ends after its response, so that a later
+   one finds room.  */
 #include "links/http_listener_conn.h"
 
 #include "base/clock.h"
@@ -86,9 +88,34 @@
   return true;
 }
 
+/* Has a connection closed after its response whose caller has sent requests
+   ahead of it: it would always be busy.  Those requests have not run.  */
+static void
+end_one_ahead (struct http_listener *f)
+{
+  GHashTableIter it;
+  gpointer key;
+  g_hash_table_iter_init (&it, f->conns);
+  while (g_hash_table_iter_next (&it, &key, NULL))
+    {
+      struct http_listener_conn *c = key;
+      if (c->state == CONN_RESPONDING && !c->close_after_response
+          && !c->head_written
+          && evbuffer_get_length (bufferevent_get_input (c->bev)) > 0)
+        {
+          c->close_after_response = true;
+          metrics_add (METRIC_caller_connections_replaced_total, 1);
+          return;
+        }
+    }
+}
+
 bool
 http_bound_make_room (struct http_listener *f)
 {
   unsigned bound = MIN (f->limits.connections, f->descriptors);
-  return g_hash_table_size (f->conns) < bound || http_bound_close_one (f);
+  if (g_hash_table_size (f->conns) < bound || http_bound_close_one (f))
+    return true;
+  end_one_ahead (f);
+  return false;
 }
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -76,8 +76,14 @@
   bool ahead_paused;          /* pipelined input is not read */
   bool reads_much;            /* large reads and a large buffer of the kernel,
                                  as it has memory for a large body */
-  size_t stall_bytes;         /* of the body, at STALL_MS */
-  int64_t stall_ms;           /* when it last made progress; 0: not seen */
+  struct memory_budget *memory_budget; /* of responses; NULL for no bound */
+  bool in_response;      /* the head of a response is written, not its end */
+  bool counts_response;  /* in the budget, as one of its responses */
+  size_t counted_bytes;  /* in the budget, of those that wait for the caller */
+  bool waits_for_caller; /* the next request is not parsed until the caller has
+                            taken the responses before */
+  size_t stall_bytes;    /* of the body, at STALL_MS */
+  int64_t stall_ms;      /* when it last made progress; 0: not seen */
 };
 
 /** The response of C has been passed completely to the output buffer.  */
@@ -120,6 +126,17 @@
     make no progress while others wait.  Returns whether any waits still.  */
 bool http_body_recheck (struct http_listener *f);
 
+/* Memory of responses (http_listener_output.c).  */
+
+/** C is accepted: from now on its output counts.  */
+void http_output_open (struct http_listener_conn *c);
+/** C is about to be freed: its output counts no more.  */
+void http_output_close (struct http_listener_conn *c);
+/** A response in parts begins or ends on C.  */
+void http_output_set_response (struct http_listener_conn *c, bool in_response);
+/** Whether so much waits for the caller of C that its next request must.  */
+bool http_output_is_full (const struct http_listener_conn *c);
+
 /* Bound of the connections (http_listener_bound.c).  */
 
 /** Makes room for one more connection of F by closing one that does nothing,
--- a/src/links/http_listener_response.c
+++ b/src/links/http_listener_response.c
@@ -4,6 +4,10 @@
 #include <string.h>
 #include <sys/socket.h>
 
+/* Parts of a response up to this size are copied.  A larger one is moved, with
+   all of the memory that was allocated for it.  */
+#define COPIED_MAX_BYTES ((size_t)1024)
+
 /* Reading of a request and sending of its response.  */
 
 struct http_head *
@@ -114,6 +118,7 @@
               framing == HTTP_FRAMING_CHUNKED
                   ? "Transfer-Encoding: chunked\r\n"
                   : (text ? text : ""));
+  http_output_set_response (r->conn, true);
 }
 
 void
@@ -124,7 +129,13 @@
     return;
   if (r->framing == HTTP_FRAMING_CHUNKED)
     evbuffer_add_printf (get_output (r), "%zx\r\n", n);
-  evbuffer_add_buffer (get_output (r), data);
+  if (n <= COPIED_MAX_BYTES)
+    {
+      evbuffer_add (get_output (r), evbuffer_pullup (data, -1), n);
+      evbuffer_drain (data, n);
+    }
+  else
+    evbuffer_add_buffer (get_output (r), data);
   if (r->framing == HTTP_FRAMING_CHUNKED)
     evbuffer_add (get_output (r), "\r\n", 2);
 }
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -29,9 +29,6 @@
    parsed.  */
 #define READ_AHEAD_BYTES (256U * 1024)
 
-/* Receive buffer of the kernel for one connection.  Without a bound it would
-   grow to several MB while reading is paused.  */
-#define RECEIVE_BUFFER_BYTES (128 * 1024)
 /* Most interim (1xx) and stray responses before the response to a call.  */
 #define SKIPPED_MAX 32
 #define FIRST_ERROR_STATUS 400
@@ -56,6 +53,7 @@
   int64_t idle_since_ms;
   unsigned idle_timeout_ms; /* idle time after which it is closed */
   unsigned unacked_ms;      /* TCP_USER_TIMEOUT */
+  int receive_bytes;        /* the kernel's buffer for responses */
   bool connected;
   bool reused;        /* it has carried a request before this one */
   bool no_reuse;      /* a stray response came, or the upstream closed it */
@@ -442,8 +440,6 @@
   int idle = KEEPALIVE_IDLE_S;
   int interval = KEEPALIVE_INTERVAL_S;
   int count = KEEPALIVE_PROBES;
-  int buffer = RECEIVE_BUFFER_BYTES;
-  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof buffer);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
   (void)setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
   (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
@@ -465,8 +461,20 @@
                     &ms, sizeof ms);
 }
 
+/* Bounds the kernel's buffer for responses on C, whose socket is FD.  Without
+   a bound it would grow to several MB while reading is paused.  */
+static void
+set_receive_bytes (struct conn *c, evutil_socket_t fd, size_t bytes)
+{
+  int size = (int)(bytes > 0 ? bytes : POOL_RECEIVE_BYTES);
+  if (size == c->receive_bytes)
+    return;
+  c->receive_bytes = size;
+  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+}
+
 static bool
-conn_connect (struct conn *c)
+conn_connect (struct conn *c, size_t receive_bytes)
 {
   struct sockaddr_in sa;
   if (!address_to_sockaddr (c->host->address, &sa))
@@ -476,6 +484,7 @@
   if (fd < 0)
     return false;
   set_options (fd);
+  set_receive_bytes (c, fd, receive_bytes);
   bufferevent_setfd (c->bev, fd);
   struct timeval tv
       = { CONNECT_TIMEOUT_MS / 1000, (CONNECT_TIMEOUT_MS % 1000) * 1000 };
@@ -485,7 +494,7 @@
 }
 
 static struct conn *
-conn_open (struct host *h)
+conn_open (struct host *h, size_t receive_bytes)
 {
   static const struct http_size_limits no_limits = { 0, 0 };
   struct conn *c = g_new0 (struct conn, 1);
@@ -500,7 +509,7 @@
   bufferevent_setwatermark (c->bev, EV_READ, 0, READ_AHEAD_BYTES);
   bufferevent_set_max_single_read (c->bev, HTTP_READ_BYTES);
   h->pool->counts.opened++;
-  if (!conn_connect (c))
+  if (!conn_connect (c, receive_bytes))
     {
       conn_free (c);
       return NULL;
@@ -611,7 +620,7 @@
   if (h->total >= r->connections)
     return NULL;
   make_room (h->pool, h);
-  return conn_open (h);
+  return conn_open (h, r->receive_bytes);
 }
 
 /* Sending, cancelling and pausing of calls.  */
@@ -651,6 +660,7 @@
   call->body = evbuffer_new ();
   c->call = call;
   set_unacked_ms (c, r->unacked_ms);
+  set_receive_bytes (c, bufferevent_getfd (c->bev), r->receive_bytes);
   http_codec_next (c->codec, call->bodiless);
   g_hash_table_add (pool->calls, call);
   send_request (c, r);
--- a/src/links/pool.h
+++ b/src/links/pool.h
@@ -15,6 +15,8 @@
 
 /** Default of pool_request.unacked_ms.  */
 #define POOL_UNACKED_MS 1000
+/** Default of receive_bytes in struct pool_request.  */
+#define POOL_RECEIVE_BYTES (64 * 1024)
 
 /** Connections to all upstreams of a component.  */
 struct pool;
@@ -49,11 +51,13 @@
                          not be told from the next one */
   struct http_head *head; /**< head of the request; borrowed */
   struct evbuffer *body;  /**< body of the request; borrowed, not drained */
-  unsigned reuse_ms;   /**< do not reuse a connection that was idle longer */
-  bool new_connection; /**< always open a new connection */
-  unsigned unacked_ms; /**< the connection counts as lost when sent bytes stay
-                            unacknowledged for this long; 0 for the default,
-                            POOL_UNACKED_MS */
+  unsigned reuse_ms;    /**< do not reuse a connection that was idle longer */
+  bool new_connection;  /**< always open a new connection */
+  size_t receive_bytes; /**< the kernel's buffer for the response, which it
+                           doubles; 0: POOL_RECEIVE_BYTES */
+  unsigned unacked_ms;  /**< the connection counts as lost when sent bytes stay
+                             unacknowledged for this long; 0 for the default,
+                             POOL_UNACKED_MS */
 };
 
 /** Callbacks of a call.  They run from the event loop, never from within
--- a/tests/unit/test_memory_budget.c
+++ b/tests/unit/test_memory_budget.c
@@ -32,7 +32,8 @@
 static void
 end_response (struct play *p, struct response *r)
 {
-  memory_budget_leave (p->budget, r->waiting);
+  memory_budget_change (p->budget, r->waiting, 0);
+  memory_budget_leave (p->budget);
   p->waiting -= r->waiting;
   p->n_open--;
   *r = (struct response){ 0 };
@@ -115,6 +116,10 @@
     {
       memory_budget_enter (b);
       size_t share = memory_budget_share (b);
+      size_t receive = memory_budget_receive_bytes (b);
+      g_assert_cmpuint (receive, >, 0);
+      g_assert_cmpuint (receive, <=, MEMORY_RECEIVE_MAX_BYTES);
+      g_assert_cmpuint (4 * receive, <=, share);
       g_assert_cmpuint (share, <=, before);
       g_assert_cmpuint (share, >=, MEMORY_SHARE_MIN_BYTES);
       if (share > MEMORY_SHARE_MIN_BYTES)
@@ -375,7 +380,7 @@
   g_assert_cmpint (memory_body_grow (m, LARGEST_BYTES, 1), ==, MEMORY_WAITS);
   memory_budget_change (b, BODIES_TOTAL_BYTES, 0);
   g_assert_true (memory_budget_next (b) == b);
-  memory_budget_leave (b, 0);
+  memory_budget_leave (b);
   memory_body_release (first);
   memory_body_release (m);
   memory_budget_destroy (b);
