--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -552,7 +552,7 @@
   if (f->listener)
     {
       /* Connections inherit it, also before they are accepted.  */
-      http_body_bound_buffer (evconnlistener_get_fd (f->listener));
+      http_body_bound_buffer (f, evconnlistener_get_fd (f->listener));
       f->descriptors = http_bound_descriptors ();
       evconnlistener_set_error_cb (f->listener, on_accept_error);
       f->recheck = evtimer_new (base, on_recheck, f);
--- a/src/links/http_listener_body.c
+++ b/src/links/http_listener_body.c
@@ -21,9 +21,11 @@
 #define GROWTH_FACTOR 4
 /* Least bytes of a body that count as progress.  */
 #define PROGRESS_BYTES 4096
-/* Receive buffer of the kernel, which doubles it: for a connection, and at
-   most for one whose large body is read.  */
-#define RECEIVE_BUFFER_BYTES (4 * 1024)
+/* Receive buffer of the kernel, which doubles it: for a connection, for one of
+   a listener without a budget, and at most for one whose large body is read.
+ */
+#define RECEIVE_BUFFER_BYTES ((size_t)4 * 1024)
+#define FREE_RECEIVE_BUFFER_BYTES ((size_t)32 * 1024)
 #define LARGE_RECEIVE_BUFFER_BYTES ((size_t)128 * 1024)
 /* Part of a body for which the kernel has a buffer, so that it keeps no more
    unread than the body's memory.  */
@@ -65,18 +67,21 @@
 }
 
 void
-http_body_bound_buffer (evutil_socket_t fd)
+http_body_bound_buffer (const struct http_listener *f, evutil_socket_t fd)
 {
-  set_receive_buffer (fd, RECEIVE_BUFFER_BYTES);
+  set_receive_buffer (fd, f->limits.memory ? RECEIVE_BUFFER_BYTES
+                                           : FREE_RECEIVE_BUFFER_BYTES);
 }
 
 void
 http_body_read_little (struct http_listener_conn *c)
 {
   if (c->reads_much)
-    http_body_bound_buffer (bufferevent_getfd (c->bev));
+    http_body_bound_buffer (c->listener, bufferevent_getfd (c->bev));
   c->reads_much = false;
-  bufferevent_set_max_single_read (c->bev, LITTLE_READ_BYTES);
+  bufferevent_set_max_single_read (c->bev, c->listener->limits.memory
+                                               ? LITTLE_READ_BYTES
+                                               : HTTP_READ_BYTES);
 }
 
 /* Reads C with large reads and a larger buffer of the kernel if it has memory
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -112,10 +112,12 @@
 /** Reserves memory for the part of a request that is read and the next part.
     Returns false if C was refused.  Stops reading while C waits.  */
 bool http_body_claim (struct http_listener_conn *c);
-/** Bounds what the kernel keeps unread of a connection FD, or of those that a
-    listener FD accepts, that has no memory for a large body.  */
-void http_body_bound_buffer (evutil_socket_t fd);
-/** C reads a little at a time: it has no memory for a large body.  */
+/** Bounds what the kernel keeps unread of FD, a connection of F without memory
+    for a large body, or the socket of F, whose connections inherit it.  */
+void http_body_bound_buffer (const struct http_listener *f,
+                             evutil_socket_t fd);
+/** C reads a little at a time, if memory is bounded: it has none for a large
+    body.  */
 void http_body_read_little (struct http_listener_conn *c);
 /** The request of C is complete.  Returns false if there is no memory for
     it and C was refused.  */
