--- a/src/links/http_codec.h
+++ b/src/links/http_codec.h
@@ -14,8 +14,9 @@
 #include <stdint.h>
 
 /** Most bytes to read from a connection at a time.  With the header of a
-    buffer of libevent they fit 16 KiB; a whole 16 KiB would take 32 KiB.  */
-#define HTTP_READ_BYTES ((size_t)16 * 1024 - 64)
+    buffer of libevent they fit 4 KiB; a whole 4 KiB, the most that libevent
+    reads, would take 8 KiB.  */
+#define HTTP_READ_BYTES ((size_t)4 * 1024 - 64)
 
 /** Kind of messages that a codec parses.  */
 enum http_side
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -473,7 +473,7 @@
   g_hash_table_add (f->conns, c);
   bufferevent_setcb (c->bev, on_readable, on_written, on_event, c);
   bufferevent_setwatermark (c->bev, EV_READ, 0, INPUT_MAX_BYTES);
-  http_body_read_little (c);
+  bufferevent_set_max_single_read (c->bev, HTTP_READ_BYTES);
   http_output_open (c);
   bufferevent_enable (c->bev, EV_READ | EV_WRITE);
   set_timer (c, f->limits.idle_ms);
--- a/src/links/http_listener_body.c
+++ b/src/links/http_listener_body.c
@@ -30,8 +30,6 @@
 /* Part of a body for which the kernel has a buffer, so that it keeps no more
    unread than the body's memory.  */
 #define BUFFER_DIVISOR 2
-/* Most bytes that are read at a time without memory for a large body.  */
-#define LITTLE_READ_BYTES ((size_t)4 * 1024 - 64)
 
 static void
 record_memory (const struct memory_budget *b)
@@ -73,29 +71,26 @@
                                            : FREE_RECEIVE_BUFFER_BYTES);
 }
 
-void
-http_body_read_little (struct http_listener_conn *c)
-{
-  if (c->reads_much)
-    http_body_bound_buffer (c->listener, bufferevent_getfd (c->bev));
-  c->reads_much = false;
-  bufferevent_set_max_single_read (c->bev, c->listener->limits.memory
-                                               ? LITTLE_READ_BYTES
-                                               : HTTP_READ_BYTES);
-}
-
-/* Reads C with large reads and a larger buffer of the kernel if it has memory
-   for a large body.  */
+/* Gives C, which has memory for a large body, a larger buffer of the kernel.
+ */
 static void
-read_much (struct http_listener_conn *c)
+enlarge_buffer (struct http_listener_conn *c)
 {
   size_t size = memory_body_reserved (c->memory) / BUFFER_DIVISOR;
   if (!memory_body_is_large (c->memory))
     return;
   set_receive_buffer (bufferevent_getfd (c->bev),
                       MIN (size, LARGE_RECEIVE_BUFFER_BYTES));
-  c->reads_much = true;
-  bufferevent_set_max_single_read (c->bev, HTTP_READ_BYTES);
+  c->has_large_buffer = true;
+}
+
+/* Gives C the buffer of a connection without memory for a large body.  */
+static void
+reset_buffer (struct http_listener_conn *c)
+{
+  if (c->has_large_buffer)
+    http_body_bound_buffer (c->listener, bufferevent_getfd (c->bev));
+  c->has_large_buffer = false;
 }
 
 void
@@ -104,8 +99,7 @@
   evbuffer_drain (c->body, evbuffer_get_length (c->body));
   http_codec_next (c->codec, false);
   c->head_bytes = 0;
-  if (c->reads_much)
-    http_body_read_little (c);
+  reset_buffer (c);
   c->waits_for_memory = false;
   c->stall_ms = 0;
   if (c->memory == NULL)
@@ -208,7 +202,7 @@
   if (grant == MEMORY_WAITS)
     start_waiting (c);
   else
-    read_much (c);
+    enlarge_buffer (c);
   return true;
 }
 
@@ -225,8 +219,7 @@
 http_body_complete (struct http_listener_conn *c)
 {
   size_t size = parsed_bytes (c);
-  if (c->reads_much)
-    http_body_read_little (c);
+  reset_buffer (c);
   if (c->listener->limits.memory == NULL || (size == 0 && c->memory == NULL))
     return true;
   create_memory (c);
@@ -288,7 +281,7 @@
 {
   c->waits_for_memory = false;
   c->stall_ms = 0;
-  read_much (c);
+  enlarge_buffer (c);
   bufferevent_enable (c->bev, EV_READ);
   if (evbuffer_get_length (c->body) == 0)
     http_conn_send_continue (c);
--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -74,8 +74,8 @@
   size_t head_bytes;          /* of its complete head that the budget counts */
   bool waits_for_memory;      /* its body is not read */
   bool ahead_paused;          /* pipelined input is not read */
-  bool reads_much;            /* large reads and a large buffer of the kernel,
-                                 as it has memory for a large body */
+  bool has_large_buffer;      /* of the kernel, as it has memory for a large
+                                 body */
   struct memory_budget *memory_budget; /* of responses; NULL for no bound */
   bool in_response;      /* the head of a response is written, not its end */
   bool counts_response;  /* in the budget, as one of its responses */
@@ -116,9 +116,6 @@
     for a large body, or the socket of F, whose connections inherit it.  */
 void http_body_bound_buffer (const struct http_listener *f,
                              evutil_socket_t fd);
-/** C reads a little at a time, if memory is bounded: it has none for a large
-    body.  */
-void http_body_read_little (struct http_listener_conn *c);
 /** The request of C is complete.  Returns false if there is no memory for
     it and C was refused.  */
 bool http_body_complete (struct http_listener_conn *c);
