--- a/src/decide/memory_budget.h
+++ b/src/decide/memory_budget.h
@@ -3,8 +3,8 @@
     response bytes that wait for slow callers.  It bounds the sum of both,
     whatever callers and upstreams do.  No I/O, no clock.
 
-    Responses: every response in progress may use an equal share of 2/5 of the
-    total, at most of 32 MB.
+    Responses: every response that is in progress, or of which some waits, may
+    use an equal share of 2/5 of the total, at most of 32 MB.
 
     Bodies take the rest.  A body reserves memory before it is read
     (memory_body_grow), all of it at once if its length is known.  Bodies of at
@@ -57,8 +57,7 @@
 /** A response starts.  */
 void memory_budget_enter (struct memory_budget *b);
 
-/** A response that has started ends.  What waits of it is to be returned
-    apart.  */
+/** A response that has started ends, and nothing of it waits any more.  */
 void memory_budget_leave (struct memory_budget *b);
 
 /** Of one response TO bytes wait, instead of FROM bytes; 0 at its start.  */
--- a/tests/harness/crowd.c
+++ b/tests/harness/crowd.c
@@ -124,6 +124,9 @@
 crowd_create (const char *bin, unsigned connections)
 {
   struct crowd *c = g_new0 (struct crowd, 1);
+  /* Freed memory that the sanitizer withholds is not the VM's.  */
+  g_setenv ("ASAN_OPTIONS",
+            "quarantine_size_mb=1:thread_local_quarantine_size_kb=64", TRUE);
   c->site = site_create (bin, VMS, UPSTREAMS);
   c->site->timeout_ms = ROUTE_TIMEOUT_MS;
   c->site->max_body_bytes = CROWD_BODY_MAX_BYTES;
@@ -266,3 +269,11 @@
       g_usleep (PLAY_STEP_US);
     }
 }
+
+void
+crowd_run (struct crowd *c, unsigned ms)
+{
+  crowd_play (c, ms);
+  crowd_end (c);
+  crowd_destroy (c);
+}
--- a/tests/harness/crowd.h
+++ b/tests/harness/crowd.h
@@ -68,6 +68,9 @@
 /** An ordinary request is answered beside the crowd.  */
 void crowd_expect_answer (struct crowd *c);
 
+/** Lets the callers send for MS and leave, and releases C.  */
+void crowd_run (struct crowd *c, unsigned ms);
+
 /** The crowd leaves: an ordinary request is answered before and after that,
    and the memory falls.  */
 void crowd_end (struct crowd *c);
--- a/tests/process/test_unread_responses.c
+++ b/tests/process/test_unread_responses.c
@@ -17,14 +17,6 @@
 #define REQUESTS_AHEAD 20
 #define PLAY_MS 6000
 
-static void
-play (struct crowd *c)
-{
-  crowd_play (c, PLAY_MS);
-  crowd_end (c);
-  crowd_destroy (c);
-}
-
 /* Guards against responses that are in no sum once their upstreams are done.
  */
 static void
@@ -36,7 +28,7 @@
   for (unsigned i = 0; i < SINGLE_CALLERS; i++)
     crowd_add (c, crowd_head (c, SINGLE_PATH, "Content-Length: 0"), none, 0,
                "");
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 /* Guards against a connection that goes on with its next request whatever
@@ -55,7 +47,7 @@
                          crowd_head (c, AHEAD_PATH, "Content-Length: 0")->str);
       crowd_add (c, requests, none, 0, "");
     }
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 int
@@ -63,9 +55,6 @@
 {
   g_test_init (&argc, &argv, NULL);
   program_directory_init (argv[0]);
-  /* Freed memory that the sanitizer withholds is not the VM's.  */
-  g_setenv ("ASAN_OPTIONS",
-            "quarantine_size_mb=1:thread_local_quarantine_size_kb=64", TRUE);
   g_test_add_func ("/unread-responses/single", test_single);
   g_test_add_func ("/unread-responses/ahead", test_ahead);
   return g_test_run ();
--- a/tests/process/test_uploads.c
+++ b/tests/process/test_uploads.c
@@ -67,15 +67,6 @@
                      CROWD_BODY_MAX_BYTES / LARGE_CHUNK_BYTES);
 }
 
-/* The crowd of C sends, and leaves.  */
-static void
-play (struct crowd *c)
-{
-  crowd_play (c, PLAY_MS);
-  crowd_end (c);
-  crowd_destroy (c);
-}
-
 /* Announced lengths far over the limit are not read.  */
 static void
 test_announced_too_long (void)
@@ -98,7 +89,7 @@
 {
   struct crowd *c = create_crowd ();
   add_chunked_crowd (c, create_large_chunk (c), 60000);
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 static void
@@ -106,7 +97,7 @@
 {
   struct crowd *c = create_crowd ();
   add_large_chunks (c);
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 static void
@@ -118,7 +109,7 @@
     g_string_append (chunks, "1\r\nx\r\n");
   size_t per_pattern = chunks->len / strlen ("1\r\nx\r\n");
   add_chunked_crowd (c, chunks, CROWD_BODY_MAX_BYTES / per_pattern);
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 /* More connections than the VM accepts, each with a head that arrives a byte
@@ -132,7 +123,7 @@
   c->part_bytes = 1;
   for (unsigned i = 0; i < SLOW_HEADS; i++)
     crowd_add (c, start, byte, CROWD_BODY_MAX_BYTES, "");
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 /* Guards against heads that take many times their bytes once they are complete
@@ -147,7 +138,7 @@
     g_string_append (fields, "\r\na:");
   for (unsigned i = 0; i < CONNECTIONS_MAX; i++)
     crowd_add (c, crowd_head (c, "/once/ok", fields->str), none, 0, "");
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 /* Guards against a request inside the limits that is refused in calm: the
@@ -181,7 +172,7 @@
   for (unsigned i = 0; i < HALFWAY_CALLERS; i++)
     crowd_add (c, crowd_head (c, "/once/ok", length), bytes,
                CROWD_BODY_MAX_BYTES / 2, "");
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 /* The same with chunks, each caller just short of its end.  */
@@ -194,7 +185,7 @@
   for (unsigned i = 0; i < HALFWAY_CALLERS; i++)
     crowd_add (c, crowd_head (c, "/once/ok", "Transfer-Encoding: chunked"),
                chunk, size - 9, "");
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 /* Guards against a buffer of the kernel that stays large for good: each caller
@@ -214,7 +205,7 @@
       g_string_append (head, crowd_head (c, "/once/ok", second)->str);
       crowd_add (c, head, bytes, CROWD_BODY_MAX_BYTES / 2, "");
     }
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 /* Guards against requests that are sent ahead of a response, and held in each
@@ -227,7 +218,7 @@
   for (unsigned i = 0; i < HALFWAY_CALLERS; i++)
     crowd_add (c, crowd_head (c, "/once/wait-20000", "Content-Length: 0"),
                ahead, CROWD_BODY_MAX_BYTES, "");
-  play (c);
+  crowd_run (c, PLAY_MS);
 }
 
 /* Responses that wait for callers and bodies that are read share one budget.
@@ -275,9 +266,6 @@
 {
   g_test_init (&argc, &argv, NULL);
   program_directory_init (argv[0]);
-  /* Freed memory that the sanitizer withholds is not the VM's.  */
-  g_setenv ("ASAN_OPTIONS",
-            "quarantine_size_mb=1:thread_local_quarantine_size_kb=64", TRUE);
   g_test_add_func ("/uploads/announced-too-long", test_announced_too_long);
   g_test_add_func ("/uploads/sent-too-long", test_sent_too_long);
   g_test_add_func ("/uploads/large-chunks", test_large_chunks);
