--- a/src/daemon/exchange_attempt.c
+++ b/src/daemon/exchange_attempt.c
@@ -58,8 +58,8 @@
           .id_optional = !ops->responses_repeat_id,
           .head = h,
           .body = body,
-          .receive_bytes
-          = memory_budget_receive_bytes (e->proxy->parts.memory),
+          .receive_bytes = memory_budget_receive_bytes (
+              e->proxy->parts.memory, g_hash_table_size (e->proxy->open)),
           .unacked_ms = EXCHANGE_UNACKED_MS,
           .reuse_ms = e->attempts.repeatable ? EXCHANGE_REUSE_MS
                                              : AT_MOST_ONCE_REUSE_MS };
--- a/src/decide/memory_budget.c
+++ b/src/decide/memory_budget.c
@@ -19,8 +19,9 @@
 #define LARGE_MACHINE_FRACTION 0.75
 #define DEFAULT_MACHINE_MB 260.0
 
-/* Part of the share of a response for which the kernel has a buffer, which it
-   doubles.  */
+/* A response may use one half of its part in the process and the other one in
+   the kernel, which doubles the size of the buffer that it is asked for.  */
+#define SHARE_DIVISOR 2
 #define RECEIVE_DIVISOR 4
 
 /* Where the memory of a body is counted.  */
@@ -125,19 +126,27 @@
   return b->response_bytes;
 }
 
+/* Memory that one of RESPONSES may use, in the process and in the kernel.  */
+static size_t
+part_of_response (const struct memory_budget *b, size_t responses)
+{
+  return b->response_limit / MAX (responses, 1);
+}
+
 size_t
 memory_budget_share (const struct memory_budget *b)
 {
-  size_t share = b->response_limit / MAX (b->responses, 1);
-  return CLAMP (share, MEMORY_SHARE_MIN_BYTES, MEMORY_SHARE_MAX_BYTES);
+  return CLAMP (part_of_response (b, b->responses) / SHARE_DIVISOR,
+                MEMORY_SHARE_MIN_BYTES, MEMORY_SHARE_MAX_BYTES);
 }
 
 size_t
-memory_budget_receive_bytes (const struct memory_budget *b)
+memory_budget_receive_bytes (const struct memory_budget *b, size_t requests)
 {
-  size_t most = memory_budget_share (b) / RECEIVE_DIVISOR;
+  size_t responses = MAX (b->responses, requests);
+  size_t most = part_of_response (b, responses) / RECEIVE_DIVISOR;
   size_t bytes = MEMORY_RECEIVE_MAX_BYTES;
-  while (bytes > most)
+  while (bytes > most && bytes > MEMORY_RECEIVE_MIN_BYTES)
     bytes /= 2;
   return bytes;
 }
--- a/src/decide/memory_budget.h
+++ b/src/decide/memory_budget.h
@@ -4,7 +4,9 @@
     whatever callers and upstreams do.  No I/O, no clock.
 
     Responses: every response that is in progress, or of which some waits, may
-    use an equal share of 2/5 of the total, at most of 32 MB.
+    use an equal part of 2/5 of the total, at most of 32 MB: half of it, its
+    share, in the process, and half in the kernel, which holds what is not read
+    of a paused upstream.
 
     Bodies take the rest.  A body reserves memory before it is read
     (memory_body_grow), all of it at once if its length is known.  Bodies of at
@@ -24,8 +26,9 @@
 
 /** Least and greatest share of a response, in bytes.  */
 #define MEMORY_SHARE_MIN_BYTES ((size_t)16 * 1024)
-#define MEMORY_SHARE_MAX_BYTES ((size_t)256 * 1024)
-/** Greatest size that memory_budget_receive_bytes returns.  */
+#define MEMORY_SHARE_MAX_BYTES ((size_t)128 * 1024)
+/** Least and greatest size that memory_budget_receive_bytes returns.  */
+#define MEMORY_RECEIVE_MIN_BYTES ((size_t)4 * 1024)
 #define MEMORY_RECEIVE_MAX_BYTES ((size_t)64 * 1024)
 /** Longest body that counts as small.  */
 #define MEMORY_SMALL_BODY_BYTES ((size_t)16 * 1024)
@@ -68,9 +71,10 @@
     keeps that.  */
 size_t memory_budget_share (const struct memory_budget *b);
 
-/** Returns the size of the kernel's buffer for one response that is read now:
-    a power of 2, which falls with the share.  */
-size_t memory_budget_receive_bytes (const struct memory_budget *b);
+/** Returns the size of the kernel's buffer for the response to a request that
+    is sent now, one of REQUESTS without a complete response: a power of 2.  */
+size_t memory_budget_receive_bytes (const struct memory_budget *b,
+                                    size_t requests);
 
 /** Returns the bytes that wait, of all responses.  */
 size_t memory_budget_waiting (const struct memory_budget *b);
