--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -3,24 +3,16 @@
 #include "base/address.h"
 #include "base/clock.h"
 #include "links/bev_close.h"
+#include "links/pool_socket.h"
 
 #include <errno.h>
 #include <event2/bufferevent.h>
-#include <linux/sockios.h>
 #include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <string.h>
-#include <sys/ioctl.h>
-#include <sys/socket.h>
 
 /* Time limit for opening a connection: two round trips between regions and one
    retransmission of a lost packet.  */
 #define CONNECT_TIMEOUT_MS 700
-/* TCP keep-alive: idle time before the first probe, interval and number of
-   probes.  */
-#define KEEPALIVE_IDLE_S 1
-#define KEEPALIVE_INTERVAL_S 1
-#define KEEPALIVE_PROBES 2
 /* An idle connection is closed IDLE_MARGIN_MS before the time-out that the
    upstream sends in Keep-Alive, or after IDLE_TIMEOUT_MS if it sends none.  */
 #define IDLE_TIMEOUT_MS 4000
@@ -53,7 +45,7 @@
   int64_t idle_since_ms;
   unsigned idle_timeout_ms; /* idle time after which it is closed */
   unsigned unacked_ms;      /* TCP_USER_TIMEOUT */
-  int receive_bytes;        /* the kernel's buffer for responses */
+  size_t receive_bytes;     /* the kernel's buffer for responses */
   bool connected;
   bool reused;        /* it has carried a request before this one */
   bool no_reuse;      /* a stray response came, or the upstream closed it */
@@ -363,10 +355,8 @@
 static bool
 request_has_arrived (const struct conn *c)
 {
-  int unacked = 0;
   return evbuffer_get_length (bufferevent_get_output (c->bev)) == 0
-         && ioctl (bufferevent_getfd (c->bev), SIOCOUTQ, &unacked) == 0
-         && unacked == 0;
+         && pool_socket_is_acked (bufferevent_getfd (c->bev));
 }
 
 /* Whether the end of the connection completes the response to the call of C:
@@ -433,21 +423,6 @@
 
 /* Opening and reuse of connections.  */
 
-static void
-set_options (evutil_socket_t fd)
-{
-  int one = 1;
-  int idle = KEEPALIVE_IDLE_S;
-  int interval = KEEPALIVE_INTERVAL_S;
-  int count = KEEPALIVE_PROBES;
-  (void)setsockopt (fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  (void)setsockopt (fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
-  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof idle);
-  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval,
-                    sizeof interval);
-  (void)setsockopt (fd, IPPROTO_TCP, TCP_KEEPCNT, &count, sizeof count);
-}
-
 /* Sets how long bytes and probes may stay unacknowledged on C.  */
 static void
 set_unacked_ms (struct conn *c, unsigned ms)
@@ -457,20 +432,19 @@
   if (ms == c->unacked_ms)
     return;
   c->unacked_ms = ms;
-  (void)setsockopt (bufferevent_getfd (c->bev), IPPROTO_TCP, TCP_USER_TIMEOUT,
-                    &ms, sizeof ms);
+  pool_socket_set_unacked_ms (bufferevent_getfd (c->bev), ms);
 }
 
-/* Bounds the kernel's buffer for responses on C, whose socket is FD.  Without
-   a bound it would grow to several MB while reading is paused.  */
+/* Bounds the kernel's buffer for responses on C, whose socket is FD.  */
 static void
 set_receive_bytes (struct conn *c, evutil_socket_t fd, size_t bytes)
 {
-  int size = (int)(bytes > 0 ? bytes : POOL_RECEIVE_BYTES);
-  if (size == c->receive_bytes)
+  if (bytes == 0)
+    bytes = POOL_RECEIVE_BYTES;
+  if (bytes == c->receive_bytes)
     return;
-  c->receive_bytes = size;
-  (void)setsockopt (fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof size);
+  c->receive_bytes = bytes;
+  pool_socket_set_receive_bytes (fd, bytes);
 }
 
 static bool
@@ -479,11 +453,9 @@
   struct sockaddr_in sa;
   if (!address_to_sockaddr (c->host->address, &sa))
     return false;
-  evutil_socket_t fd
-      = socket (AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+  evutil_socket_t fd = pool_socket_open ();
   if (fd < 0)
     return false;
-  set_options (fd);
   set_receive_bytes (c, fd, receive_bytes);
   bufferevent_setfd (c->bev, fd);
   struct timeval tv
@@ -518,17 +490,6 @@
   return c;
 }
 
-/* Whether an idle connection is still usable: open and with nothing to read.
-   The event loop may not have reported input or a close yet.  */
-static bool
-conn_is_usable (const struct conn *c)
-{
-  char byte;
-  ssize_t n
-      = recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  return n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-}
-
 /* Removes the most recently used connection from the idle list and returns
    it; NULL if none has been idle for REUSE_MS or less.  Closes unusable ones
    on the way.  */
@@ -540,7 +501,7 @@
       struct conn *c = g_ptr_array_index (h->idle, h->idle->len - 1);
       if (clock_ms () - c->idle_since_ms > (int64_t)reuse_ms)
         return NULL;
-      if (conn_is_usable (c))
+      if (pool_socket_is_usable (bufferevent_getfd (c->bev)))
         {
           g_ptr_array_remove_index (h->idle, h->idle->len - 1);
           evtimer_del (c->idle_timer);
