--- a/src/links/http_listener_conn.h
+++ b/src/links/http_listener_conn.h
@@ -86,6 +86,11 @@
   int64_t stall_ms;      /* when it last made progress; 0: not seen */
 };
 
+/** Adds the connection FD, which was accepted, to F.  */
+void http_conn_create (struct http_listener *f, evutil_socket_t fd);
+/** F drains: C is closed after its response, or after IDLE_MS without a
+    request.  */
+void http_conn_drain (struct http_listener_conn *c, unsigned idle_ms);
 /** The response of C has been passed completely to the output buffer.  */
 void http_conn_end_response (struct http_listener_conn *c);
 /** Sends the error response STATUS and closes the connection after it.  */
