--- a/src/daemon/gateway.c
+++ b/src/daemon/gateway.c
@@ -130,6 +130,8 @@
 set_caller_limits (struct gateway *g, const struct caller_limits *l)
 {
   struct http_listener_limits limits = listener_limits (g, l);
+  memory_budget_set_largest (g->memory,
+                             http_listener_largest_request (&limits));
   http_listener_set_limits (g->callers, &limits);
 }
 
@@ -422,9 +424,12 @@
           .body_bytes = CONTROL_BODY_BYTES,
           .read_ms = DEFAULT_READ_MS,
           .idle_ms = DEFAULT_IDLE_MS,
-          .connections = CONTROL_CONNECTIONS };
+          .connections = CONTROL_CONNECTIONS,
+          .memory = g->memory };
   g_autofree char *metrics
       = g_strdup_printf ("%s:%u", s->ip, (unsigned)s->metrics_port);
+  memory_budget_set_largest (g->memory,
+                             http_listener_largest_request (&callers));
   g->callers
       = http_listener_create (g->base, s->front_address, &callers,
                               &proxy_listener_callbacks, g->proxy, error);
--- a/src/daemon/route_server.c
+++ b/src/daemon/route_server.c
@@ -149,6 +149,8 @@
   r->start_ms = clock_ms ();
   create_components (r);
   limits.memory = r->memory;
+  memory_budget_set_largest (r->memory,
+                             http_listener_largest_request (&limits));
   r->listener
       = http_listener_create (ctx->base, s->front_address, &limits,
                               &proxy_listener_callbacks, r->proxy, error);
--- a/src/links/http_listener.c
+++ b/src/links/http_listener.c
@@ -70,14 +70,11 @@
 
 /* Creation, limits, draining and release of the listener.  */
 
-static void
-set_largest_request (const struct http_listener_limits *limits)
+size_t
+http_listener_largest_request (const struct http_listener_limits *limits)
 {
-  if (limits->memory)
-    memory_budget_set_largest (
-        limits->memory, limits->body_bytes
-                            + http_head_memory_max (
-                                http_codec_head_limit (limits->head_bytes)));
+  size_t head = http_codec_head_limit (limits->head_bytes);
+  return (size_t)limits->body_bytes + http_head_memory_max (head);
 }
 
 struct http_listener *
@@ -99,7 +96,6 @@
   f->callbacks = callbacks;
   f->arg = arg;
   f->conns = g_hash_table_new (NULL, NULL);
-  set_largest_request (limits);
   f->listener = evconnlistener_new_bind (
       base, on_accept, f, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE,
       LISTEN_BACKLOG, (struct sockaddr *)&sa, sizeof sa);
@@ -138,7 +134,6 @@
                           const struct http_listener_limits *limits)
 {
   f->limits = *limits;
-  set_largest_request (limits);
   struct http_size_limits size_limits
       = { limits->head_bytes, limits->body_bytes };
   GHashTableIter it;
--- a/src/links/http_listener.h
+++ b/src/links/http_listener.h
@@ -34,7 +34,10 @@
                            nothing is closed for a new one */
   unsigned stall_ms;    /**< without progress of a body while others wait for
                            memory, before it is refused; 0: no bound */
-  struct memory_budget *memory; /**< of request bodies; NULL for no bound */
+  struct memory_budget *memory; /**< of requests and of responses that wait,
+                                   which listeners may share; NULL for no
+                                   bound.  memory_budget_set_largest is the
+                                   owner's to call */
   struct loop_clock *clock;     /**< of the event loop; NULL for none */
 };
 
@@ -50,6 +53,10 @@
   char *(*on_refused) (void *arg, unsigned status, const char *reason);
 };
 
+/** Returns the most memory that one request within LIMITS takes.  */
+size_t
+http_listener_largest_request (const struct http_listener_limits *limits);
+
 /** Returns for how many connections of callers the process has descriptors, if
     each needs one to an upstream as well.  */
 unsigned http_bound_descriptors (void);
--- a/src/links/http_listener_output.c
+++ b/src/links/http_listener_output.c
@@ -72,5 +72,5 @@
 bool
 http_output_is_full (const struct http_listener_conn *c)
 {
-  return c->memory_budget && output_bytes (c) > UNREAD_AHEAD_BYTES;
+  return output_bytes (c) > UNREAD_AHEAD_BYTES;
 }
--- a/tests/harness/crowd.c
+++ b/tests/harness/crowd.c
@@ -78,7 +78,7 @@
 growth_kib (const struct crowd *c)
 {
   return proc_rss_kib (c->site->vms[0]) - c->rest_kib
-         + proc_unread_kib (c->site->vms[0], c->site->front_addresses[0]);
+         + proc_unread_kib (c->site->vms[0], c->address);
 }
 
 /* The VM runs, and its memory and descriptors are within their bounds.  */
@@ -139,6 +139,7 @@
   c->part_bytes = PART_MAX_BYTES;
   site_write_routes (c->site, 2, NULL);
   site_start (c->site);
+  c->address = c->site->front_addresses[0];
   c->rest_kib = proc_rss_kib (c->site->vms[0]);
   for (unsigned i = 0; i < WARM_UP_REQUESTS; i++)
     g_assert_true (is_answered (c));
@@ -201,7 +202,7 @@
            size_t size, const char *end)
 {
   struct sender *s = g_new0 (struct sender, 1);
-  s->fd = connect_to (c->site->front_addresses[0]);
+  s->fd = connect_to (c->address);
   s->head = head;
   s->pattern = pattern;
   s->size = size;
--- a/tests/harness/crowd.h
+++ b/tests/harness/crowd.h
@@ -32,6 +32,8 @@
 struct crowd
 {
   struct site *site;
+  const char *address;   /**< that callers connect to; at first the one that
+                            serves routes */
   GPtrArray *senders;    /**< of struct sender */
   GPtrArray *texts;      /**< of GString, which senders use */
   unsigned connections;  /**< that the VM accepts */
--- a/tests/process/test_unread_responses.c
+++ b/tests/process/test_unread_responses.c
@@ -50,6 +50,21 @@
   crowd_run (c, PLAY_MS);
 }
 
+/* The same at the address that lists the VMs.  */
+static void
+test_ahead_at_directory (void)
+{
+  struct crowd *c = crowd_create (program_directory (), CONNECTIONS_MAX);
+  GString *none = crowd_text (c, "");
+  const GString *request = crowd_text (
+      c, "GET /api/resolve?name=" SITE_HOST
+         "&region=r&zone=d HTTP/1.1\r\nHost: " SITE_HOST "\r\n\r\n");
+  c->address = c->site->entry_addresses[0];
+  for (unsigned i = 0; i < SINGLE_CALLERS; i++)
+    crowd_add (c, none, request, CROWD_BODY_MAX_BYTES, "");
+  crowd_run (c, PLAY_MS);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -57,5 +72,7 @@
   program_directory_init (argv[0]);
   g_test_add_func ("/unread-responses/single", test_single);
   g_test_add_func ("/unread-responses/ahead", test_ahead);
+  g_test_add_func ("/unread-responses/ahead-at-directory",
+                   test_ahead_at_directory);
   return g_test_run ();
 }
--- a/tests/process/test_uploads.c
+++ b/tests/process/test_uploads.c
@@ -13,6 +13,8 @@
 #define CONNECTIONS_MAX 200
 /* Callers halfway through a body: more than there are ordinary ones.  */
 #define HALFWAY_CALLERS 400
+/* Callers at the address that lists the VMs: as many as it accepts.  */
+#define DIRECTORY_CALLERS 400
 /* A crowd uploads 64 MB, if that is read.  */
 #define CROWD 64
 #define UNREAD_RESPONSES 60
@@ -141,6 +143,21 @@
   crowd_run (c, PLAY_MS);
 }
 
+/* The same at the address that lists the VMs.  */
+static void
+test_many_fields_at_directory (void)
+{
+  struct crowd *c = create_crowd ();
+  GString *none = crowd_text (c, "");
+  g_autoptr (GString) fields = g_string_new ("Content-Length: 1000");
+  while (fields->len < MANY_FIELDS_BYTES)
+    g_string_append (fields, "\r\na:");
+  c->address = c->site->entry_addresses[0];
+  for (unsigned i = 0; i < DIRECTORY_CALLERS; i++)
+    crowd_add (c, crowd_head (c, "/api/resolve", fields->str), none, 0, "");
+  crowd_run (c, PLAY_MS);
+}
+
 /* Guards against a request inside the limits that is refused in calm: the
    longest body behind a head of very many fields.  */
 static void
@@ -272,6 +289,8 @@
   g_test_add_func ("/uploads/small-chunks", test_small_chunks);
   g_test_add_func ("/uploads/slow-heads", test_slow_heads);
   g_test_add_func ("/uploads/many-fields", test_many_fields);
+  g_test_add_func ("/uploads/many-fields-at-directory",
+                   test_many_fields_at_directory);
   g_test_add_func ("/uploads/largest-request", test_largest_request);
   g_test_add_func ("/uploads/halfway-bodies", test_halfway_bodies);
   g_test_add_func ("/uploads/halfway-chunks", test_halfway_chunks);
--- a/tests/unit/test_listener.c
+++ b/tests/unit/test_listener.c
@@ -478,6 +478,7 @@
   limits.idle_ms = LONG_READ_MS;
   limits.stall_ms = STALL_MS;
   limits.memory = b;
+  memory_budget_set_largest (b, http_listener_largest_request (&limits));
   http_listener_set_limits (w->listener, &limits);
   return b;
 }
