--- a/src/base/metrics.h
+++ b/src/base/metrics.h
@@ -66,6 +66,11 @@
      "Connections of callers closed at the connection limit")                 \
   X (caller_connections_replaced_total,                                       \
      "Connections that did nothing, closed at the limit for new ones")        \
+  X (caller_connections_ended_ahead_total,                                    \
+     "Connections with requests ahead that end after their response, at the " \
+     "limit")                                                                 \
+  X (caller_requests_held_total,                                              \
+     "Times that a connection waited for its caller before it went on")       \
   X (bodies_paused_total, "Request bodies that waited for memory")            \
   X (bodies_refused_total, "Requests refused for lack of memory")             \
   X (bodies_stalled_total,                                                    \
--- a/src/links/http_listener_bound.c
+++ b/src/links/http_listener_bound.c
@@ -104,7 +104,9 @@
           && evbuffer_get_length (bufferevent_get_input (c->bev)) > 0)
         {
           c->close_after_response = true;
-          metrics_add (METRIC_caller_connections_replaced_total, 1);
+          metrics_add (METRIC_caller_connections_ended_ahead_total, 1);
+          log_event (LOG_DEBUG, "connection_ends_ahead", "connections",
+                     log_num (g_hash_table_size (f->conns)), NULL);
           return;
         }
     }
--- a/src/links/http_listener_conn.c
+++ b/src/links/http_listener_conn.c
@@ -129,6 +129,7 @@
   c->waits_for_caller = http_output_is_full (c);
   if (c->waits_for_caller)
     {
+      metrics_add (METRIC_caller_requests_held_total, 1);
       set_timer (c, STALL_CHECK_MS);
       return;
     }
