--- a/src/daemon/exchange.c
+++ b/src/daemon/exchange.c
@@ -80,6 +80,7 @@
 attempt_reset (struct attempt *a)
 {
   evbuffer_drain (a->held, evbuffer_get_length (a->held));
+  a->held_events = 0;
   sse_restart (&a->events);
   g_clear_pointer (&a->answer, http_head_destroy);
   a->response_info = (struct response_info){ 0 };
--- a/src/daemon/exchange.h
+++ b/src/daemon/exchange.h
@@ -83,6 +83,7 @@
   struct sse events;     /* splits an event stream into complete events */
   bool is_events;        /* the response is an event stream of a streaming
                             route and is forwarded event by event */
+  unsigned held_events;  /* complete events that HELD has */
   bool ends_with_event;  /* the response has events and no framing: it is
                             complete only if it ends after an event */
   bool first_byte;       /* body bytes of a trusted success arrived */
--- a/src/daemon/exchange_response.c
+++ b/src/daemon/exchange_response.c
@@ -77,26 +77,52 @@
   inbound_request_stream_start (e->caller, a->answer, a->framing, a->length);
 }
 
+/* Whether the response of A does not replace the attempt beside it yet: its
+   connection has ended, so the end of the response is read next, and it may
+   come too early.  */
+static bool
+must_await_end (const struct attempt *a)
+{
+  return a->exchange->silent && pool_call_has_ended (a->call);
+}
+
 static void
+record_held_events (struct attempt *a)
+{
+  if (a->held_events > 0)
+    exchange_record_events (a, a->held_events);
+  a->held_events = 0;
+}
+
+/* Passes on the complete events of DATA.  Returns false if there are none, or
+   they are held.  */
+static bool
 forward_events (struct attempt *a, struct evbuffer *data)
 {
   struct exchange *e = a->exchange;
   unsigned count = 0;
   g_autoptr (GBytes) events = sse_feed (&a->events, data, &count);
   if (events == NULL)
-    return;
+    return false;
   gsize size = 0;
   const void *bytes = g_bytes_get_data (events, &size);
   metrics_add (METRIC_events_total, count);
-  exchange_record_events (a, count);
+  a->held_events += count;
+  evbuffer_add (a->held, bytes, size);
+  if (must_await_end (a))
+    {
+      set_held (e, evbuffer_get_length (a->held));
+      return false;
+    }
+  record_held_events (a);
   start_response (a);
   if (a->events.last_id)
     {
       g_free (e->last_event_id);
       e->last_event_id = g_strdup (a->events.last_id);
     }
-  evbuffer_add (a->held, bytes, size);
   inbound_request_stream_send (e->caller, a->held);
+  return true;
 }
 
 unsigned
@@ -203,24 +229,29 @@
 {
   struct exchange *e = a->exchange;
   size_t held = evbuffer_get_length (a->held);
-  if (e->started || held > BUFFERED_MAX_BYTES)
+  if (e->started)
     return false;
   set_held (e, held);
-  return held <= MEMORY_SHARE_MIN_BYTES
-         || !memory_budget_is_used_up (e->proxy->parts.memory);
+  if (must_await_end (a))
+    return true;
+  return held <= BUFFERED_MAX_BYTES
+         && (held <= MEMORY_SHARE_MIN_BYTES
+             || !memory_budget_is_used_up (e->proxy->parts.memory));
 }
 
-/* Forwards or buffers DATA of a response that is not an event stream.  */
-static void
+/* Forwards or buffers DATA of a response that is not an event stream.  Returns
+   whether any was forwarded.  */
+static bool
 forward_body (struct attempt *a, struct evbuffer *data)
 {
   if (a->ends_with_event)
     parse_events (a, data);
   evbuffer_add_buffer (a->held, data);
   if (must_hold (a))
-    return;
+    return false;
   start_response (a);
   inbound_request_stream_send (a->exchange->caller, a->held);
+  return true;
 }
 
 static void
@@ -238,16 +269,14 @@
       return;
     }
   record_first_byte (a);
-  if (a->is_events)
-    forward_events (a, data);
-  else
-    forward_body (a, data);
+  bool forwarded
+      = a->is_events ? forward_events (a, data) : forward_body (a, data);
   if (sse_is_oversized (&a->events))
     {
       reject_oversized (a);
       return;
     }
-  if (!e->started)
+  if (!forwarded)
     return;
   set_held (e, 0);
   size_t waiting = inbound_request_stream_backlog (e->caller);
@@ -310,6 +339,7 @@
 {
   struct exchange *e = a->exchange;
   exchange_prefer (a);
+  record_held_events (a);
   if (a->is_events && a->events.partial)
     evbuffer_add_buffer (a->held, a->events.partial);
   if (e->started)
--- a/src/links/pool.c
+++ b/src/links/pool.c
@@ -654,6 +654,12 @@
   return call->sent;
 }
 
+bool
+pool_call_has_ended (const struct pool_call *call)
+{
+  return pool_socket_has_ended (bufferevent_getfd (call->conn->bev));
+}
+
 /* Creation, release and queries of the pool.  */
 
 struct pool *
--- a/src/links/pool.h
+++ b/src/links/pool.h
@@ -111,6 +111,10 @@
 /** Whether any byte of the request was written to the socket.  */
 bool pool_call_bytes_sent (const struct pool_call *call);
 
+/** Whether the upstream has closed or reset the connection of CALL, whose
+    response may be unread in part.  */
+bool pool_call_has_ended (const struct pool_call *call);
+
 /** Closes the idle connections to UPSTREAM; busy ones stay open.  */
 void pool_close_idle (struct pool *pool, const char *upstream);
 
--- a/src/links/pool_socket.c
+++ b/src/links/pool_socket.c
@@ -4,6 +4,7 @@
 #include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 
@@ -57,6 +58,13 @@
   return ioctl (fd, SIOCOUTQ, &unacked) == 0 && unacked == 0;
 }
 
+bool
+pool_socket_has_ended (int fd)
+{
+  struct pollfd p = { .fd = fd, .events = POLLRDHUP };
+  return poll (&p, 1, 0) > 0;
+}
+
 bool
 pool_socket_is_usable (int fd)
 {
--- a/src/links/pool_socket.h
+++ b/src/links/pool_socket.h
@@ -23,6 +23,10 @@
 /** Whether the peer of FD has acknowledged all bytes that were written.  */
 bool pool_socket_is_acked (int fd);
 
+/** Whether the peer of FD has closed or reset the connection, though bytes
+   that came before may be unread.  */
+bool pool_socket_has_ended (int fd);
+
 /** Whether the idle connection FD is still usable: open and with nothing to
     read.  The event loop may not have reported input or a close yet.  */
 bool pool_socket_is_usable (int fd);
--- a/tests/harness/proc.c
+++ b/tests/harness/proc.c
@@ -155,13 +155,19 @@
   return inodes;
 }
 
+/* Returns ADDRESS, "IP:PORT", as /proc/net/tcp writes it.  */
+static char *
+kernel_address (const char *address)
+{
+  g_auto (GStrv) parts = g_strsplit (address, ":", 2);
+  return g_strdup_printf ("%08X:%04X", (unsigned)inet_addr (parts[0]),
+                          (unsigned)g_ascii_strtoull (parts[1], NULL, 10));
+}
+
 long
 proc_unread_kib (const struct proc *p, const char *address)
 {
-  g_auto (GStrv) parts = g_strsplit (address, ":", 2);
-  g_autofree char *local
-      = g_strdup_printf ("%08X:%04X", (unsigned)inet_addr (parts[0]),
-                         (unsigned)g_ascii_strtoull (parts[1], NULL, 10));
+  g_autofree char *local = kernel_address (address);
   g_autoptr (GHashTable) inodes = socket_inodes (p);
   g_autofree char *text = NULL;
   unsigned long bytes = 0;
@@ -184,6 +190,28 @@
   return (long)(bytes / 1024);
 }
 
+bool
+proc_is_left_by (const struct proc *p, const char *address)
+{
+  g_autofree char *remote = kernel_address (address);
+  g_autoptr (GHashTable) inodes = socket_inodes (p);
+  g_autofree char *text = NULL;
+  if (!g_file_get_contents ("/proc/net/tcp", &text, NULL, NULL))
+    return false;
+  for (const char *line = strchr (text, '\n'); line;
+       line = strchr (line + 1, '\n'))
+    {
+      char to[14], inode[24];
+      unsigned state = 0;
+      int n = sscanf (line, " %*u: %*s %13s %x %*s %*s %*s %*s %*s %23s", to,
+                      &state, inode);
+      if (n == 3 && state == TCP_CLOSE_WAIT && strcmp (to, remote) == 0
+          && g_hash_table_contains (inodes, inode))
+        return true;
+    }
+  return false;
+}
+
 gint64
 proc_cpu_us (const struct proc *p)
 {
--- a/tests/harness/proc.h
+++ b/tests/harness/proc.h
@@ -52,6 +52,10 @@
    ("IP:PORT").  */
 long proc_unread_kib (const struct proc *p, const char *address);
 
+/** Whether a peer at ADDRESS ("IP:PORT") has closed a TCP connection that P
+    still has.  */
+bool proc_is_left_by (const struct proc *p, const char *address);
+
 /** Returns the user and system CPU time of the process so far in microseconds,
     0 if it cannot be read.  */
 gint64 proc_cpu_us (const struct proc *p);
--- a/tests/harness/site.c
+++ b/tests/harness/site.c
@@ -471,9 +471,8 @@
   return true;
 }
 
-/* Returns the value of the metric NAME of VM number I; -1 without one.  */
-static double
-metric (const struct site *s, unsigned i, const char *name)
+double
+site_metric (const struct site *s, unsigned i, const char *name)
 {
   g_autofree char *address
       = g_strdup_printf (VM_IP ":%u", s->metrics_ports[i]);
@@ -490,7 +489,7 @@
 {
   const struct site *s = arg;
   for (unsigned i = 0; i < s->n_vms; i++)
-    if (metric (s, i, "retry_shared_by") <= 0)
+    if (site_metric (s, i, "retry_shared_by") <= 0)
       return false;
   return true;
 }
--- a/tests/harness/site.h
+++ b/tests/harness/site.h
@@ -183,6 +183,10 @@
     received them, to be freed; NULL if it did not.  */
 char *site_request_head (const struct site *s, unsigned i, const char *id);
 
+/** Returns the value of the metric buckthorn_NAME of VM number I; -1 if it has
+    none.  */
+double site_metric (const struct site *s, unsigned i, const char *name);
+
 /** Returns the log of VM number I, to be freed.  */
 char *site_log (const struct site *s, unsigned i);
 
--- a/tests/process/test_many.c
+++ b/tests/process/test_many.c
@@ -8,31 +8,14 @@
 
 #define OTHER_UPSTREAMS 2100
 #define LIST_TIMEOUT_MS 20000
-#define RESPONSE_TIMEOUT_MS 5000
 
 static struct site *site;
 
-/* Number of upstreams that the VM knows, by its metrics.  */
-static unsigned
-known_upstreams (void)
-{
-  g_autofree char *address
-      = g_strdup_printf ("127.0.0.1:%u", (unsigned)site->metrics_ports[0]);
-  struct web *w
-      = web_send_request (address, "GET", "/metrics", NULL, NULL, NULL);
-  web_read_response (w, RESPONSE_TIMEOUT_MS);
-  const char *at = strstr (w->body->str, "\nbuckthorn_upstreams_known ");
-  unsigned n = at ? (unsigned)g_ascii_strtoull (
-                   at + strlen ("\nbuckthorn_upstreams_known "), NULL, 10)
-                  : 0;
-  web_close (w);
-  return n;
-}
-
 static bool
 knows_count (void *arg)
 {
-  return known_upstreams () == GPOINTER_TO_UINT (arg);
+  double known = site_metric (site, 0, "upstreams_known");
+  return (unsigned)known == GPOINTER_TO_UINT (arg);
 }
 
 static void
--- a/tests/process/test_silent_upstreams.c
+++ b/tests/process/test_silent_upstreams.c
@@ -670,6 +670,60 @@
   site = other;
 }
 
+/* The VM of SITE has sent a hedge.  */
+static bool
+has_hedged (void *arg)
+{
+  (void)arg;
+  return site_metric (site, 0, "hedges_sent_total") > 0;
+}
+
+/* Upstream ARG has closed a connection that the VM has still open.  */
+static bool
+has_left (void *arg)
+{
+  const char *address = site->upstream_addresses[GPOINTER_TO_UINT (arg)];
+  return proc_is_left_by (site->vms[0], address);
+}
+
+/* Both upstreams are silent.  Number CUT then sends a part of its stream and
+   closes the connection, and the VM reads both in one go.  */
+static void
+play_cut (unsigned cut)
+{
+  struct requests all = { .n = 0 };
+  g_autofree char *path = g_strdup_printf ("/stream/stream-cut@u%u", cut);
+  const struct kind kind = { path, EVENTS, 0, 0 };
+  g_autofree char *name = g_strdup_printf ("cut-%u", cut);
+  signal_upstreams (03U, SIGSTOP);
+  send_kind (&all, name, &kind);
+  site_wait (has_hedged, NULL, WAIT_MS);
+  proc_signal (site->vms[0], SIGSTOP);
+  proc_signal (site->upstreams[cut], SIGCONT);
+  site_wait (has_left, GUINT_TO_POINTER (cut), WAIT_MS);
+  proc_signal (site->vms[0], SIGCONT);
+  proc_signal (site->upstreams[1 - cut], SIGCONT);
+  expect_whole (&all);
+}
+
+/* Guards against a part of a stream that cancels the attempt beside it
+   although the connection has ended already, so that no attempt is left.  */
+static void
+test_cut_beside_other (void)
+{
+  struct site *other = site;
+  for (unsigned cut = 0; cut < 2; cut++)
+    {
+      site = site_create (program_directory (), 1, 2);
+      site->timeout_ms = ROUTE_TIMEOUT_MS;
+      site_write_routes (site, 2, NULL);
+      site_start (site);
+      play_cut (cut);
+      site_destroy (site);
+    }
+  site = other;
+}
+
 /* A VM that stops has time until LEAVE_S for the requests in progress.  */
 static void
 test_silence_beside_stop (void)
@@ -726,6 +780,8 @@
                    test_silence_of_last_upstream);
   g_test_add_func ("/silent-upstreams/silence-without-retry-budget",
                    test_silence_without_retry_budget);
+  g_test_add_func ("/silent-upstreams/cut-beside-other",
+                   test_cut_beside_other);
   g_test_add_func ("/silent-upstreams/silence-beside-stop",
                    test_silence_beside_stop);
   int result = g_test_run ();
