--- a/src/decide/placement.c
+++ b/src/decide/placement.c
@@ -262,13 +262,15 @@
     l->cost += stream_cost (s, x, load, l->ms, out);
 }
 
-/* Estimates a plain request at X.  */
+/* Estimates a plain request at X.  One that has begun more responses at once
+   than it states slots does not queue the requests beyond them.  */
 static void
 estimate_plain (const struct search *s, const struct upstream *x,
                 const struct upstream_load *load, struct upstream_choice *out,
                 struct latency *l)
 {
-  double utilization = (double)load->running / (double)MAX (x->info.slots, 1);
+  unsigned at_once = MAX (MAX (x->info.slots, x->begun), 1);
+  double utilization = (double)load->running / (double)at_once;
   if (utilization < 1)
     out->occupancy
         = load->running > 0 ? UPSTREAM_HAS_FREE_SLOTS : UPSTREAM_IDLE;
--- a/src/decide/upstreams.h
+++ b/src/decide/upstreams.h
@@ -211,6 +211,7 @@
   bool open;              /**< counted in the load's running */
   bool generating;        /**< counted in the load's generating */
   bool prefilling;        /**< its tokens are counted as not yet prefilled */
+  bool has_begun;         /**< its response has, and is counted as such */
 };
 
 /** Records that a request was sent to the upstream of CHOICE, and fills WORK.
--- a/src/decide/upstreams_outcomes.c
+++ b/src/decide/upstreams_outcomes.c
@@ -267,6 +267,8 @@
   if (x == NULL || !work->prefilling)
     return 0;
   end_prefill (x, work);
+  x->begun += work->open;
+  work->has_begun = work->open;
   if (work->sent_ms < u->resumed_ms)
     return 0;
   double elapsed = (double)(now_ms - work->sent_ms) - x->rtt_ms;
@@ -327,9 +329,11 @@
     return NULL;
   end_prefill (x, work);
   x->own.running -= MIN (x->own.running, 1);
+  x->begun -= MIN (x->begun, work->has_begun ? 1 : 0);
   x->own.generating -= MIN (x->own.generating, work->generating ? 1 : 0);
   upstreams_end_stream (u, x, work);
   work->open = false;
+  work->has_begun = false;
   return x;
 }
 
--- a/src/decide/upstreams_table.h
+++ b/src/decide/upstreams_table.h
@@ -65,6 +65,8 @@
   uint64_t reserve_rank; /* hash of its id: decode engines are reserved for
                             short prompts from the highest rank down */
   struct upstream_load own; /* load from this VM */
+  unsigned begun;           /* requests of own.running whose response has
+                               begun: it runs at least so many at once */
   bool reserved; /* takes no long prompts, as of the latest placement_choose */
   bool reserve_ends;      /* reserved only until its streams have ended */
   GHashTable *peer_loads; /* VM id -> struct peer_load */
--- a/tests/unit/test_routed.c
+++ b/tests/unit/test_routed.c
@@ -585,6 +585,47 @@
   upstreams_destroy (u);
 }
 
+/* Guards against requests that are refused beside responses that go on for
+   long, as their callers read slowly: the instance has begun them all, more
+   than it states slots, so that a new request does not wait for them.  Those
+   that have not begun still queue.  */
+static void
+test_begun_responses_queue_nothing (void)
+{
+  enum
+  {
+    OPEN = 40
+  };
+  struct upstream_work work[OPEN];
+  struct upstreams *u = make_upstreams ();
+  struct placement_request request = { .service = "s" };
+  put_upstream (u, "a", "n1", UPSTREAM_SERVICE, false);
+  int64_t now = send_requests (u, "a", 20, ATTEMPT_ANSWERED, 100, 0);
+  struct upstream_choice c;
+  for (unsigned i = 0; i < OPEN; i++)
+    {
+      c = placement_choose (u, &request, now);
+      upstreams_record_sent (u, &c, NULL, now, &work[i]);
+    }
+  c = placement_choose (u, &request, now);
+  g_assert_true (load_shed_must_refuse (&c, 800, 10000));
+  now += 100;
+  for (unsigned i = 0; i < OPEN; i++)
+    upstreams_record_first_byte (u, &work[i], now);
+  c = placement_choose (u, &request, now);
+  g_assert_cmpint (c.occupancy, !=, UPSTREAM_HAS_FREE_SLOTS);
+  g_assert_false (load_shed_must_refuse (&c, 800, 10000));
+  for (unsigned i = 0; i < OPEN; i++)
+    upstreams_record_cancel (u, &work[i]);
+  c = placement_choose (u, &request, now);
+  g_assert_cmpint (c.occupancy, ==, UPSTREAM_IDLE);
+  for (unsigned i = 0; i < OPEN; i++)
+    upstreams_record_sent (u, &c, NULL, now, &work[i]);
+  c = placement_choose (u, &request, now);
+  g_assert_true (load_shed_must_refuse (&c, 800, 10000));
+  upstreams_destroy (u);
+}
+
 /* The only instance of a service is slower than the latency objective, or was
    when last measured.  An idle instance gets every request, one with free
    slots every request that can be answered before its time-out, and a full one
@@ -1080,6 +1121,8 @@
   g_test_add_func ("/upstreams/expected-latency-decays",
                    test_expected_latency_decays);
   g_test_add_func ("/upstreams/free-slots", test_free_slots_prevent_shedding);
+  g_test_add_func ("/upstreams/begun-responses-queue-nothing",
+                   test_begun_responses_queue_nothing);
   g_test_add_func ("/upstreams/process-pause-ignored",
                    test_process_pause_is_ignored);
   g_test_add_func ("/upstreams/failing-comes-back", test_failing_is_probed);
