--- a/src/daemon/prefix_watch.c
+++ b/src/daemon/prefix_watch.c
@@ -53,15 +53,18 @@
   int64_t last_change;     /* revision of the latest change */
   int64_t hinted_revision; /* latest revision that another VM has seen */
   struct event *hint_timer;
-  int64_t answered_ms; /* when the service last answered; 0 for never */
-  int64_t failed_ms;   /* when the latest request that failed was sent */
-  unsigned retry_ms;   /* delay before the next retry */
+  int64_t answered_ms;      /* when the service last answered; 0 for never */
+  int64_t answered_sent_ms; /* when the latest request that was answered was
+                               sent; 0 for never */
+  int64_t failed_ms;        /* when the latest request that failed was sent */
+  unsigned retry_ms;        /* delay before the next retry */
   unsigned retry_max_ms;
   unsigned batch_delay_max_ms;
   unsigned batch_delay_ms; /* delay of the poll after the latest batch */
   int64_t last_batch_ms;   /* when the latest batch arrived */
   bool up;                 /* the latest request was answered */
   bool listed;             /* all keys were listed at least once */
+  bool listing;            /* a list request of next_step is in flight */
   bool relisting;          /* a list request that a hint caused is in flight */
   int64_t list_started_ms; /* when the latest list was requested */
   int64_t relist_started_ms; /* the same of a list that a hint caused */
@@ -75,15 +78,20 @@
                         int64_t as_of);
 
 /* Records whether the service answered, from the STATUS of a request that was
-   sent at STARTED_MS.  */
+   sent at STARTED_MS.  Without an answer it tells nothing if a later one was
+   answered.  */
 static void
 update_state (struct prefix_watch *f, enum kv_status status,
               int64_t started_ms)
 {
   bool up = status == KV_OK || status == KV_COMPACTED;
+  bool unanswered = status == KV_NOT_DONE || status == KV_UNKNOWN;
+  if (unanswered && started_ms < f->answered_sent_ms)
+    return;
   if (up)
     {
       f->answered_ms = clock_ms ();
+      f->answered_sent_ms = MAX (f->answered_sent_ms, started_ms);
       f->retry_ms = RETRY_MIN_MS;
     }
   else
@@ -167,17 +175,19 @@
            size_t n, int64_t as_of)
 {
   struct prefix_watch *f = arg;
+  f->listing = false;
   update_state (f, status, f->list_started_ms);
-  if (status != KV_OK)
-    {
-      schedule_retry (f);
-      return;
-    }
-  freshness_confirm (f->freshness, f->list_started_ms);
+  if (status == KV_OK)
+    freshness_confirm (f->freshness, f->list_started_ms);
   /* A list that on_hint_due requested may have arrived first and be newer.  */
-  if (as_of >= f->as_of)
+  if (status == KV_OK && as_of >= f->as_of)
     apply_list (f, changes, n, as_of);
-  next_step (f);
+  if (f->current && status != KV_RESTORED)
+    return;
+  if (status == KV_OK)
+    next_step (f);
+  else
+    schedule_retry (f);
 }
 
 /* Random delay before this VM lists all keys again.  */
@@ -328,6 +338,7 @@
      delay recovery until its time-out.  A list is answered at once.  */
   if (f->as_of == 0 || !f->up)
     {
+      f->listing = true;
       f->list_started_ms = clock_boot_ms ();
       kv_list (f->kv, f->prefix, on_listed, f);
     }
@@ -398,8 +409,8 @@
     {
       freshness_confirm (f->freshness, f->relist_started_ms);
       apply_list (f, changes, n, as_of);
-      /* The open poll missed a change.  */
-      if (f->current)
+      /* The open poll missed a change, or the list in flight is late.  */
+      if (f->current || f->listing)
         start_poll (f, freshness_poll_ms (f->freshness));
     }
   else
